--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Builds .venv from requirements.txt. The copy of the requirements inside .venv is written last, so a build that was
+# cut short, or one made from other requirements, is noticed and made anew.
+set -eu
+cd "$(dirname "$0")/.."
+if cmp -s requirements.txt .venv/built-from.txt; then
+    exit 0
+fi
+rm -rf .venv
+python3 -m venv .venv
+.venv/bin/pip -q install --disable-pip-version-check -r requirements.txt
+cp requirements.txt .venv/built-from.txt
--- /dev/null
+++ b/madderwind/__init__.py
@@ -0,0 +1,1 @@
+"""madderwind: a load balancer for services that call services."""
--- /dev/null
+++ b/madderwind/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions and their interface; no input or output happens here."""
--- /dev/null
+++ b/madderwind/policy/api.py
@@ -0,0 +1,264 @@
+"""The interface of the decision module: settings, events, actions and outcomes.
+
+`Balancer(settings, seed).handle(now_ms, event)` takes one event and returns the actions to carry out at once, in
+order. A host (the simulator's adapter today, a service on sockets later) turns what it receives into these events
+and these actions into what it sends; it decides nothing. Times are milliseconds on the host's clock.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+
+class Effect(Enum):
+    """What running a request twice would do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """Which upstreams drop each other's repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+    @property
+    def never_ran(self) -> bool:
+        """True where the outcome proves that the upstream did no part of the request."""
+        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+
+
+class ListKind(Enum):
+    """What a list of upstreams holds."""
+
+    CHANGES = "changes"
+    WHOLE = "whole"
+    CACHED = "cached"
+
+
+class UpstreamState(Enum):
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class RequestClass(msgspec.Struct, frozen=True):
+    """Settings of one class of request."""
+
+    effect: Effect
+    group: Group
+    window_ms: float
+    aim_ms: float
+    deadline_ms: float
+    worth: float
+    late_worth: float
+    streamed: bool
+
+
+class Tenant(msgspec.Struct, frozen=True):
+    """Settings of one tenant: its part of the service and its requests a second over all copies."""
+
+    share: float
+    quota_per_s: float
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """What one copy is told at its start."""
+
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    tier: int = 0
+    tiers: int = 1
+    copies: int = 1
+    zone: int = 0
+    zones: int = 1
+    max_attempts: int = 1
+    max_open: int = 0
+    second_copies: bool = False
+    may_cancel: bool = False
+    may_probe: bool = False
+    retry_after: bool = False
+    max_retry_after_ms: float = 0.0
+    clients_mark_repeats: bool = False
+    passes_deadline: bool = True
+    connect_timeout_ms: float = 0.0
+    tick_ms: float = 0.0
+    answer_slack_ms: float = 0.0
+    drain_grace_ms: float = 0.0
+    start_capacity: float = 1.0
+    warm_after_ms: float = 0.0
+    fall_multiple: float = 1.0
+    fall_ms: float = 0.0
+    must_ask: bool = False
+    ask_within_ms: float = 0.0
+    report_columns: tuple[str, ...] = ()
+    reports_on_answers: bool = False
+    ratings_tell_size: bool = False
+    worth_by_work: bool = False
+    over_share_worth: float = 1.0
+    waste_price: float = 0.0
+    probe_price: float = 0.0
+    cross_zone_price: float = 0.0
+    late_price: float = 0.0
+
+
+class UpstreamEntry(msgspec.Struct, frozen=True, gc=False):
+    """One line of the list of upstreams. `started_ms` is 0 where the start was long ago."""
+
+    upstream: int
+    zone: int
+    kind: int
+    cell: int
+    state: UpstreamState
+    rating: float
+    started_ms: float
+
+
+class Event(msgspec.Struct, frozen=True, gc=False):
+    """Something that happened to this copy."""
+
+
+class FleetListed(Event, frozen=True):
+    """The list of upstreams, or changes to the list held."""
+
+    kind: ListKind
+    version: int
+    entries: tuple[UpstreamEntry, ...]
+
+
+class ListFailed(Event, frozen=True):
+    """A call to discovery failed or a subscription broke; the list held stays in force."""
+
+
+class RequestArrived(Event, frozen=True, gc=False):
+    request_id: int
+    class_index: int
+    tenant_index: int
+    key: int
+    deadline_ms: float
+    work_hint_ms: float | None
+    is_repeat: bool
+    is_write: bool
+
+
+class AnswerBegan(Event, frozen=True, gc=False):
+    """A streamed answer has begun to reach the client."""
+
+    request_id: int
+    attempt: int
+    upstream: int
+    elapsed_ms: float
+
+
+class AttemptEnded(Event, frozen=True):
+    """An attempt's end. `request_over`: the request has its final answer or needs none any more."""
+
+    request_id: int
+    request_over: bool
+    attempt: int
+    outcome: Outcome
+    upstream: int
+    elapsed_ms: float
+    report: tuple[float, ...]
+
+
+class ClientLeft(Event, frozen=True, gc=False):
+    request_id: int
+
+
+class TimerFired(Event, frozen=True, gc=False):
+    token: int
+
+
+class ProbeEnded(Event, frozen=True):
+    outcome: Outcome
+    elapsed_ms: float
+    upstream: int
+    report: tuple[float, ...]
+
+
+class PeerSpoke(Event, frozen=True):
+    """Words of another copy. The policy shares nothing and passes over them."""
+
+    peer: int
+    message: bytes
+
+
+class Action(msgspec.Struct, frozen=True, gc=False):
+    """Something for the host to do now."""
+
+
+class Send(Action, frozen=True, gc=False):
+    """Start an attempt; `not_past_ms` 0 means until the client gives up."""
+
+    request_id: int
+    upstream: int
+    not_past_ms: float
+
+
+class Cancel(Action, frozen=True, gc=False):
+    request_id: int
+    attempt: int
+
+
+class Refuse(Action, frozen=True, gc=False):
+    """Final answer: not done, trying again is harmless; `retry_after_ms` 0 gives no hint."""
+
+    request_id: int
+    retry_after_ms: float
+
+
+class Fail(Action, frozen=True, gc=False):
+    """Final answer: failed, nothing promised."""
+
+    request_id: int
+
+
+class SetTimer(Action, frozen=True, gc=False):
+    after_ms: float
+    token: int
+
+
+class Subscribe(Action, frozen=True, gc=False):
+    on: bool
+
+
+class FetchList(Action, frozen=True, gc=False):
+    pass
+
+
+class Probe(Action, frozen=True, gc=False):
+    upstream: int
+
+
+class CloseIdle(Action, frozen=True, gc=False):
+    upstream: int
+
+
+class TellPeers(Action, frozen=True, gc=False):
+    """Words for one copy of this tier, or for every one (`peer` None)."""
+
+    peer: int | None
+    message: bytes
+
+
+class Log(Action, frozen=True, gc=False):
+    text: str
--- /dev/null
+++ b/madderwind/policy/balancer.py
@@ -0,0 +1,446 @@
+"""Every decision of madderwind. The types, events and actions are in madderwind/policy/api.py: read that first.
+
+One `Balancer` is one copy. It shares nothing, takes time only from `handle`'s `now` and chance only from its seed.
+A request goes: admission -> pick -> attempt -> (quota, wait, pick again) -> one final answer. docs/design.md says
+what follows the design, what departs from it, and when.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from madderwind.policy import api
+from madderwind.policy.api import Effect, Group, ListKind, Outcome, UpstreamState
+
+# The design page's figures.
+QUOTA_CAP = 500.0
+COST_TRANSIENT, COST_FULL, CLEAN_REFUND = 14.0, 5.0, 1.0
+BASE_TRANSIENT_MS, BASE_FULL_MS, CEILING_MS = 100.0, 1000.0, 20_000.0
+# Smoothing of what is learned: about the last eight answers count, as in TCP's round-trip estimate.
+GAIN = 1 / 8
+# An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
+OVERDUE_DEVIATIONS = 4.0
+# Set-aside upstreams are used again when fewer than this part of the fleet is left: then all suffer from one cause.
+SOUND_PART = 0.5
+# Answers should take at most this part of the aim; past it, queues have grown and the open requests are too many.
+AIM_PART = 0.5
+# How the room for open requests shrinks on a sign of queues, and where it starts, an upstream.
+ROOM_SHRINK, ROOM_START = 0.9, 4.0
+# Part of the room that traffic beyond a tenant's share may fill.
+OVER_SHARE_ROOM = 0.5
+# Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
+COLD_CAUTION = 0.8
+
+
+class RetryQuota:
+    """The design's token bucket and its full-jitter doubling waits."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.tokens = QUOTA_CAP
+        self._rng = rng
+
+    @staticmethod
+    def cost(outcome: Outcome) -> float:
+        return COST_FULL if outcome is Outcome.FULL else COST_TRANSIENT
+
+    def spend(self, cost: float) -> bool:
+        if self.tokens < cost:
+            return False
+        self.tokens -= cost
+        return True
+
+    def refund(self, tokens: float) -> None:
+        self.tokens = min(QUOTA_CAP, self.tokens + tokens)
+
+    def wait_ms(self, base_ms: float, retry: int) -> float:
+        return self._rng.random() * min(CEILING_MS, base_ms * 2.0 ** min(retry, 32))
+
+
+class Mean:
+    """A smoothed mean and mean deviation of what was seen."""
+
+    __slots__ = ("mean", "deviation", "seen")
+
+    def __init__(self) -> None:
+        self.mean, self.deviation, self.seen = 0.0, 0.0, 0
+
+    def add(self, value: float) -> None:
+        self.seen += 1
+        gain = max(GAIN, 1 / self.seen)
+        self.deviation += gain * (abs(value - self.mean) - self.deviation) if self.seen > 1 else value / 2
+        self.mean += gain * (value - self.mean)
+
+
+class Upstream:
+    """What this copy knows of one upstream."""
+
+    def __init__(self, entry: api.UpstreamEntry) -> None:
+        self.entry = entry
+        self.started_ms = entry.started_ms
+        self.sent_ms: dict[tuple[int, int], float] = {}  # attempts in flight, oldest first
+        self.slowness = Mean()  # its answers' times over the class's usual
+        self.failures = 0
+        self.aside_until_ms = 0.0
+        self.dead = False
+        self.cold_credit: float | None = None
+
+    def relist(self, entry: api.UpstreamEntry) -> None:
+        if entry.started_ms > self.started_ms:
+            self.restarted(entry.started_ms)
+        self.entry = entry
+
+    def restarted(self, started_ms: float) -> None:
+        self.started_ms, self.dead, self.cold_credit = started_ms, False, None
+        self.failures, self.aside_until_ms = 0, 0.0
+
+    def warmth(self, now: float, settings: api.Settings) -> float:
+        """The least part of its capacity that it can have by now; 1 when warm."""
+        if self.started_ms <= 0 or settings.warm_after_ms <= 0:
+            return 1.0
+        age = max(0.0, now - self.started_ms) / settings.warm_after_ms
+        return min(1.0, settings.start_capacity + (1 - settings.start_capacity) * age)
+
+    def failed(self, now: float, wait_ms: float) -> None:
+        """What failed goes on counting against it: it is set aside for a wait that doubles with each failure."""
+        if now >= self.aside_until_ms:
+            self.failures += 1
+            self.aside_until_ms = now + wait_ms
+
+    def sound(self, now: float) -> bool:
+        """Not set aside; after a failure, one attempt at a time shows whether it has recovered."""
+        return now >= self.aside_until_ms and (self.failures == 0 or not self.sent_ms)
+
+
+class Attempt:
+    def __init__(self, upstream: Upstream, now: float, cost: float) -> None:
+        self.upstream, self.sent_ms, self.cost = upstream.entry, now, cost
+        self.outcome: Outcome | None = None
+
+    def may_have_run(self) -> bool:
+        return self.outcome is None or not self.outcome.never_ran
+
+
+class Request:
+    def __init__(self, event: api.RequestArrived, klass: api.RequestClass, now: float) -> None:
+        self.id, self.class_index, self.klass = event.request_id, event.class_index, klass
+        self.deadline_ms = event.deadline_ms
+        aim_ms = klass.aim_ms if klass.late_worth <= 0 else klass.deadline_ms
+        self.useful_until_ms = min(event.deadline_ms, now + aim_ms)
+        self.attempts: list[Attempt] = []
+        self.waiting_cost: float | None = None  # set while a retry's wait runs
+        self.streaming = False
+
+    def open_attempts(self) -> int:
+        return sum(a.outcome is None for a in self.attempts)
+
+
+def may_be_resent(request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings) -> bool:
+    """Whether another attempt at this upstream can have no second effect. The only such test."""
+    if request.streaming or len(request.attempts) >= settings.max_attempts:
+        return False
+    if request.open_attempts() and not settings.second_copies:
+        return False
+    ran = [a for a in request.attempts if a.may_have_run()]
+    klass = request.klass
+    if not ran or klass.effect is Effect.SAFE:
+        return True
+    if klass.effect is Effect.UNSAFE or now >= ran[0].sent_ms + klass.window_ms:
+        return False
+    if klass.group is Group.ALL:
+        return True
+    if klass.group is Group.ZONE:
+        return all(a.upstream.zone == entry.zone for a in ran)
+    return all(a.upstream.cell == entry.cell for a in ran)
+
+
+def may_be_refused(request: Request) -> bool:
+    """Whether the client may be told that trying again is harmless. The only such test."""
+    if request.klass.effect is Effect.SAFE or not any(a.may_have_run() for a in request.attempts):
+        return not request.streaming
+    return request.klass.effect is Effect.KEYED and request.klass.group is Group.ALL and not request.streaming
+
+
+class Picker:
+    """The design's idle-first pick, within the rules on drains and cold upstreams."""
+
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+        self._settings, self._rng = settings, rng
+        self.fleet: dict[int, Upstream] = {}
+
+    def listed(self, kind: ListKind, entries: Iterable[api.UpstreamEntry]) -> None:
+        fresh = {entry.upstream: entry for entry in entries}
+        if kind is not ListKind.CHANGES:
+            for upstream in [u for u in self.fleet if u not in fresh]:
+                del self.fleet[upstream]
+        for upstream, entry in fresh.items():
+            if entry.state is UpstreamState.GONE:
+                self.fleet.pop(upstream, None)
+            elif upstream in self.fleet:
+                self.fleet[upstream].relist(entry)
+            else:
+                self.fleet[upstream] = Upstream(entry)
+
+    def pick(self, request: Request, now: float, size_ms: float) -> Upstream | None:
+        """The upstream for the request's next attempt, or None where no upstream may have it."""
+        ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
+        warm = [u for u in ready if u.warmth(now, self._settings) >= 1]
+        able = [
+            u for u in ready if self._takes_cold(u, warm, now, size_ms) and may_be_resent(request, u.entry, now, self._settings)
+        ]
+        tried = {a.upstream.upstream for a in request.attempts[-1:]}
+        able = [u for u in able if u.entry.upstream not in tried] or able
+        sound = [u for u in able if u.sound(now)]
+        if len(sound) < SOUND_PART * len(able):
+            sound = able
+        pool = [u for u in sound if not u.sent_ms]
+        if not pool and sound:
+            mean = sum(len(u.sent_ms) for u in sound) / len(sound)
+            pool = [u for u in sound if len(u.sent_ms) <= mean]
+        if not pool:
+            return None
+        chosen = self._rng.choices(pool, [1 / self.slowness(u, now) for u in pool])[0]
+        self._count_cold(chosen, ready, warm, now, size_ms)
+        return chosen
+
+    def slowness(self, u: Upstream, now: float) -> float:
+        """How slow it is expected to be, 1 for the usual; one unheard-from counts by its rating, if that tells size."""
+        if u.slowness.seen:
+            return max(u.slowness.mean, 1e-3)
+        if self._settings.ratings_tell_size and u.entry.rating > 0:
+            ratings = [v.entry.rating for v in self.fleet.values()]
+            return sum(ratings) / len(ratings) / u.entry.rating
+        return 1.0
+
+    def _takes_cold(self, u: Upstream, warm: list[Upstream], now: float, size_ms: float) -> bool:
+        """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
+        if u.warmth(now, self._settings) >= 1:
+            return True
+        if not warm:
+            return not u.sent_ms
+        if u.cold_credit is None:  # a random start, so that not all copies send their first at once
+            u.cold_credit = -self._rng.random() * size_ms
+        return u.cold_credit >= 0 and not u.sent_ms
+
+    def _count_cold(
+        self, chosen: Upstream, ready: list[Upstream], warm: list[Upstream], now: float, size_ms: float
+    ) -> None:
+        """Guards against all copies together pushing a cold upstream over: the work sent to it stays under this
+        copy's own mean a warm upstream, cut down to the least part of its capacity that it can have by now."""
+        if chosen.cold_credit is not None:
+            chosen.cold_credit -= size_ms
+        if warm and chosen.warmth(now, self._settings) >= 1:
+            for u in ready:
+                if u.cold_credit is not None:
+                    earned = size_ms / len(warm) * u.warmth(now, self._settings) * COLD_CAUTION
+                    u.cold_credit = min(u.cold_credit + earned, 0.0 if u.cold_credit <= 0 else u.cold_credit)
+
+
+class Admission:
+    """How many requests may be open at once. Grows while answers come well within their aims, shrinks when not."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self.room: float | None = None
+        self._starting = True
+        self._shrunk_ms = float("-inf")
+        self._allowance: dict[int, tuple[float, float]] = {}
+
+    def admits(self, open_requests: int, upstreams: int, tenant_index: int, now: float) -> bool:
+        if self.room is None:
+            self.room = max(1.0, ROOM_START * upstreams)
+        part = 1.0 if self._within_share(tenant_index, now) else OVER_SHARE_ROOM
+        return open_requests < self.room * part
+
+    def _within_share(self, tenant_index: int, now: float) -> bool:
+        """This copy's even part of the tenant's quota, as a bucket that holds one second of it."""
+        if tenant_index >= len(self._settings.tenants):
+            return True
+        rate = self._settings.tenants[tenant_index].quota_per_s / max(1, self._settings.copies)
+        tokens, since = self._allowance.get(tenant_index, (rate, now))
+        tokens = min(rate, tokens + rate * (now - since) / 1000)
+        within = tokens >= 1
+        self._allowance[tenant_index] = (tokens - 1 if within else tokens, now)
+        return within
+
+    def answered(self, in_time: bool, open_requests: int, usual_ms: float, now: float) -> None:
+        if self.room is None:
+            return
+        if not in_time:
+            self._starting = False
+            if now - self._shrunk_ms >= usual_ms:
+                self.room, self._shrunk_ms = max(1.0, self.room * ROOM_SHRINK), now
+        elif open_requests > self.room / 2:
+            self.room += 1.0 if self._starting else 1 / self.room
+
+
+class Balancer:
+    """One copy. Ties the events to the decisions above; `_answer` is the only way to a final answer."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self._settings = settings
+        self._rng = random.Random(seed)
+        self._quota = RetryQuota(self._rng)
+        self._picker = Picker(settings, self._rng)
+        self._admission = Admission(settings)
+        self._owns_retries = settings.tier == 0  # the front tier owns retries, inner copies try once
+        self._requests: dict[int, Request] = {}
+        self._usual = [Mean() for _ in settings.classes]
+        self._timers: dict[int, tuple[str, int, int]] = {}
+        self._next_token = 0
+        self._asks = 0
+        self._following = False
+        self._out: list[api.Action] = []
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self._out = []
+        match event:
+            case api.RequestArrived():
+                self._arrived(now, event)
+            case api.AttemptEnded():
+                self._attempt_ended(now, event)
+            case api.TimerFired():
+                self._timer_fired(now, *self._timers.pop(event.token, ("", 0, 0)))
+            case api.ClientLeft():
+                self._requests.pop(event.request_id, None)
+            case api.AnswerBegan():
+                if event.request_id in self._requests:
+                    self._requests[event.request_id].streaming = True
+            case api.FleetListed():
+                self._picker.listed(event.kind, event.entries)
+                if event.kind is not ListKind.CACHED:
+                    self._following, self._asks = self._settings.must_ask, 0
+                elif self._settings.must_ask:
+                    self._ask_later()
+            case api.ListFailed():
+                self._ask_later()
+        return self._out
+
+    # -- following the list ------------------------------------------------------------------------------------
+
+    def _ask_later(self) -> None:
+        """Subscribe after a full-jitter wait, so that copies that start or lose discovery together spread out."""
+        self._set_timer("ask", 0, 0, self._quota.wait_ms(BASE_FULL_MS, self._asks))
+        self._asks += 1
+
+    # -- requests ----------------------------------------------------------------------------------------------
+
+    def _arrived(self, now: float, event: api.RequestArrived) -> None:
+        if not 0 <= event.class_index < len(self._settings.classes):
+            self._out.append(api.Fail(event.request_id))  # nothing is known of its class, so nothing is promised
+            return
+        request = Request(event, self._settings.classes[event.class_index], now)
+        self._requests[request.id] = request
+        # Only the front turns work away for want of room: further in, a refusal throws away work already done.
+        room = not self._owns_retries or self._admission.admits(
+            len(self._requests) - 1, len(self._picker.fleet), event.tenant_index, now
+        )
+        if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
+            self._answer(request)
+
+    def _send(self, now: float, request: Request, cost: float) -> bool:
+        """One more attempt, where an upstream may have it. The only way to a send."""
+        usual = self._usual[request.class_index]
+        upstream = self._picker.pick(request, now, usual.mean or request.klass.aim_ms)
+        if upstream is None:
+            return False
+        number = len(request.attempts)
+        request.attempts.append(Attempt(upstream, now, cost))
+        upstream.sent_ms[request.id, number] = now
+        self._out.append(api.Send(request.id, upstream.entry.upstream, 0.0))
+        if self._owns_retries and usual.seen > 1 and request.klass.effect is not Effect.UNSAFE:
+            overdue_ms = usual.mean + OVERDUE_DEVIATIONS * usual.deviation
+            if now + overdue_ms + usual.mean < request.useful_until_ms:
+                self._set_timer("overdue", request.id, number, overdue_ms)
+        return True
+
+    def _attempt_ended(self, now: float, event: api.AttemptEnded) -> None:
+        request = self._requests.get(event.request_id)
+        self._learn(now, event, request)
+        if request is None or event.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        attempt.outcome = event.outcome
+        if event.request_over:
+            if event.outcome is Outcome.OK:
+                self._quota.refund(attempt.cost if event.attempt else CLEAN_REFUND)
+            self._requests.pop(request.id)
+        elif not request.open_attempts() and request.waiting_cost is None:
+            self._retry_or_answer(now, request, event.outcome)
+
+    def _learn(self, now: float, event: api.AttemptEnded, request: Request | None) -> None:
+        """What an attempt's end tells of its upstream, its class and the room for requests."""
+        upstream = self._picker.fleet.get(event.upstream)
+        outcome = event.outcome
+        if upstream is not None:
+            upstream.sent_ms.pop((event.request_id, event.attempt), None)
+            if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+                upstream.dead = True
+            elif upstream.dead and outcome in (Outcome.OK, Outcome.ERROR):
+                upstream.restarted(now)  # life after a death is a restart, whether or not the list knows of it yet
+            if outcome is Outcome.OK:
+                upstream.failures //= 2
+            elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+                upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
+        if request is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
+            usual = self._usual[request.class_index]
+            if outcome is Outcome.OK:
+                usual.add(event.elapsed_ms)
+            if upstream is not None and usual.mean > 0:
+                upstream.slowness.add(event.elapsed_ms / usual.mean)
+            in_time = event.elapsed_ms <= AIM_PART * request.klass.aim_ms
+            self._admission.answered(in_time, len(self._requests), usual.mean, now)
+
+    def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
+        """After a failure: the quota's retry after its wait, or the answer at once."""
+        usual_ms = self._usual[request.class_index].mean
+        base_ms = BASE_FULL_MS if outcome is Outcome.FULL else BASE_TRANSIENT_MS
+        wait_ms = self._quota.wait_ms(base_ms, len(request.attempts) - 1)
+        if (
+            self._owns_retries
+            and now + wait_ms + usual_ms < request.useful_until_ms
+            and any(may_be_resent(request, u.entry, now + wait_ms, self._settings) for u in self._picker.fleet.values())
+            and self._quota.spend(self._quota.cost(outcome))
+        ):
+            request.waiting_cost = self._quota.cost(outcome)
+            self._set_timer("retry", request.id, 0, wait_ms)
+        else:
+            self._answer(request)
+
+    def _timer_fired(self, now: float, what: str, request_id: int, attempt: int) -> None:
+        if what == "ask" and not self._following:
+            self._out.append(api.Subscribe(True))
+        request = self._requests.get(request_id)
+        if request is None:
+            return
+        if what == "retry" and request.waiting_cost is not None:
+            cost, request.waiting_cost = request.waiting_cost, None
+            if now >= request.deadline_ms or not self._send(now, request, cost):
+                self._quota.refund(cost)
+                self._answer(request)
+        elif what == "overdue" and request.attempts[attempt].outcome is None and not request.streaming:
+            self._overdue(now, request, request.attempts[attempt])
+
+    def _overdue(self, now: float, request: Request, attempt: Attempt) -> None:
+        """Silence while others answer: guards against upstreams that take work and answer nothing. It counts as a
+        failure of the upstream, and where the class allows, a second copy goes out, paid for like a retry."""
+        upstream = self._picker.fleet.get(attempt.upstream.upstream)
+        if upstream is not None:
+            upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
+        if request.attempts[-1] is attempt and self._settings.second_copies and self._quota.spend(COST_TRANSIENT):
+            if not self._send(now, request, COST_TRANSIENT):
+                self._quota.refund(COST_TRANSIENT)
+
+    def _answer(self, request: Request) -> None:
+        """The one exit: the final answer of a request given up on, at once."""
+        del self._requests[request.id]
+        if may_be_refused(request):
+            hold_off_ms = min(self._settings.max_retry_after_ms, self._quota.wait_ms(BASE_FULL_MS, 0))
+            self._out.append(api.Refuse(request.id, hold_off_ms if self._settings.retry_after else 0.0))
+        else:
+            self._out.append(api.Fail(request.id))
+
+    def _set_timer(self, what: str, request_id: int, attempt: int, after_ms: float) -> None:
+        self._next_token = (self._next_token + 1) % 2**32
+        self._timers[self._next_token] = (what, request_id, attempt)
+        self._out.append(api.SetTimer(after_ms, self._next_token))
--- /dev/null
+++ b/madderwind/simhost/settings.py
@@ -0,0 +1,135 @@
+"""START settings (path=value lines) into `Settings`. Wire names stop here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from madderwind.policy.api import Effect, Group, RequestClass, Settings, Tenant
+
+T = TypeVar("T")
+
+EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+COLUMNS = {
+    "active": "in_flight",
+    "waiting": "waiting",
+    "cpu": "cpu",
+    "avg_ms": "response_ms",
+    "rps": "served_per_s",
+    "err_rps": "errors_per_s",
+}
+
+
+class SettingsError(ValueError):
+    """A needed setting is missing or cannot be read."""
+
+
+def _flag(text: str) -> bool:
+    return {"true": True, "false": False}[text]
+
+
+def _number(text: str) -> float:
+    value = float(text)
+    if value != value or value in (float("inf"), float("-inf")):
+        raise ValueError(text)
+    return value
+
+
+def _words(text: str) -> tuple[str, ...]:
+    return tuple(text.split(",")) if text else ()
+
+
+class _Lines:
+    """The lines by path, read with their type; an unknown path is left alone."""
+
+    def __init__(self, raw: bytes) -> None:
+        try:
+            text = raw.decode("utf-8")
+        except UnicodeDecodeError as error:
+            raise SettingsError(f"START settings are not UTF-8 text: {error.reason} at byte {error.start}") from None
+        self._values: dict[str, str] = {}
+        for number, line in enumerate(text.splitlines(), 1):
+            if not line:
+                continue
+            path, equals, value = line.partition("=")
+            if not equals:
+                raise SettingsError(f"START settings line {number} has no '=': {line[:60]!r}")
+            self._values[path] = value
+
+    def get(self, path: str, read: Callable[[str], T], default: T | None = None) -> T:
+        if path not in self._values:
+            if default is None:
+                raise SettingsError(f"START settings lack {path}")
+            return default
+        try:
+            return read(self._values[path])
+        except (ValueError, KeyError):
+            raise SettingsError(f"START setting {path} cannot be read: {self._values[path][:60]!r}") from None
+
+
+def _request_class(lines: _Lines, at: str) -> RequestClass:
+    effect = lines.get(f"{at}.Effect", EFFECTS.__getitem__)
+    keyed = effect is Effect.KEYED
+    return RequestClass(
+        effect=effect,
+        group=lines.get(f"{at}.Group", GROUPS.__getitem__, None if keyed else Group.ALL),
+        window_ms=lines.get(f"{at}.WindowMs", _number, None if keyed else 0.0),
+        aim_ms=lines.get(f"{at}.GoalTimeMs", _number),
+        deadline_ms=lines.get(f"{at}.DeadlineMs", _number),
+        worth=lines.get(f"{at}.Importance", _number, 1.0),
+        late_worth=lines.get(f"{at}.LateValue", _number, 0.0),
+        streamed=lines.get(f"{at}.Streamed", _flag, False),
+    )
+
+
+def read_settings(raw: bytes) -> Settings:
+    """The settings of one copy. Raises SettingsError naming the key that is missing or unreadable."""
+    lines = _Lines(raw)
+    classes = tuple(_request_class(lines, f"Profiles.{n}") for n in range(lines.get("Profiles.count", int)))
+    tenants = tuple(
+        Tenant(
+            share=lines.get(f"Customers.{n}.Fraction", _number),
+            quota_per_s=lines.get(f"Customers.{n}.QuotaPerS", _number),
+        )
+        for n in range(lines.get("Customers.count", int, 0))
+    )
+    how = lines.get("Reporting.How", {"inline": "inline", "on_probe": "on_probe", "off": "off"}.__getitem__, "off")
+    weights = lines.get("Weights", {w: w for w in ("off", "nominal", "rough", "live")}.__getitem__, "off")
+    return Settings(
+        classes=classes,
+        tenants=tenants,
+        tier=lines.get("Tier", int, 0),
+        tiers=len(lines.get("Tiers", _words, ("",))),
+        copies=lines.get("NInstances", int),
+        zone=lines.get("Zone", int, 0),
+        zones=len(lines.get("Zones", _words, ("",))),
+        max_attempts=lines.get("Ceilings.MaxAttempts", int),
+        max_open=lines.get("Ceilings.MaxOpen", int, 0),
+        second_copies=lines.get("Ceilings.SecondCopies", _flag),
+        may_cancel=lines.get("Ceilings.Cancel", _flag),
+        may_probe=lines.get("Ceilings.Probes", _flag),
+        retry_after=lines.get("Ceilings.RetryAfter", _flag),
+        max_retry_after_ms=lines.get("Ceilings.MaxRetryAfterMs", _number, 0.0),
+        clients_mark_repeats=lines.get("Clients.MarksRetry", _flag, False),
+        passes_deadline=lines.get("FamilyInfo.PassesDeadline", _flag, True),
+        connect_timeout_ms=lines.get("Ceilings.ConnectTimeoutMs", _number, 0.0),
+        tick_ms=lines.get("GranularityMs", _number, 0.0),
+        answer_slack_ms=lines.get("Obligations.AnswerSlackMs", _number),
+        drain_grace_ms=lines.get("Obligations.DrainGraceMs", _number),
+        start_capacity=lines.get("Obligations.StartCapacity", _number),
+        warm_after_ms=lines.get("Obligations.WarmAfterMs", _number),
+        fall_multiple=lines.get("Obligations.FallMultiple", _number),
+        fall_ms=lines.get("Obligations.FallMs", _number),
+        must_ask=lines.get("Discovery", {"pushed": False, "on_request": True}.__getitem__),
+        ask_within_ms=lines.get("Obligations.AskWithinMs", _number, 0.0),
+        report_columns=tuple(COLUMNS.get(name, name) for name in lines.get("Reporting.Columns", _words, ())),
+        reports_on_answers=how == "inline",
+        ratings_tell_size=weights in ("nominal", "rough"),
+        worth_by_work=lines.get("WorthBy", {"work": True, "request": False}.__getitem__, False),
+        over_share_worth=lines.get("OverShareWorth", _number, 1.0),
+        waste_price=lines.get("Prices.Waste", _number, 0.0),
+        probe_price=lines.get("Prices.Probe", _number, 0.0),
+        cross_zone_price=lines.get("Prices.CrossZone", _number, 0.0),
+        late_price=lines.get("Prices.LateFail", _number, 0.0),
+    )
