Admission by smoothed answer times against best time and aim

Now the sign is the smoothed ratio of answer times to the geometric mean of the class's best time and its aim.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -1,8 +1,8 @@
 """Every decision of madderwind. The types, events and actions are in madderwind/policy/api.py: read that first.
 
-One `Balancer` is one copy. It shares nothing, takes time only from `handle`'s `now` and chance only from its seed.
-A request goes: admission -> pick -> attempt -> (quota, wait, pick again) -> one final answer. docs/design.md says
-what follows the design, what departs from it, and when.
+One `Balancer` is one copy. It shares nothing, takes time only from `handle`'s `now`, chance only from its seed.
+A request goes: admission -> pick -> attempt -> (quota, wait, pick again) -> one final answer. docs/design.md
+says what follows the design, what departs from it, and when.
 """
 
 from __future__ import annotations
@@ -21,12 +21,12 @@
 GAIN = 1 / 8
 # An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
 OVERDUE_DEVIATIONS = 4.0
-# Set-aside upstreams are used again when fewer than this part of the fleet is left: then all suffer from one cause.
+# Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
 SOUND_PART = 0.5
-# Answers should take at most this part of the aim; past it, queues have grown and the open requests are too many.
-AIM_PART = 0.5
-# How the room for open requests shrinks on a sign of queues, and where it starts, an upstream.
-ROOM_SHRINK, ROOM_START = 0.9, 4.0
+# How the room for open requests shrinks on a sign of queues.
+ROOM_SHRINK = 0.9
+# Open requests an upstream, over all copies: where the room starts, and the least that keeps every upstream at work.
+ROOM_START, ROOM_LEAST = 8.0, 2.0
 # Part of the room that traffic beyond a tenant's share may fill.
 OVER_SHARE_ROOM = 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
@@ -58,18 +58,18 @@
 
 
 class Mean:
-    """A smoothed mean and mean deviation of what was seen."""
-
-    __slots__ = ("mean", "deviation", "seen")
+    """A smoothed mean and mean deviation of what was seen, and the lowest that the mean has been."""
 
     def __init__(self) -> None:
-        self.mean, self.deviation, self.seen = 0.0, 0.0, 0
+        self.mean, self.deviation, self.best, self.seen = 0.0, 0.0, float("inf"), 0
 
     def add(self, value: float) -> None:
         self.seen += 1
         gain = max(GAIN, 1 / self.seen)
         self.deviation += gain * (abs(value - self.mean) - self.deviation) if self.seen > 1 else value / 2
         self.mean += gain * (value - self.mean)
+        if self.seen == 1 or self.seen * GAIN >= 1:
+            self.best = min(self.best, self.mean)
 
 
 class Upstream:
@@ -181,12 +181,18 @@
             else:
                 self.fleet[upstream] = Upstream(entry)
 
+    def has_place(self, request: Request, when: float) -> bool:
+        return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
+
     def pick(self, request: Request, now: float, size_ms: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
         warm = [u for u in ready if u.warmth(now, self._settings) >= 1]
         able = [
-            u for u in ready if self._takes_cold(u, warm, now, size_ms) and may_be_resent(request, u.entry, now, self._settings)
+            u
+            for u in ready
+            if self._takes_cold(u, warm, now, size_ms)
+            and may_be_resent(request, u.entry, now, self._settings)
         ]
         tried = {a.upstream.upstream for a in request.attempts[-1:]}
         able = [u for u in able if u.entry.upstream not in tried] or able
@@ -204,7 +210,8 @@
         return chosen
 
     def slowness(self, u: Upstream, now: float) -> float:
-        """How slow it is expected to be, 1 for the usual; one unheard-from counts by its rating, if that tells size."""
+        """How slow it is expected to be, 1 for the usual; one unheard-from counts by its rating, where that
+        tells its size."""
         if u.slowness.seen:
             return max(u.slowness.mean, 1e-3)
         if self._settings.ratings_tell_size and u.entry.rating > 0:
@@ -237,18 +244,23 @@
 
 
 class Admission:
-    """How many requests may be open at once. Grows while answers come well within their aims, shrinks when not."""
+    """How many requests may be open at once. Grows while answers show no queues to speak of, shrinks when they do.
+
+    Guards against crowding: an upstream that holds too many grows slow and stays so. The sign is the smoothed ratio
+    of answer times to the geometric mean of the class's best time and its aim: well above an idle fleet's times,
+    well under what clients still want.
+    """
 
     def __init__(self, settings: api.Settings) -> None:
         self._settings = settings
-        self.room: float | None = None
-        self._starting = True
+        self.room = 0.0
+        self._pressure = Mean()
         self._shrunk_ms = float("-inf")
         self._allowance: dict[int, tuple[float, float]] = {}
 
     def admits(self, open_requests: int, upstreams: int, tenant_index: int, now: float) -> bool:
-        if self.room is None:
-            self.room = max(1.0, ROOM_START * upstreams)
+        each = max(1, upstreams) / max(1, self._settings.copies)
+        self.room = max(self.room or ROOM_START * each, ROOM_LEAST * each, 1.0)
         part = 1.0 if self._within_share(tenant_index, now) else OVER_SHARE_ROOM
         return open_requests < self.room * part
 
@@ -263,15 +275,13 @@
         self._allowance[tenant_index] = (tokens - 1 if within else tokens, now)
         return within
 
-    def answered(self, in_time: bool, open_requests: int, usual_ms: float, now: float) -> None:
-        if self.room is None:
-            return
-        if not in_time:
-            self._starting = False
-            if now - self._shrunk_ms >= usual_ms:
-                self.room, self._shrunk_ms = max(1.0, self.room * ROOM_SHRINK), now
-        elif open_requests > self.room / 2:
-            self.room += 1.0 if self._starting else 1 / self.room
+    def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, open_requests: int, now: float) -> None:
+        self._pressure.add(elapsed_ms / (usual.best * aim_ms) ** 0.5)
+        if self._pressure.mean > 1:
+            if now - self._shrunk_ms >= usual.mean:
+                self.room, self._shrunk_ms = self.room * ROOM_SHRINK, now
+        elif self.room and open_requests > self.room / 2:
+            self.room += 1 / self.room
 
 
 class Balancer:
@@ -327,7 +337,9 @@
 
     def _arrived(self, now: float, event: api.RequestArrived) -> None:
         if not 0 <= event.class_index < len(self._settings.classes):
-            self._out.append(api.Fail(event.request_id))  # nothing is known of its class, so nothing is promised
+            self._out.append(
+                api.Fail(event.request_id)
+            )  # nothing is known of its class, so nothing is promised
             return
         request = Request(event, self._settings.classes[event.class_index], now)
         self._requests[request.id] = request
@@ -377,7 +389,9 @@
             if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
                 upstream.dead = True
             elif upstream.dead and outcome in (Outcome.OK, Outcome.ERROR):
-                upstream.restarted(now)  # life after a death is a restart, whether or not the list knows of it yet
+                upstream.restarted(
+                    now
+                )  # life after a death is a restart, whether or not the list knows of it yet
             if outcome is Outcome.OK:
                 upstream.failures //= 2
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
@@ -388,8 +402,10 @@
                 usual.add(event.elapsed_ms)
             if upstream is not None and usual.mean > 0:
                 upstream.slowness.add(event.elapsed_ms / usual.mean)
-            in_time = event.elapsed_ms <= AIM_PART * request.klass.aim_ms
-            self._admission.answered(in_time, len(self._requests), usual.mean, now)
+            if usual.seen:
+                self._admission.answered(
+                    event.elapsed_ms, usual, request.klass.aim_ms, len(self._requests), now
+                )
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
         """After a failure: the quota's retry after its wait, or the answer at once."""
@@ -399,7 +415,7 @@
         if (
             self._owns_retries
             and now + wait_ms + usual_ms < request.useful_until_ms
-            and any(may_be_resent(request, u.entry, now + wait_ms, self._settings) for u in self._picker.fleet.values())
+            and self._picker.has_place(request, now + wait_ms)
             and self._quota.spend(self._quota.cost(outcome))
         ):
             request.waiting_cost = self._quota.cost(outcome)
@@ -427,7 +443,11 @@
         upstream = self._picker.fleet.get(attempt.upstream.upstream)
         if upstream is not None:
             upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
-        if request.attempts[-1] is attempt and self._settings.second_copies and self._quota.spend(COST_TRANSIENT):
+        if (
+            request.attempts[-1] is attempt
+            and self._settings.second_copies
+            and self._quota.spend(COST_TRANSIENT)
+        ):
             if not self._send(now, request, COST_TRANSIENT):
                 self._quota.refund(COST_TRANSIENT)
 
--- a/madderwind/simhost/host.py
+++ b/madderwind/simhost/host.py
@@ -41,7 +41,9 @@
                 except Exception as error:  # the simulator wants the module's failure on its wire
                     reply.panic(instance, f"{type(error).__name__}: {error}")
             elif instance not in killed:
-                raise WireError(f"batch {number}: {type(item).__name__} for instance {instance}, which never started")
+                raise WireError(
+                    f"batch {number}: {type(item).__name__} for instance {instance}, which never started"
+                )
         return reply.frame(number)
 
 
--- a/madderwind/simhost/settings.py
+++ b/madderwind/simhost/settings.py
@@ -47,7 +47,9 @@
         try:
             text = raw.decode("utf-8")
         except UnicodeDecodeError as error:
-            raise SettingsError(f"START settings are not UTF-8 text: {error.reason} at byte {error.start}") from None
+            raise SettingsError(
+                f"START settings are not UTF-8 text: {error.reason} at byte {error.start}"
+            ) from None
         self._values: dict[str, str] = {}
         for number, line in enumerate(text.splitlines(), 1):
             if not line:
@@ -94,7 +96,9 @@
         )
         for n in range(lines.get("Customers.count", int, 0))
     )
-    how = lines.get("Reporting.How", {"inline": "inline", "on_probe": "on_probe", "off": "off"}.__getitem__, "off")
+    how = lines.get(
+        "Reporting.How", {"inline": "inline", "on_probe": "on_probe", "off": "off"}.__getitem__, "off"
+    )
     weights = lines.get("Weights", {w: w for w in ("off", "nominal", "rough", "live")}.__getitem__, "off")
     return Settings(
         classes=classes,
--- a/madderwind/simhost/wire.py
+++ b/madderwind/simhost/wire.py
@@ -120,7 +120,9 @@
     if not header:
         return None
     if len(header) < BATCH_HEADER.size:
-        raise WireError(f"input ended inside a batch header, after {len(header)} of {BATCH_HEADER.size} bytes")
+        raise WireError(
+            f"input ended inside a batch header, after {len(header)} of {BATCH_HEADER.size} bytes"
+        )
     number, count, size, clock_ms = BATCH_HEADER.unpack(header)
     if size < SIZE_COUNTS_CLOCK:
         raise WireError(f"batch {number}: size {size} leaves no room for the clock")
@@ -154,11 +156,17 @@
                     continue
                 item, at = self._read_event(code, body, at)
             except struct.error:
-                raise WireError(f"batch {number}: record {index} (code {code}) at byte {start} is cut short") from None
+                raise WireError(
+                    f"batch {number}: record {index} (code {code}) at byte {start} is cut short"
+                ) from None
             except WireError as error:
-                raise WireError(f"batch {number}: record {index} (code {code}) at byte {start}: {error}") from None
+                raise WireError(
+                    f"batch {number}: record {index} (code {code}) at byte {start}: {error}"
+                ) from None
             if instance is None:
-                raise WireError(f"batch {number}: record {index} (code {code}) comes before any TARGET_INSTANCE")
+                raise WireError(
+                    f"batch {number}: record {index} (code {code}) comes before any TARGET_INSTANCE"
+                )
             yield instance, item
         if at != len(body):
             raise WireError(f"batch {number}: {len(body) - at} bytes are left after the last record")
@@ -220,7 +228,9 @@
         if code == 9:
             outcome, elapsed_ms, upstream, n = STATUS_BACK.unpack_from(body, at)
             at += STATUS_BACK.size
-            return ProbeEnded(_outcome(outcome), elapsed_ms, upstream, FLOATS[n].unpack_from(body, at)), at + 4 * n
+            return ProbeEnded(
+                _outcome(outcome), elapsed_ms, upstream, FLOATS[n].unpack_from(body, at)
+            ), at + 4 * n
         if code == 10:
             peer, n = PEER_DATA.unpack_from(body, at)
             at += PEER_DATA.size
