--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -1,8 +1,8 @@
 """The interface of the decision module: settings, events, actions and outcomes.
 
-`Balancer(settings, seed).handle(now_ms, event)` takes one event and returns the actions to carry out at once, in
-order. A host (the simulator's adapter today, a service on sockets later) turns what it receives into these events
-and these actions into what it sends; it decides nothing. Times are milliseconds on the host's clock.
+`Balancer(settings, seed).handle(now, event)` takes one event and returns the actions to carry out at once, in
+order. A host (the simulator's adapter today, a service on sockets later) turns what it receives into these
+events and these actions into what it sends; it decides nothing. Times are milliseconds on the host's clock.
 """
 
 from __future__ import annotations
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -1,8 +1,8 @@
-"""Every decision of madderwind. The types, events and actions are in madderwind/policy/api.py: read that first.
+"""Every decision of madderwind. Types, events and actions are in madderwind/policy/api.py: read that first.
 
-One `Balancer` is one copy. It shares nothing, takes time only from `handle`'s `now`, chance only from its seed.
-A request goes: admission -> pick -> attempt -> (quota, wait, pick again) -> one final answer. docs/design.md
-says what follows the design, what departs from it, and when.
+One `Balancer` is one copy. It shares nothing; time is `handle`'s `now` alone, chance its seed alone.
+A request goes: admission, pick, attempt, (quota, wait, pick again,) one final answer. docs/design.md says
+what follows the design, what departs from it, and when.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 SOUND_PART = 0.5
 # How the room for open requests shrinks on a sign of queues.
 ROOM_SHRINK = 0.9
-# Open requests an upstream, over all copies: where the room starts, and the least that keeps every upstream at work.
+# Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 8.0, 2.0
 # Part of the room that traffic beyond a tenant's share may fill.
 OVER_SHARE_ROOM = 0.5
@@ -102,7 +102,7 @@
         return min(1.0, settings.start_capacity + (1 - settings.start_capacity) * age)
 
     def failed(self, now: float, wait_ms: float) -> None:
-        """What failed goes on counting against it: it is set aside for a wait that doubles with each failure."""
+        """What failed goes on counting against it: it is set aside for a wait that doubles each time."""
         if now >= self.aside_until_ms:
             self.failures += 1
             self.aside_until_ms = now + wait_ms
@@ -232,8 +232,8 @@
     def _count_cold(
         self, chosen: Upstream, ready: list[Upstream], warm: list[Upstream], now: float, size_ms: float
     ) -> None:
-        """Guards against all copies together pushing a cold upstream over: the work sent to it stays under this
-        copy's own mean a warm upstream, cut down to the least part of its capacity that it can have by now."""
+        """Guards against all copies together pushing a cold upstream over: the work sent to it stays under
+        this copy's mean a warm upstream, cut to the least part of its capacity that it can have by now."""
         if chosen.cold_credit is not None:
             chosen.cold_credit -= size_ms
         if warm and chosen.warmth(now, self._settings) >= 1:
@@ -244,11 +244,11 @@
 
 
 class Admission:
-    """How many requests may be open at once. Grows while answers show no queues to speak of, shrinks when they do.
+    """How many requests may be open at once. Grows while answers show no queues to speak of, else shrinks.
 
-    Guards against crowding: an upstream that holds too many grows slow and stays so. The sign is the smoothed ratio
-    of answer times to the geometric mean of the class's best time and its aim: well above an idle fleet's times,
-    well under what clients still want.
+    Guards against crowding: an upstream that holds too many grows slow and stays so. The sign is the smoothed
+    ratio of answer times to the geometric mean of the class's best time and its aim: well above an idle
+    fleet's times, well under what clients still want.
     """
 
     def __init__(self, settings: api.Settings) -> None:
@@ -293,7 +293,7 @@
         self._quota = RetryQuota(self._rng)
         self._picker = Picker(settings, self._rng)
         self._admission = Admission(settings)
-        self._owns_retries = settings.tier == 0  # the front tier owns retries, inner copies try once
+        self._is_front = settings.tier == 0
         self._requests: dict[int, Request] = {}
         self._usual = [Mean() for _ in settings.classes]
         self._timers: dict[int, tuple[str, int, int]] = {}
@@ -326,15 +326,11 @@
                 self._ask_later()
         return self._out
 
-    # -- following the list ------------------------------------------------------------------------------------
-
     def _ask_later(self) -> None:
-        """Subscribe after a full-jitter wait, so that copies that start or lose discovery together spread out."""
+        """Subscribe after a full-jitter wait: copies that start or lose discovery together spread out."""
         self._set_timer("ask", 0, 0, self._quota.wait_ms(BASE_FULL_MS, self._asks))
         self._asks += 1
 
-    # -- requests ----------------------------------------------------------------------------------------------
-
     def _arrived(self, now: float, event: api.RequestArrived) -> None:
         if not 0 <= event.class_index < len(self._settings.classes):
             self._out.append(
@@ -343,8 +339,8 @@
             return
         request = Request(event, self._settings.classes[event.class_index], now)
         self._requests[request.id] = request
-        # Only the front turns work away for want of room: further in, a refusal throws away work already done.
-        room = not self._owns_retries or self._admission.admits(
+        # Only the front turns work away for want of room: further in, a refusal wastes work already done.
+        room = not self._is_front or self._admission.admits(
             len(self._requests) - 1, len(self._picker.fleet), event.tenant_index, now
         )
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
@@ -360,7 +356,7 @@
         request.attempts.append(Attempt(upstream, now, cost))
         upstream.sent_ms[request.id, number] = now
         self._out.append(api.Send(request.id, upstream.entry.upstream, 0.0))
-        if self._owns_retries and usual.seen > 1 and request.klass.effect is not Effect.UNSAFE:
+        if self._is_front and usual.seen > 1 and request.klass.effect is not Effect.UNSAFE:
             overdue_ms = usual.mean + OVERDUE_DEVIATIONS * usual.deviation
             if now + overdue_ms + usual.mean < request.useful_until_ms:
                 self._set_timer("overdue", request.id, number, overdue_ms)
@@ -408,12 +404,13 @@
                 )
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
-        """After a failure: the quota's retry after its wait, or the answer at once."""
+        """After a failure: the quota's retry after its wait, or the answer at once. The front owns retries;
+        an inner copy owns those of attempts proven never to have run, since the proof is lost one tier up."""
         usual_ms = self._usual[request.class_index].mean
         base_ms = BASE_FULL_MS if outcome is Outcome.FULL else BASE_TRANSIENT_MS
         wait_ms = self._quota.wait_ms(base_ms, len(request.attempts) - 1)
         if (
-            self._owns_retries
+            (self._is_front or outcome.never_ran)
             and now + wait_ms + usual_ms < request.useful_until_ms
             and self._picker.has_place(request, now + wait_ms)
             and self._quota.spend(self._quota.cost(outcome))
@@ -438,18 +435,15 @@
             self._overdue(now, request, request.attempts[attempt])
 
     def _overdue(self, now: float, request: Request, attempt: Attempt) -> None:
-        """Silence while others answer: guards against upstreams that take work and answer nothing. It counts as a
-        failure of the upstream, and where the class allows, a second copy goes out, paid for like a retry."""
+        """Silence while others answer: guards against upstreams that take work and answer nothing. It counts as
+        a failure of the upstream; where the class allows, a second copy goes out, paid for like a retry."""
         upstream = self._picker.fleet.get(attempt.upstream.upstream)
         if upstream is not None:
             upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
-        if (
-            request.attempts[-1] is attempt
-            and self._settings.second_copies
-            and self._quota.spend(COST_TRANSIENT)
-        ):
-            if not self._send(now, request, COST_TRANSIENT):
-                self._quota.refund(COST_TRANSIENT)
+        if request.attempts[-1] is not attempt or not self._settings.second_copies:
+            return
+        if self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
+            self._quota.refund(COST_TRANSIENT)
 
     def _answer(self, request: Request) -> None:
         """The one exit: the final answer of a request given up on, at once."""
--- a/madderwind/simhost/settings.py
+++ b/madderwind/simhost/settings.py
@@ -40,6 +40,10 @@
     return tuple(text.split(",")) if text else ()
 
 
+NO_WORDS: tuple[str, ...] = ()
+ONE_WORD: tuple[str, ...] = ("",)
+
+
 class _Lines:
     """The lines by path, read with their type; an unknown path is left alone."""
 
@@ -104,10 +108,10 @@
         classes=classes,
         tenants=tenants,
         tier=lines.get("Tier", int, 0),
-        tiers=len(lines.get("Tiers", _words, ("",))),
+        tiers=len(lines.get("Tiers", _words, ONE_WORD)),
         copies=lines.get("NInstances", int),
         zone=lines.get("Zone", int, 0),
-        zones=len(lines.get("Zones", _words, ("",))),
+        zones=len(lines.get("Zones", _words, ONE_WORD)),
         max_attempts=lines.get("Ceilings.MaxAttempts", int),
         max_open=lines.get("Ceilings.MaxOpen", int, 0),
         second_copies=lines.get("Ceilings.SecondCopies", _flag),
@@ -127,7 +131,9 @@
         fall_ms=lines.get("Obligations.FallMs", _number),
         must_ask=lines.get("Discovery", {"pushed": False, "on_request": True}.__getitem__),
         ask_within_ms=lines.get("Obligations.AskWithinMs", _number, 0.0),
-        report_columns=tuple(COLUMNS.get(name, name) for name in lines.get("Reporting.Columns", _words, ())),
+        report_columns=tuple(
+            COLUMNS.get(name, name) for name in lines.get("Reporting.Columns", _words, NO_WORDS)
+        ),
         reports_on_answers=how == "inline",
         ratings_tell_size=weights in ("nominal", "rough"),
         worth_by_work=lines.get("WorthBy", {"work": True, "request": False}.__getitem__, False),
--- a/madderwind/simhost/wire.py
+++ b/madderwind/simhost/wire.py
@@ -133,7 +133,7 @@
 
 
 class BatchReader:
-    """Decodes the records of batches. The numbered lists of upstreams live here, since they outlive a batch."""
+    """Decodes the records of batches. The numbered lists of upstreams live here: they outlive a batch."""
 
     def __init__(self) -> None:
         self._lists: dict[int, tuple[UpstreamEntry, ...]] = {}
