--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -184,6 +184,10 @@
     def has_place(self, request: Request, when: float) -> bool:
         return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
 
+    def load(self, now: float) -> int:
+        """Attempts in flight at upstreams not set aside: what hangs at a silent one leaves the others free."""
+        return sum(len(u.sent_ms) for u in self.fleet.values() if now >= u.aside_until_ms)
+
     def pick(self, request: Request, now: float, size_ms: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
@@ -341,7 +345,7 @@
         self._requests[request.id] = request
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = not self._is_front or self._admission.admits(
-            len(self._requests) - 1, len(self._picker.fleet), event.tenant_index, now
+            self._picker.load(now), len(self._picker.fleet), event.tenant_index, now
         )
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
@@ -398,9 +402,9 @@
                 usual.add(event.elapsed_ms)
             if upstream is not None and usual.mean > 0:
                 upstream.slowness.add(event.elapsed_ms / usual.mean)
-            if usual.seen:
+            if outcome is Outcome.OK:
                 self._admission.answered(
-                    event.elapsed_ms, usual, request.klass.aim_ms, len(self._requests), now
+                    event.elapsed_ms, usual, request.klass.aim_ms, self._picker.load(now), now
                 )
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
@@ -420,7 +424,7 @@
         else:
             self._answer(request)
 
-    def _timer_fired(self, now: float, what: str, request_id: int, attempt: int) -> None:
+    def _timer_fired(self, now: float, what: str, request_id: int, number: int) -> None:
         if what == "ask" and not self._following:
             self._out.append(api.Subscribe(True))
         request = self._requests.get(request_id)
@@ -431,8 +435,10 @@
             if now >= request.deadline_ms or not self._send(now, request, cost):
                 self._quota.refund(cost)
                 self._answer(request)
-        elif what == "overdue" and request.attempts[attempt].outcome is None and not request.streaming:
-            self._overdue(now, request, request.attempts[attempt])
+        elif what == "overdue" and not request.streaming:
+            attempt = request.attempts[number]
+            if attempt.outcome is None:
+                self._overdue(now, request, attempt)
 
     def _overdue(self, now: float, request: Request, attempt: Attempt) -> None:
         """Silence while others answer: guards against upstreams that take work and answer nothing. It counts as
