--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -402,7 +402,7 @@
                 usual.add(event.elapsed_ms)
             if upstream is not None and usual.mean > 0:
                 upstream.slowness.add(event.elapsed_ms / usual.mean)
-            if outcome is Outcome.OK:
+            if usual.seen:
                 self._admission.answered(
                     event.elapsed_ms, usual, request.klass.aim_ms, self._picker.load(now), now
                 )
