--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -345,7 +345,7 @@
         self._requests[request.id] = request
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = not self._is_front or self._admission.admits(
-            self._picker.load(now), len(self._picker.fleet), event.tenant_index, now
+            (len(self._requests) - 1), len(self._picker.fleet), event.tenant_index, now
         )
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
@@ -402,9 +402,9 @@
                 usual.add(event.elapsed_ms)
             if upstream is not None and usual.mean > 0:
                 upstream.slowness.add(event.elapsed_ms / usual.mean)
-            if usual.seen:
+            if outcome is Outcome.OK:
                 self._admission.answered(
-                    event.elapsed_ms, usual, request.klass.aim_ms, self._picker.load(now), now
+                    event.elapsed_ms, usual, request.klass.aim_ms, (len(self._requests) - 1), now
                 )
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
