--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -184,10 +184,6 @@
     def has_place(self, request: Request, when: float) -> bool:
         return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
 
-    def load(self, now: float) -> int:
-        """Attempts in flight at upstreams not set aside: what hangs at a silent one leaves the others free."""
-        return sum(len(u.sent_ms) for u in self.fleet.values() if now >= u.aside_until_ms)
-
     def pick(self, request: Request, now: float, size_ms: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
@@ -200,6 +196,8 @@
         ]
         tried = {a.upstream.upstream for a in request.attempts[-1:]}
         able = [u for u in able if u.entry.upstream not in tried] or able
+        # Guards against idle-looking dead upstreams: one known to refuse connections is no resort while others live.
+        able = [u for u in able if not u.dead or u.sound(now)] or able
         sound = [u for u in able if u.sound(now)]
         if len(sound) < SOUND_PART * len(able):
             sound = able
