--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -33,6 +33,10 @@
 COLD_CAUTION = 0.8
 
 
+# An upstream in another zone, where crossing is priced, is picked this much less often among equals.
+CROSS_ZONE_PART = 0.2
+
+
 class RetryQuota:
     """The design's token bucket and its full-jitter doubling waits."""
 
@@ -207,11 +211,16 @@
             pool = [u for u in sound if len(u.sent_ms) <= mean]
         if not pool:
             return None
-        chosen = self._rng.choices(pool, [1 / self.slowness(u, now) for u in pool])[0]
+        chosen = self._rng.choices(pool, [self._weight(u) for u in pool])[0]
         self._count_cold(chosen, ready, warm, now, size_ms)
         return chosen
 
-    def slowness(self, u: Upstream, now: float) -> float:
+    def _weight(self, u: Upstream) -> float:
+        """The tie-break: the faster the likelier, and where crossing zones is priced, one's own zone sooner."""
+        crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
+        return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u)
+
+    def slowness(self, u: Upstream) -> float:
         """How slow it is expected to be, 1 for the usual; one unheard-from counts by its rating, where that
         tells its size."""
         if u.slowness.seen:
