--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -19,6 +19,8 @@
 BASE_TRANSIENT_MS, BASE_FULL_MS, CEILING_MS = 100.0, 1000.0, 20_000.0
 # Smoothing of what is learned: about the last eight answers count, as in TCP's round-trip estimate.
 GAIN = 1 / 8
+# What is compared with over longer times, a class's usual answer time, moves more slowly.
+SLOW_GAIN = 1 / 64
 # An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
 OVERDUE_DEVIATIONS = 4.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
@@ -33,6 +35,8 @@
 COLD_CAUTION = 0.8
 
 
+# Times are taken as at least this, so that a clock that stands still cannot make one nothing.
+SHORTEST_MS = 0.1
 # An upstream in another zone, where crossing is priced, is picked this much less often among equals.
 CROSS_ZONE_PART = 0.2
 
@@ -64,16 +68,17 @@
 class Mean:
     """A smoothed mean and mean deviation of what was seen, and the lowest that the mean has been."""
 
-    def __init__(self) -> None:
+    def __init__(self, gain: float = GAIN) -> None:
+        self.gain = gain
         self.mean, self.deviation, self.best, self.seen = 0.0, 0.0, float("inf"), 0
 
     def add(self, value: float) -> None:
         self.seen += 1
-        gain = max(GAIN, 1 / self.seen)
+        gain = max(self.gain, 1 / self.seen)
         self.deviation += gain * (abs(value - self.mean) - self.deviation) if self.seen > 1 else value / 2
         self.mean += gain * (value - self.mean)
-        if self.seen == 1 or self.seen * GAIN >= 1:
-            self.best = min(self.best, self.mean)
+        # Few answers tell little: the lowest of a noisy mean would be a lucky one.
+        self.best = min(self.best, self.mean) if self.seen * self.gain >= 1 else self.mean
 
 
 class Upstream:
@@ -188,15 +193,14 @@
     def has_place(self, request: Request, when: float) -> bool:
         return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
 
-    def pick(self, request: Request, now: float, size_ms: float) -> Upstream | None:
+    def pick(self, request: Request, now: float, size: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
         warm = [u for u in ready if u.warmth(now, self._settings) >= 1]
         able = [
             u
             for u in ready
-            if self._takes_cold(u, warm, now, size_ms)
-            and may_be_resent(request, u.entry, now, self._settings)
+            if self._takes_cold(u, warm, now, size) and may_be_resent(request, u.entry, now, self._settings)
         ]
         tried = {a.upstream.upstream for a in request.attempts[-1:]}
         able = [u for u in able if u.entry.upstream not in tried] or able
@@ -212,7 +216,7 @@
         if not pool:
             return None
         chosen = self._rng.choices(pool, [self._weight(u) for u in pool])[0]
-        self._count_cold(chosen, ready, warm, now, size_ms)
+        self._count_cold(chosen, ready, warm, now, size)
         return chosen
 
     def _weight(self, u: Upstream) -> float:
@@ -230,27 +234,27 @@
             return sum(ratings) / len(ratings) / u.entry.rating
         return 1.0
 
-    def _takes_cold(self, u: Upstream, warm: list[Upstream], now: float, size_ms: float) -> bool:
+    def _takes_cold(self, u: Upstream, warm: list[Upstream], now: float, size: float) -> bool:
         """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
         if u.warmth(now, self._settings) >= 1:
             return True
         if not warm:
             return not u.sent_ms
         if u.cold_credit is None:  # a random start, so that not all copies send their first at once
-            u.cold_credit = -self._rng.random() * size_ms
+            u.cold_credit = -self._rng.random() * size
         return u.cold_credit >= 0 and not u.sent_ms
 
     def _count_cold(
-        self, chosen: Upstream, ready: list[Upstream], warm: list[Upstream], now: float, size_ms: float
+        self, chosen: Upstream, ready: list[Upstream], warm: list[Upstream], now: float, size: float
     ) -> None:
         """Guards against all copies together pushing a cold upstream over: the work sent to it stays under
         this copy's mean a warm upstream, cut to the least part of its capacity that it can have by now."""
         if chosen.cold_credit is not None:
-            chosen.cold_credit -= size_ms
+            chosen.cold_credit -= size
         if warm and chosen.warmth(now, self._settings) >= 1:
             for u in ready:
                 if u.cold_credit is not None:
-                    earned = size_ms / len(warm) * u.warmth(now, self._settings) * COLD_CAUTION
+                    earned = size / len(warm) * u.warmth(now, self._settings) * COLD_CAUTION
                     u.cold_credit = min(u.cold_credit + earned, 0.0 if u.cold_credit <= 0 else u.cold_credit)
 
 
@@ -306,7 +310,8 @@
         self._admission = Admission(settings)
         self._is_front = settings.tier == 0
         self._requests: dict[int, Request] = {}
-        self._usual = [Mean() for _ in settings.classes]
+        self._usual = [Mean(SLOW_GAIN) for _ in settings.classes]  # answer times by class, and of all
+        self._typical = Mean(SLOW_GAIN)
         self._timers: dict[int, tuple[str, int, int]] = {}
         self._next_token = 0
         self._asks = 0
@@ -360,7 +365,8 @@
     def _send(self, now: float, request: Request, cost: float) -> bool:
         """One more attempt, where an upstream may have it. The only way to a send."""
         usual = self._usual[request.class_index]
-        upstream = self._picker.pick(request, now, usual.mean or request.klass.aim_ms)
+        size = usual.mean / self._typical.mean if usual.seen else 1.0
+        upstream = self._picker.pick(request, now, size)
         if upstream is None:
             return False
         number = len(request.attempts)
@@ -390,7 +396,7 @@
     def _learn(self, now: float, event: api.AttemptEnded, request: Request | None) -> None:
         """What an attempt's end tells of its upstream, its class and the room for requests."""
         upstream = self._picker.fleet.get(event.upstream)
-        outcome = event.outcome
+        outcome, elapsed_ms = event.outcome, max(event.elapsed_ms, SHORTEST_MS)
         if upstream is not None:
             upstream.sent_ms.pop((event.request_id, event.attempt), None)
             if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
@@ -406,9 +412,10 @@
         if request is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
             usual = self._usual[request.class_index]
             if outcome is Outcome.OK:
-                usual.add(event.elapsed_ms)
+                usual.add(elapsed_ms)
+                self._typical.add(elapsed_ms)
             if upstream is not None and usual.mean > 0:
-                upstream.slowness.add(event.elapsed_ms / usual.mean)
+                upstream.slowness.add(elapsed_ms / usual.mean)
             if outcome is Outcome.OK:
                 self._admission.answered(
                     event.elapsed_ms, usual, request.klass.aim_ms, (len(self._requests) - 1), now
--- a/tests/policy/scripts.py
+++ b/tests/policy/scripts.py
@@ -75,7 +75,9 @@
     def listed(self, entries: list[api.UpstreamEntry], kind: ListKind = ListKind.WHOLE) -> list[api.Action]:
         return self.event(api.FleetListed(kind, 1, tuple(entries)))
 
-    def arrives(self, klass: int = SAFE, within_ms: float = 4000.0, tenant: int = 0) -> tuple[int, list[api.Action]]:
+    def arrives(
+        self, klass: int = SAFE, within_ms: float = 4000.0, tenant: int = 0
+    ) -> tuple[int, list[api.Action]]:
         self._next_id += 1
         event = api.RequestArrived(self._next_id, klass, tenant, 0, self.now + within_ms, None, False, False)
         return self._next_id, self.event(event)
--- a/tests/policy/test_pick.py
+++ b/tests/policy/test_pick.py
@@ -46,7 +46,7 @@
         upstream = sends(actions)[0].upstream
         script.now += 10
         script.ends(request, Outcome.OK, upstream, elapsed_ms=400.0 if upstream == 1 else 100.0)
-    counts = Counter()
+    counts: Counter[int] = Counter()
     for _ in range(200):
         request, actions = script.arrives()
         upstream = sends(actions)[0].upstream
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -33,7 +33,9 @@
         (Outcome.FULL, 5),
     ],
 )
-def test_a_retry_costs_by_its_cause_and_a_successful_one_gives_its_cost_back(outcome: Outcome, cost: float) -> None:
+def test_a_retry_costs_by_its_cause_and_a_successful_one_gives_its_cost_back(
+    outcome: Outcome, cost: float
+) -> None:
     script = Script([entry(1), entry(2)], classes=LONG)
     request, retry = fail_then_retry(script, outcome)
     assert tokens(script) == 500 - cost
