--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -28,7 +28,7 @@
 # How the room for open requests shrinks on a sign of queues.
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 8.0, 2.0
+ROOM_START, ROOM_LEAST = 8.0, 4.0
 # Part of the room that traffic beyond a tenant's share may fill.
 OVER_SHARE_ROOM = 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
@@ -291,7 +291,7 @@
         return within
 
     def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, open_requests: int, now: float) -> None:
-        self._pressure.add(elapsed_ms / (usual.best * aim_ms) ** 0.5)
+        self._pressure.add(elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = self.room * ROOM_SHRINK, now
