--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -204,7 +204,7 @@
         ]
         tried = {a.upstream.upstream for a in request.attempts[-1:]}
         able = [u for u in able if u.entry.upstream not in tried] or able
-        # Guards against idle-looking dead upstreams: one known to refuse connections is no resort while others live.
+        # Guards against dead upstreams that look idle: a refuser of connections is no resort while others live.
         able = [u for u in able if not u.dead or u.sound(now)] or able
         sound = [u for u in able if u.sound(now)]
         if len(sound) < SOUND_PART * len(able):
@@ -234,6 +234,10 @@
             return sum(ratings) / len(ratings) / u.entry.rating
         return 1.0
 
+    def slowness_among_peers(self, u: Upstream | None) -> float:
+        heard = [v.slowness.mean for v in self.fleet.values() if v.slowness.seen]
+        return u.slowness.mean * len(heard) / sum(heard) if u is not None and u.slowness.seen else 1.0
+
     def _takes_cold(self, u: Upstream, warm: list[Upstream], now: float, size: float) -> bool:
         """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
         if u.warmth(now, self._settings) >= 1:
@@ -417,9 +421,9 @@
             if upstream is not None and usual.mean > 0:
                 upstream.slowness.add(elapsed_ms / usual.mean)
             if outcome is Outcome.OK:
-                self._admission.answered(
-                    event.elapsed_ms, usual, request.klass.aim_ms, (len(self._requests) - 1), now
-                )
+                # Guards against one slow upstream passing for a crowded fleet: it is judged against its peers.
+                fair_ms = elapsed_ms / max(1.0, self._picker.slowness_among_peers(upstream))
+                self._admission.answered(fair_ms, usual, request.klass.aim_ms, len(self._requests) - 1, now)
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
         """After a failure: the quota's retry after its wait, or the answer at once. The front owns retries;
