--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -204,7 +204,7 @@
         ]
         tried = {a.upstream.upstream for a in request.attempts[-1:]}
         able = [u for u in able if u.entry.upstream not in tried] or able
-        # Guards against dead upstreams that look idle: a refuser of connections is no resort while others live.
+        # Guards against dead upstreams, which look idle: none is picked while others live.
         able = [u for u in able if not u.dead or u.sound(now)] or able
         sound = [u for u in able if u.sound(now)]
         if len(sound) < SOUND_PART * len(able):
@@ -220,7 +220,7 @@
         return chosen
 
     def _weight(self, u: Upstream) -> float:
-        """The tie-break: the faster the likelier, and where crossing zones is priced, one's own zone sooner."""
+        """The tie-break: the faster the likelier, and the own zone sooner where crossing is priced."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
         return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u)
 
@@ -234,10 +234,6 @@
             return sum(ratings) / len(ratings) / u.entry.rating
         return 1.0
 
-    def slowness_among_peers(self, u: Upstream | None) -> float:
-        heard = [v.slowness.mean for v in self.fleet.values() if v.slowness.seen]
-        return u.slowness.mean * len(heard) / sum(heard) if u is not None and u.slowness.seen else 1.0
-
     def _takes_cold(self, u: Upstream, warm: list[Upstream], now: float, size: float) -> bool:
         """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
         if u.warmth(now, self._settings) >= 1:
@@ -421,9 +417,9 @@
             if upstream is not None and usual.mean > 0:
                 upstream.slowness.add(elapsed_ms / usual.mean)
             if outcome is Outcome.OK:
-                # Guards against one slow upstream passing for a crowded fleet: it is judged against its peers.
-                fair_ms = elapsed_ms / max(1.0, self._picker.slowness_among_peers(upstream))
-                self._admission.answered(fair_ms, usual, request.klass.aim_ms, len(self._requests) - 1, now)
+                self._admission.answered(
+                    elapsed_ms, usual, request.klass.aim_ms, len(self._requests) - 1, now
+                )
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
         """After a failure: the quota's retry after its wait, or the answer at once. The front owns retries;
@@ -459,8 +455,8 @@
                 self._overdue(now, request, attempt)
 
     def _overdue(self, now: float, request: Request, attempt: Attempt) -> None:
-        """Silence while others answer: guards against upstreams that take work and answer nothing. It counts as
-        a failure of the upstream; where the class allows, a second copy goes out, paid for like a retry."""
+        """Silence while others answer: guards against upstreams that take work and answer nothing. It counts
+        as their failure; where the class allows, a second copy goes out, paid for like a retry."""
         upstream = self._picker.fleet.get(attempt.upstream.upstream)
         if upstream is not None:
             upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
