Second copies only where the upstream has answered nothing since the attempt

Cause: mean + 4 deviations is passed by one to three in a hundred sound attempts; each second copy wasted a whole chain's work, crowding the fleet. An upstream that answers others lives; the request is merely long.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -92,6 +92,7 @@
         self.failures = 0
         self.aside_until_ms = 0.0
         self.dead = False
+        self.heard_ms = float("-inf")  # its last answer
         self.cold_credit: float | None = None
 
     def relist(self, entry: api.UpstreamEntry) -> None:
@@ -405,6 +406,8 @@
                 upstream.restarted(
                     now
                 )  # life after a death is a restart, whether or not the list knows of it yet
+            if outcome in (Outcome.OK, Outcome.ERROR):
+                upstream.heard_ms = now
             if outcome is Outcome.OK:
                 upstream.failures //= 2
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
@@ -449,16 +452,16 @@
             if now >= request.deadline_ms or not self._send(now, request, cost):
                 self._quota.refund(cost)
                 self._answer(request)
-        elif what == "overdue" and not request.streaming:
-            attempt = request.attempts[number]
-            if attempt.outcome is None:
-                self._overdue(now, request, attempt)
+        elif what == "overdue" and request.attempts[number].outcome is None and not request.streaming:
+            self._overdue(now, request, request.attempts[number])
 
     def _overdue(self, now: float, request: Request, attempt: Attempt) -> None:
         """Silence while others answer: guards against upstreams that take work and answer nothing. It counts
         as their failure; where the class allows, a second copy goes out, paid for like a retry."""
         upstream = self._picker.fleet.get(attempt.upstream.upstream)
         if upstream is not None:
+            if upstream.heard_ms >= attempt.sent_ms:
+                return  # it lives: a second copy would be work wasted on a request that is merely long
             upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request.attempts[-1] is not attempt or not self._settings.second_copies:
             return
