--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -212,8 +212,10 @@
             sound = able
         pool = [u for u in sound if not u.sent_ms]
         if not pool and sound:
-            mean = sum(len(u.sent_ms) for u in sound) / len(sound)
-            pool = [u for u in sound if len(u.sent_ms) <= mean]
+            # Guards against slow upstreams holding as many: in flight counts in the time that it takes there.
+            load = [len(u.sent_ms) * self.slowness(u) for u in sound]
+            mean = sum(load) / len(load)
+            pool = [u for u, held in zip(sound, load, strict=True) if held <= mean]
         if not pool:
             return None
         chosen = self._rng.choices(pool, [self._weight(u) for u in pool])[0]
