--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -462,7 +462,7 @@
         as their failure; where the class allows, a second copy goes out, paid for like a retry."""
         upstream = self._picker.fleet.get(attempt.upstream.upstream)
         if upstream is not None:
-            if upstream.heard_ms >= attempt.sent_ms:
+            if upstream.heard_ms > attempt.sent_ms:
                 return  # it lives: a second copy would be work wasted on a request that is merely long
             upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request.attempts[-1] is not attempt or not self._settings.second_copies:
