--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -194,6 +194,11 @@
     def has_place(self, request: Request, when: float) -> bool:
         return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
 
+    def usable(self, now: float) -> float:
+        """How many upstreams can be counted on: those ready and not set aside, cold ones by their warmth."""
+        ready = (u for u in self.fleet.values() if u.entry.state is UpstreamState.READY)
+        return sum(u.warmth(now, self._settings) for u in ready if now >= u.aside_until_ms)
+
     def pick(self, request: Request, now: float, size: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
@@ -271,16 +276,16 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self._settings = settings
-        self.room = 0.0
+        self.room = (
+            ROOM_START  # an upstream, over all copies: what the loss of upstreams takes away goes at once
+        )
         self._pressure = Mean()
         self._shrunk_ms = float("-inf")
         self._allowance: dict[int, tuple[float, float]] = {}
 
-    def admits(self, open_requests: int, upstreams: int, tenant_index: int, now: float) -> bool:
-        each = max(1, upstreams) / max(1, self._settings.copies)
-        self.room = max(self.room or ROOM_START * each, ROOM_LEAST * each, 1.0)
+    def admits(self, open_requests: int, usable: float, tenant_index: int, now: float) -> bool:
         part = 1.0 if self._within_share(tenant_index, now) else OVER_SHARE_ROOM
-        return open_requests < self.room * part
+        return open_requests < max(1.0, self.room * usable / max(1, self._settings.copies)) * part
 
     def _within_share(self, tenant_index: int, now: float) -> bool:
         """This copy's even part of the tenant's quota, as a bucket that holds one second of it."""
@@ -293,13 +298,15 @@
         self._allowance[tenant_index] = (tokens - 1 if within else tokens, now)
         return within
 
-    def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, open_requests: int, now: float) -> None:
+    def answered(
+        self, elapsed_ms: float, usual: Mean, aim_ms: float, open_requests: int, usable: float, now: float
+    ) -> None:
         self._pressure.add(elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
-                self.room, self._shrunk_ms = self.room * ROOM_SHRINK, now
-        elif self.room and open_requests > self.room / 2:
-            self.room += 1 / self.room
+                self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
+        elif open_requests > self.room * (own := max(1.0, usable) / max(1, self._settings.copies)) / 2:
+            self.room += 1 / (self.room * own) / own
 
 
 class Balancer:
@@ -360,7 +367,7 @@
         self._requests[request.id] = request
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = not self._is_front or self._admission.admits(
-            (len(self._requests) - 1), len(self._picker.fleet), event.tenant_index, now
+            (len(self._requests) - 1), self._picker.usable(now), event.tenant_index, now
         )
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
@@ -423,7 +430,12 @@
                 upstream.slowness.add(elapsed_ms / usual.mean)
             if outcome is Outcome.OK:
                 self._admission.answered(
-                    elapsed_ms, usual, request.klass.aim_ms, len(self._requests) - 1, now
+                    elapsed_ms,
+                    usual,
+                    request.klass.aim_ms,
+                    len(self._requests) - 1,
+                    self._picker.usable(now),
+                    now,
                 )
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
