--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -230,7 +230,7 @@
     def _weight(self, u: Upstream) -> float:
         """The tie-break: the faster the likelier, and the own zone sooner where crossing is priced."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u)
+        return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u) ** 2
 
     def slowness(self, u: Upstream) -> float:
         """How slow it is expected to be, 1 for the usual; one unheard-from counts by its rating, where that
