--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -177,6 +177,8 @@
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self._settings, self._rng = settings, rng
         self.fleet: dict[int, Upstream] = {}
+        self.typical = Mean(SLOW_GAIN)  # answer times of all classes
+        self._now = 0.0
 
     def listed(self, kind: ListKind, entries: Iterable[api.UpstreamEntry]) -> None:
         fresh = {entry.upstream: entry for entry in entries}
@@ -201,6 +203,7 @@
 
     def pick(self, request: Request, now: float, size: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
+        self._now = now
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
         warm = [u for u in ready if u.warmth(now, self._settings) >= 1]
         able = [
@@ -233,6 +236,11 @@
         return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u) ** 2
 
     def slowness(self, u: Upstream) -> float:
+        """Its learned slowness, or that of what it holds: silence with work out tells before any answer does."""
+        oldest_ms = self._now - next(iter(u.sent_ms.values()), self._now)
+        return max(self._learned_slowness(u), oldest_ms / self.typical.mean if self.typical.seen else 0.0)
+
+    def _learned_slowness(self, u: Upstream) -> float:
         """How slow it is expected to be, 1 for the usual; one unheard-from counts by its rating, where that
         tells its size."""
         if u.slowness.seen:
@@ -320,8 +328,7 @@
         self._admission = Admission(settings)
         self._is_front = settings.tier == 0
         self._requests: dict[int, Request] = {}
-        self._usual = [Mean(SLOW_GAIN) for _ in settings.classes]  # answer times by class, and of all
-        self._typical = Mean(SLOW_GAIN)
+        self._usual = [Mean(SLOW_GAIN) for _ in settings.classes]  # answer times by class
         self._timers: dict[int, tuple[str, int, int]] = {}
         self._next_token = 0
         self._asks = 0
@@ -375,7 +382,7 @@
     def _send(self, now: float, request: Request, cost: float) -> bool:
         """One more attempt, where an upstream may have it. The only way to a send."""
         usual = self._usual[request.class_index]
-        size = usual.mean / self._typical.mean if usual.seen else 1.0
+        size = usual.mean / self._picker.typical.mean if usual.seen else 1.0
         upstream = self._picker.pick(request, now, size)
         if upstream is None:
             return False
@@ -425,7 +432,7 @@
             usual = self._usual[request.class_index]
             if outcome is Outcome.OK:
                 usual.add(elapsed_ms)
-                self._typical.add(elapsed_ms)
+                self._picker.typical.add(elapsed_ms)
             if upstream is not None and usual.mean > 0:
                 upstream.slowness.add(elapsed_ms / usual.mean)
             if outcome is Outcome.OK:
