--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -236,9 +236,9 @@
         return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u) ** 2
 
     def slowness(self, u: Upstream) -> float:
-        """Its learned slowness, or that of what it holds: silence with work out tells before any answer does."""
-        oldest_ms = self._now - next(iter(u.sent_ms.values()), self._now)
-        return max(self._learned_slowness(u), oldest_ms / self.typical.mean if self.typical.seen else 0.0)
+        """Its learned slowness, or its silence with work out, which tells before any answer does."""
+        silent_ms = self._now - max(u.heard_ms, next(iter(u.sent_ms.values()), self._now))
+        return max(self._learned_slowness(u), silent_ms / self.typical.mean if self.typical.seen else 0.0)
 
     def _learned_slowness(self, u: Upstream) -> float:
         """How slow it is expected to be, 1 for the usual; one unheard-from counts by its rating, where that
