--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -21,6 +21,8 @@
 GAIN = 1 / 8
 # What is compared with over longer times, a class's usual answer time, moves more slowly.
 SLOW_GAIN = 1 / 64
+# Crowding shows in the mean of some dozens of answers; that of a few is mostly chance.
+PRESSURE_GAIN = 1 / 32
 # An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
 OVERDUE_DEVIATIONS = 4.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
@@ -287,7 +289,7 @@
         self.room = (
             ROOM_START  # an upstream, over all copies: what the loss of upstreams takes away goes at once
         )
-        self._pressure = Mean()
+        self._pressure = Mean(PRESSURE_GAIN)
         self._shrunk_ms = float("-inf")
         self._allowance: dict[int, tuple[float, float]] = {}
 
