--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -21,8 +21,8 @@
 GAIN = 1 / 8
 # What is compared with over longer times, a class's usual answer time, moves more slowly.
 SLOW_GAIN = 1 / 64
-# Crowding shows in the mean of some dozens of answers; that of a few is mostly chance.
-PRESSURE_GAIN = 1 / 32
+# Crowding shows in the mean of more than a few answers, but must show before it has done harm.
+PRESSURE_GAIN = 1 / 16
 # An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
 OVERDUE_DEVIATIONS = 4.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
@@ -311,11 +311,13 @@
     def answered(
         self, elapsed_ms: float, usual: Mean, aim_ms: float, open_requests: int, usable: float, now: float
     ) -> None:
+        own = max(1.0, usable) / max(1, self._settings.copies)
         self._pressure.add(elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
-                self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif open_requests > self.room * (own := max(1.0, usable) / max(1, self._settings.copies)) / 2:
+                room = min(self.room, open_requests / own)  # room that is not used gives way at once
+                self.room, self._shrunk_ms = max(ROOM_LEAST, room * ROOM_SHRINK), now
+        elif open_requests > self.room * own / 2:
             self.room += 1 / (self.room * own) / own
 
 
