--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -21,8 +21,6 @@
 GAIN = 1 / 8
 # What is compared with over longer times, a class's usual answer time, moves more slowly.
 SLOW_GAIN = 1 / 64
-# Crowding shows in the mean of more than a few answers, but must show before it has done harm.
-PRESSURE_GAIN = 1 / 16
 # An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
 OVERDUE_DEVIATIONS = 4.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
@@ -289,7 +287,7 @@
         self.room = (
             ROOM_START  # an upstream, over all copies: what the loss of upstreams takes away goes at once
         )
-        self._pressure = Mean(PRESSURE_GAIN)
+        self._pressure = Mean()
         self._shrunk_ms = float("-inf")
         self._allowance: dict[int, tuple[float, float]] = {}
 
