--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -28,7 +28,7 @@
 # How the room for open requests shrinks on a sign of queues.
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 8.0, 4.0
+ROOM_START, ROOM_LEAST = 8.0, 6.0
 # Part of the room that traffic beyond a tenant's share may fill.
 OVER_SHARE_ROOM = 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
@@ -309,13 +309,11 @@
     def answered(
         self, elapsed_ms: float, usual: Mean, aim_ms: float, open_requests: int, usable: float, now: float
     ) -> None:
-        own = max(1.0, usable) / max(1, self._settings.copies)
         self._pressure.add(elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
-                room = min(self.room, open_requests / own)  # room that is not used gives way at once
-                self.room, self._shrunk_ms = max(ROOM_LEAST, room * ROOM_SHRINK), now
-        elif open_requests > self.room * own / 2:
+                self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
+        elif open_requests > self.room * (own := max(1.0, usable) / max(1, self._settings.copies)) / 2:
             self.room += 1 / (self.room * own) / own
 
 
