The room starts at six an upstream

Cause: a start of eight leaves a reserve that crowds whatever is left when servers are lost or turn slow.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -28,7 +28,7 @@
 # How the room for open requests shrinks on a sign of queues.
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 8.0, 4.0
+ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Part of the room that traffic beyond a tenant's share may fill.
 OVER_SHARE_ROOM = 0.75
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
