--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -30,7 +30,7 @@
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Part of the room that traffic beyond a tenant's share may fill.
-OVER_SHARE_ROOM = 0.75
+OVER_SHARE_ROOM = 1.0
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
 COLD_CAUTION = 0.8
 
