--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -30,7 +30,7 @@
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Part of the room that traffic beyond a tenant's share may fill.
-OVER_SHARE_ROOM = 1.0
+OVER_SHARE_ROOM = 0.75
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
 COLD_CAUTION = 0.8
 
@@ -452,7 +452,7 @@
         base_ms = BASE_FULL_MS if outcome is Outcome.FULL else BASE_TRANSIENT_MS
         wait_ms = self._quota.wait_ms(base_ms, len(request.attempts) - 1)
         if (
-            (self._is_front or outcome.never_ran)
+            self._is_front
             and now + wait_ms + usual_ms < request.useful_until_ms
             and self._picker.has_place(request, now + wait_ms)
             and self._quota.spend(self._quota.cost(outcome))
