--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -425,7 +425,7 @@
             if outcome in (Outcome.OK, Outcome.ERROR):
                 upstream.heard_ms = now
             if outcome is Outcome.OK:
-                upstream.failures //= 2
+                upstream.failures = max(0, upstream.failures - 1)
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
@@ -452,7 +452,7 @@
         base_ms = BASE_FULL_MS if outcome is Outcome.FULL else BASE_TRANSIENT_MS
         wait_ms = self._quota.wait_ms(base_ms, len(request.attempts) - 1)
         if (
-            self._is_front
+            (self._is_front or outcome.never_ran)
             and now + wait_ms + usual_ms < request.useful_until_ms
             and self._picker.has_place(request, now + wait_ms)
             and self._quota.spend(self._quota.cost(outcome))
