--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -17,8 +17,6 @@
 QUOTA_CAP = 500.0
 COST_TRANSIENT, COST_FULL, CLEAN_REFUND = 14.0, 5.0, 1.0
 BASE_TRANSIENT_MS, BASE_FULL_MS, CEILING_MS = 100.0, 1000.0, 20_000.0
-# Base of the wait of a failing upstream set aside: seconds, since a copy with little traffic learns slowly.
-BASE_ASIDE_MS = 4000.0
 # Smoothing of what is learned: about the last eight answers count, as in TCP's round-trip estimate.
 GAIN = 1 / 8
 # What is compared with over longer times, a class's usual answer time, moves more slowly.
@@ -429,7 +427,7 @@
             if outcome is Outcome.OK:
                 upstream.failures //= 2
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-                upstream.failed(now, self._quota.wait_ms(BASE_ASIDE_MS, upstream.failures))
+                upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
             usual = self._usual[request.class_index]
             if outcome is Outcome.OK:
@@ -454,7 +452,7 @@
         base_ms = BASE_FULL_MS if outcome is Outcome.FULL else BASE_TRANSIENT_MS
         wait_ms = self._quota.wait_ms(base_ms, len(request.attempts) - 1)
         if (
-            (self._is_front or outcome.never_ran)
+            self._is_front
             and now + wait_ms + usual_ms < request.useful_until_ms
             and self._picker.has_place(request, now + wait_ms)
             and self._quota.spend(self._quota.cost(outcome))
@@ -485,7 +483,7 @@
         if upstream is not None:
             if upstream.heard_ms > attempt.sent_ms:
                 return  # it lives: a second copy would be work wasted on a request that is merely long
-            upstream.failed(now, self._quota.wait_ms(BASE_ASIDE_MS, upstream.failures))
+            upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request.attempts[-1] is not attempt or not self._settings.second_copies:
             return
         if self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
