--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -452,7 +452,7 @@
         base_ms = BASE_FULL_MS if outcome is Outcome.FULL else BASE_TRANSIENT_MS
         wait_ms = self._quota.wait_ms(base_ms, len(request.attempts) - 1)
         if (
-            self._is_front
+            (self._is_front or outcome.never_ran)
             and now + wait_ms + usual_ms < request.useful_until_ms
             and self._picker.has_place(request, now + wait_ms)
             and self._quota.spend(self._quota.cost(outcome))
