--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -222,7 +222,7 @@
         if not pool and sound:
             # Guards against slow upstreams holding as many: in flight counts in the time that it takes there.
             load = [len(u.sent_ms) * self.slowness(u) for u in sound]
-            mean = sum(load) / len(load)
+            mean = max(sum(load) / len(load), min(load))  # rounding must not leave equals above their mean
             pool = [u for u, held in zip(sound, load, strict=True) if held <= mean]
         if not pool:
             return None
--- a/tests/policy/test_pick.py
+++ b/tests/policy/test_pick.py
@@ -140,3 +140,13 @@
     script = Script([])
     request, actions = script.arrives(SAFE)
     assert [a.request_id for a in answers(actions)] == [request]
+
+
+def test_equally_loaded_servers_are_never_all_above_their_mean() -> None:
+    """Rounding can put the mean of equal loads under each of them, which would turn the request away."""
+    for slowness in [n / 97 for n in range(1, 400)]:
+        script = Script([entry(n) for n in range(6)], tier=1)
+        for upstream in script.balancer._picker.fleet.values():
+            upstream.slowness.add(slowness)
+            upstream.sent_ms[10**6, 0] = script.now
+        assert sends(script.arrives()[1])
