--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -29,8 +29,12 @@
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
-# Part of the room that traffic beyond a tenant's share may fill.
-OVER_SHARE_ROOM = 0.75
+# How the room grows in a usual answer time in which it was short.
+ROOM_GROWTH = 0.04
+# Deviations of a chance count (its root) that are left to chance before a copy's part binds.
+CHANCE = 3.0
+# Credit that traffic beyond a tenant's share leaves to the rest.
+OVER_SHARE_CREDIT = 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
@@ -275,11 +279,14 @@
 
 
 class Admission:
-    """How many requests may be open at once. Grows while answers show no queues to speak of, else shrinks.
+    """How many requests may be open. The room grows while answers show no queues to speak of, else shrinks.
 
     Guards against crowding: an upstream that holds too many grows slow and stays so. The sign is the smoothed
     ratio of answer times to a mark a third of the way (by ratio) from the class's best time to its aim: above
     an idle fleet's times, well under what clients still want.
+
+    Requests reach a copy at random, so its even part of the room binds its open requests in the mean over time,
+    as a credit: a copy with room for less than one may have several open, and all copies together keep the room.
     """
 
     def __init__(self, settings: api.Settings) -> None:
@@ -287,32 +294,48 @@
         self.room = ROOM_START  # an upstream in use, over all copies, so that it goes with those lost
         self._pressure = Mean()
         self._shrunk_ms = float("-inf")
+        self._grown_ms = 0.0
         self._allowance: dict[int, tuple[float, float]] = {}
-
-    def admits(self, open_requests: int, usable: float, tenant_index: int, now: float) -> bool:
-        part = 1.0 if self._within_share(tenant_index, now) else OVER_SHARE_ROOM
-        return open_requests < max(1.0, self.room * usable / max(1, self._settings.copies)) * part
+        self._credit, self._credited_ms = float("inf"), 0.0
+
+    def _copies(self) -> int:
+        return max(1, self._settings.copies)
+
+    def credit(self, open_requests: int, usable: float, typical_ms: float, now: float) -> float:
+        """What is left of the room, as a part of what chance needs: from 1 (nothing used of late) down to -1.
+        Earned at this copy's part of the room, spent by each open request, over a usual answer time."""
+        part = self.room * usable / self._copies()
+        most = CHANCE * max(part, 0.01) ** 0.5
+        gain = (part - open_requests) * (now - self._credited_ms) / typical_ms
+        self._credit, self._credited_ms = max(-most, min(most, self._credit + gain)), now
+        return self._credit / most
+
+    def admits(
+        self, open_requests: int, usable: float, tenant_index: int, typical_ms: float, now: float
+    ) -> bool:
+        least = 0.0 if self._within_share(tenant_index, now) else OVER_SHARE_CREDIT
+        return self.credit(open_requests, usable, typical_ms, now) > least or open_requests == 0
 
     def _within_share(self, tenant_index: int, now: float) -> bool:
-        """This copy's even part of the tenant's quota, as a bucket that holds one second of it."""
+        """This copy's even part of the tenant's quota, as a bucket that holds what chance may bring in 1 s."""
         if tenant_index >= len(self._settings.tenants):
             return True
-        rate = self._settings.tenants[tenant_index].quota_per_s / max(1, self._settings.copies)
-        tokens, since = self._allowance.get(tenant_index, (rate, now))
-        tokens = min(rate, tokens + rate * (now - since) / 1000)
-        within = tokens >= 1
+        rate = self._settings.tenants[tenant_index].quota_per_s / self._copies()
+        most = rate + CHANCE * rate**0.5
+        tokens, since = self._allowance.get(tenant_index, (most, now))
+        tokens = min(most, tokens + rate * (now - since) / 1000)
+        within = tokens >= min(1.0, most)
         self._allowance[tenant_index] = (tokens - 1 if within else tokens, now)
         return within
 
-    def answered(
-        self, elapsed_ms: float, usual: Mean, aim_ms: float, open_requests: int, usable: float, now: float
-    ) -> None:
+    def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, now: float) -> None:
         self._pressure.add(elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif open_requests > self.room * (own := max(1.0, usable) / max(1, self._settings.copies)) / 2:
-            self.room += 1 / (self.room * own) / own
+        elif self._credit < 0:
+            self.room *= 1 + ROOM_GROWTH * min(1.0, (now - self._grown_ms) / usual.mean)
+        self._grown_ms = now
 
 
 class Balancer:
@@ -371,11 +394,16 @@
         self._requests[request.id] = request
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = not self._is_front or self._admission.admits(
-            len(self._requests) - 1, self._picker.usable(now), event.tenant_index, now
+            len(self._requests) - 1, self._picker.usable(now), event.tenant_index, self._typical_ms(), now
         )
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
 
+    def _typical_ms(self) -> float:
+        """An answer's usual time; before any answer, the shortest that clients want."""
+        typical = self._picker.typical
+        return typical.mean if typical.seen else min(c.aim_ms for c in self._settings.classes)
+
     def _send(self, now: float, request: Request, cost: float) -> bool:
         """One more attempt, where an upstream may have it. The only way to a send."""
         usual = self._usual[request.class_index]
@@ -431,14 +459,10 @@
             if upstream is not None and usual.mean > 0:
                 upstream.slowness.add(elapsed_ms / usual.mean)
             if outcome is Outcome.OK and self._is_front:
-                self._admission.answered(
-                    elapsed_ms,
-                    usual,
-                    request.klass.aim_ms,
-                    len(self._requests) - 1,
-                    self._picker.usable(now),
-                    now,
+                self._admission.credit(
+                    len(self._requests), self._picker.usable(now), self._typical_ms(), now
                 )
+                self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, now)
 
     def _set_aside(self, now: float, upstream: Upstream) -> None:
         upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
