Unheard-from upstreams start by the root of their rating; answers move them slowly

Cause: one answer replaced the rating, and the square of ratings sent fast servers too much. Also no free request beyond a copy's credit.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -86,11 +86,11 @@
 class Upstream:
     """What this copy knows of one upstream."""
 
-    def __init__(self, entry: api.UpstreamEntry) -> None:
+    def __init__(self, entry: api.UpstreamEntry, slowness: float) -> None:
         self.entry = entry
         self.started_ms = entry.started_ms
         self.sent_ms: dict[tuple[int, int], float] = {}  # attempts in flight, oldest first
-        self.slowness = Mean()  # its answers' times over the class's usual
+        self.slowness = slowness  # its answers' times over the class's usual, smoothed
         self.failures = 0
         self.aside_until_ms = 0.0
         self.dead = False
@@ -187,13 +187,20 @@
         if kind is not ListKind.CHANGES:
             for upstream in [u for u in self.fleet if u not in fresh]:
                 del self.fleet[upstream]
+        ratings = [entry.rating for entry in fresh.values()] + [u.entry.rating for u in self.fleet.values()]
         for upstream, entry in fresh.items():
             if entry.state is UpstreamState.GONE:
                 self.fleet.pop(upstream, None)
             elif upstream in self.fleet:
                 self.fleet[upstream].relist(entry)
             else:
-                self.fleet[upstream] = Upstream(entry)
+                self.fleet[upstream] = Upstream(entry, self._first_slowness(entry, ratings))
+
+    def _first_slowness(self, entry: api.UpstreamEntry, ratings: list[float]) -> float:
+        """What an upstream not yet heard from counts for: picked by its size, where ratings tell that."""
+        if self._settings.ratings_tell_size and entry.rating > 0:
+            return (sum(ratings) / len(ratings) / entry.rating) ** 0.5
+        return 1.0
 
     def has_place(self, request: Request, when: float) -> bool:
         return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
@@ -242,17 +249,7 @@
     def slowness(self, u: Upstream) -> float:
         """Its learned slowness, or its silence with work out, which tells before any answer does."""
         silent_ms = self._now - max(u.heard_ms, next(iter(u.sent_ms.values()), self._now))
-        return max(self._learned_slowness(u), silent_ms / self.typical.mean if self.typical.seen else 0.0)
-
-    def _learned_slowness(self, u: Upstream) -> float:
-        """How slow it is expected to be, 1 for the usual; one unheard-from counts by its rating, where that
-        tells its size."""
-        if u.slowness.seen:
-            return max(u.slowness.mean, 1e-3)
-        if self._settings.ratings_tell_size and u.entry.rating > 0:
-            ratings = [v.entry.rating for v in self.fleet.values()]
-            return sum(ratings) / len(ratings) / u.entry.rating
-        return 1.0
+        return max(u.slowness, silent_ms / self.typical.mean if self.typical.seen else 0.0)
 
     def _takes_cold(self, u: Upstream, warm: list[Upstream], now: float, size: float) -> bool:
         """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
@@ -304,7 +301,7 @@
     def credit(self, open_requests: int, usable: float, typical_ms: float, now: float) -> float:
         """What is left of the room, as a part of what chance needs: from 1 (nothing used of late) down to -1.
         Earned at this copy's part of the room, spent by each open request, over a usual answer time."""
-        part = self.room * usable / self._copies()
+        part = self.room * max(1.0, usable) / self._copies()
         most = CHANCE * max(part, 0.01) ** 0.5
         gain = (part - open_requests) * (now - self._credited_ms) / typical_ms
         self._credit, self._credited_ms = max(-most, min(most, self._credit + gain)), now
@@ -314,7 +311,7 @@
         self, open_requests: int, usable: float, tenant_index: int, typical_ms: float, now: float
     ) -> bool:
         least = 0.0 if self._within_share(tenant_index, now) else OVER_SHARE_CREDIT
-        return self.credit(open_requests, usable, typical_ms, now) > least or open_requests == 0
+        return self.credit(open_requests, usable, typical_ms, now) > least
 
     def _within_share(self, tenant_index: int, now: float) -> bool:
         """This copy's even part of the tenant's quota, as a bucket that holds what chance may bring in 1 s."""
@@ -457,7 +454,7 @@
                 usual.add(elapsed_ms)
                 self._picker.typical.add(elapsed_ms)
             if upstream is not None and usual.mean > 0:
-                upstream.slowness.add(elapsed_ms / usual.mean)
+                upstream.slowness += GAIN * (elapsed_ms / usual.mean - upstream.slowness)
             if outcome is Outcome.OK and self._is_front:
                 self._admission.credit(
                     len(self._requests), self._picker.usable(now), self._typical_ms(), now
