Each copy draws from its nearest idle upstreams, an even part of the fleet

Cause: a copy with a few requests a second over dozens of servers knows none of them, and holds a connection to each. Nearest ones are every so-many-th by rating, starts spread evenly over copies; a busy copy draws on more, as only idle ones count.

--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -88,6 +88,7 @@
     tier: int = 0
     tiers: int = 1
     copies: int = 1
+    me: int = 0
     zone: int = 0
     zones: int = 1
     max_attempts: int = 1
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 
@@ -29,6 +30,10 @@
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
+# Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
+NEAR, COPIES_EACH = 4, 12
+# What goes over the whole fleet is counted anew after this long.
+KEPT_MS = 50.0
 # How the room grows in a usual answer time in which it was short.
 ROOM_GROWTH = 0.04
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
@@ -181,6 +186,9 @@
         self.fleet: dict[int, Upstream] = {}
         self.typical = Mean(SLOW_GAIN)  # answer times of all classes
         self._now = 0.0
+        self._order: list[Upstream] = []  # the ready, the preferred first
+        self._near = 0  # how many idle ones a pick draws from
+        self._usable, self._usable_ms = 0.0, float("-inf")
 
     def listed(self, kind: ListKind, entries: Iterable[api.UpstreamEntry]) -> None:
         fresh = {entry.upstream: entry for entry in entries}
@@ -195,6 +203,7 @@
                 self.fleet[upstream].relist(entry)
             else:
                 self.fleet[upstream] = Upstream(entry, self._first_slowness(entry, ratings))
+        self._reorder()
 
     def _first_slowness(self, entry: api.UpstreamEntry, ratings: list[float]) -> float:
         """What an upstream not yet heard from counts for: picked by its size, where ratings tell that."""
@@ -202,34 +211,62 @@
             return (sum(ratings) / len(ratings) / entry.rating) ** 0.5
         return 1.0
 
+    def _reorder(self) -> None:
+        """Each copy prefers some of the fleet: every so-many-th by rating, the copies' starts spread evenly, so
+        that each upstream has its part of copies and each copy its part of big and small ones. What few copies
+        share they come to know, and hold few connections for."""
+        ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
+        ready.sort(key=lambda u: (u.entry.rating, u.entry.upstream))
+        count, copies = len(ready), max(1, self._settings.copies)
+        self._near = min(count, max(NEAR, math.ceil(COPIES_EACH * count / copies)))
+        start, step = self._settings.me % copies * count / copies, count / max(1, self._near)
+        self._order = [ready[p] for p in sorted(range(count), key=lambda p: (p - start) % count % step)]
+        self._usable_ms = float("-inf")
+
     def has_place(self, request: Request, when: float) -> bool:
         return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
 
     def usable(self, now: float) -> float:
         """How many upstreams can be counted on: those ready and not set aside, cold ones by their warmth."""
-        return sum(u.warmth(now, self._settings) for u in self._ready() if now >= u.aside_until_ms)
-
-    def _ready(self) -> list[Upstream]:
-        return [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
+        if now - self._usable_ms >= KEPT_MS:
+            self._usable_ms = now
+            ready = [u for u in self._order if now >= u.aside_until_ms]
+            self._usable = sum(u.warmth(now, self._settings) for u in ready)
+        return self._usable
 
     def pick(self, request: Request, now: float, size: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         self._now = now
-        ready = self._ready()
-        warm = [u for u in ready if u.warmth(now, self._settings) >= 1]
-        able = [
-            u
-            for u in ready
-            if self._takes_cold(u, warm, now, size) and may_be_resent(request, u.entry, now, self._settings)
-        ]
-        tried = {a.upstream.upstream for a in request.attempts[-1:]}
-        able = [u for u in able if u.entry.upstream not in tried] or able
-        # Guards against dead upstreams, which look idle: none is picked while others live.
-        able = [u for u in able if not u.dead or u.sound(now)] or able
-        sound = [u for u in able if u.sound(now)]
+        tried = request.attempts[-1].upstream.upstream if request.attempts else None
+        any_warm = any(u.warmth(now, self._settings) >= 1 for u in self._order)
+        able: list[Upstream] = []
+        sound: list[Upstream] = []
+        pool: list[Upstream] = []
+        last: list[Upstream] = []  # the one just tried, and dead ones
+        cold: list[Upstream] = []
+        for u in self._order:
+            if not may_be_resent(request, u.entry, now, self._settings):
+                continue
+            is_sound = u.sound(now)
+            if u.warmth(now, self._settings) < 1:
+                cold.append(u)
+                if not self._takes_cold(u, any_warm, size):
+                    continue
+            # Guards against dead upstreams, which look idle: none is picked while others live.
+            if u.entry.upstream == tried or (u.dead and not is_sound):
+                last.append(u)
+                continue
+            able.append(u)
+            if is_sound:
+                sound.append(u)
+                if not u.sent_ms:
+                    pool.append(u)
+                    if len(pool) >= self._near:
+                        break
+        able = able or last
         if len(sound) < SOUND_PART * len(able):
             sound = able
-        pool = [u for u in sound if not u.sent_ms]
+            pool = [u for u in sound if not u.sent_ms][: self._near]
         if not pool and sound:
             # Guards against slow upstreams holding as many: in flight counts in the time that it takes there.
             load = [len(u.sent_ms) * self.slowness(u) for u in sound]
@@ -238,7 +275,7 @@
         if not pool:
             return None
         chosen = self._rng.choices(pool, [self._weight(u) for u in pool])[0]
-        self._count_cold(chosen, ready, warm, now, size)
+        self._count_cold(chosen, cold, any_warm, now, size)
         return chosen
 
     def _weight(self, u: Upstream) -> float:
@@ -251,27 +288,25 @@
         silent_ms = self._now - max(u.heard_ms, next(iter(u.sent_ms.values()), self._now))
         return max(u.slowness, silent_ms / self.typical.mean if self.typical.seen else 0.0)
 
-    def _takes_cold(self, u: Upstream, warm: list[Upstream], now: float, size: float) -> bool:
+    def _takes_cold(self, u: Upstream, any_warm: bool, size: float) -> bool:
         """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
-        if u.warmth(now, self._settings) >= 1:
-            return True
-        if not warm:
+        if not any_warm:
             return not u.sent_ms
         if u.cold_credit is None:  # a random start, so that not all copies send their first at once
             u.cold_credit = -self._rng.random() * size
         return u.cold_credit >= 0 and not u.sent_ms
 
     def _count_cold(
-        self, chosen: Upstream, ready: list[Upstream], warm: list[Upstream], now: float, size: float
+        self, chosen: Upstream, cold: list[Upstream], any_warm: bool, now: float, size: float
     ) -> None:
         """Guards against all copies together pushing a cold upstream over: the work sent to it stays under
         this copy's mean a warm upstream, cut to the least part of its capacity that it can have by now."""
         if chosen.cold_credit is not None:
             chosen.cold_credit -= size
-        if warm and chosen.warmth(now, self._settings) >= 1:
-            for u in ready:
+        if any_warm and chosen.warmth(now, self._settings) >= 1:
+            for u in cold:
                 if u.cold_credit is not None:
-                    earned = size / len(warm) * u.warmth(now, self._settings) * COLD_CAUTION
+                    earned = size / self._near * u.warmth(now, self._settings) * COLD_CAUTION
                     u.cold_credit = min(u.cold_credit + earned, max(u.cold_credit, 0.0))
 
 
--- a/madderwind/simhost/settings.py
+++ b/madderwind/simhost/settings.py
@@ -109,6 +109,7 @@
         tenants=tenants,
         tier=lines.get("Tier", int, 0),
         tiers=len(lines.get("Tiers", _words, ONE_WORD)),
+        me=lines.get("Me", int, 0),
         copies=lines.get("NInstances", int),
         zone=lines.get("Zone", int, 0),
         zones=len(lines.get("Zones", _words, ONE_WORD)),
