--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -328,7 +328,7 @@
         self._shrunk_ms = float("-inf")
         self._grown_ms = 0.0
         self._allowance: dict[int, tuple[float, float]] = {}
-        self._credit, self._credited_ms = float("inf"), 0.0
+        self._credit, self._credited_ms, self._short = float("inf"), 0.0, False
 
     def _copies(self) -> int:
         return max(1, self._settings.copies)
@@ -340,6 +340,7 @@
         most = CHANCE * max(part, 0.01) ** 0.5
         gain = (part - open_requests) * (now - self._credited_ms) / typical_ms
         self._credit, self._credited_ms = max(-most, min(most, self._credit + gain)), now
+        self._short = self._credit < OVER_SHARE_CREDIT * most
         return self._credit / most
 
     def admits(
@@ -365,7 +366,7 @@
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif self._credit < 0:
+        elif self._short:
             self.room *= 1 + ROOM_GROWTH * min(1.0, (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
 
