--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -35,7 +35,7 @@
 # What goes over the whole fleet is counted anew after this long.
 KEPT_MS = 50.0
 # How the room grows in a usual answer time in which it was short.
-ROOM_GROWTH = 0.08
+ROOM_GROWTH = 0.04
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
 CHANCE = 3.0
 # Credit that traffic beyond a tenant's share leaves to the rest.
@@ -367,8 +367,7 @@
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
         elif self._short:
-            calm = 1 - self._pressure.mean
-            self.room *= 1 + ROOM_GROWTH * calm * min(1.0, (now - self._grown_ms) / usual.mean)
+            self.room *= 1 + min(SLOW_GAIN, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
 
 
