--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -84,8 +84,8 @@
         gain = max(self.gain, 1 / self.seen)
         self.deviation += gain * (abs(value - self.mean) - self.deviation) if self.seen > 1 else value / 2
         self.mean += gain * (value - self.mean)
-        # Few answers tell little: the lowest of a noisy mean would be a lucky one.
-        self.best = min(self.best, self.mean) if self.seen * self.gain >= 1 else self.mean
+        # Few answers tell little, and the lowest of a noisy mean would be a lucky one: so with its error on top.
+        self.best = min(self.best, self.mean + self.deviation * gain**0.5)
 
 
 class Upstream:
