--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -85,7 +85,7 @@
         self.deviation += gain * (abs(value - self.mean) - self.deviation) if self.seen > 1 else value / 2
         self.mean += gain * (value - self.mean)
         # Few answers tell little, and the lowest of a noisy mean would be a lucky one: so with its error on top.
-        self.best = min(self.best, self.mean + self.deviation * gain**0.5)
+        self.best = min(self.best, self.mean + 2 * self.deviation * gain**0.5)
 
 
 class Upstream:
