--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -79,13 +79,15 @@
         self.gain = gain
         self.mean, self.deviation, self.best, self.seen = 0.0, 0.0, float("inf"), 0
 
-    def add(self, value: float) -> None:
+    def add(self, value: float, settled: bool = True) -> None:
         self.seen += 1
         gain = max(self.gain, 1 / self.seen)
         self.deviation += gain * (abs(value - self.mean) - self.deviation) if self.seen > 1 else value / 2
         self.mean += gain * (value - self.mean)
         # Few answers tell little, and the lowest of a noisy mean would be a lucky one: so with its error on top.
-        self.best = min(self.best, self.mean + 2 * self.deviation * gain**0.5)
+        # The first answers to come back at all are the short ones, so they set no best.
+        likely = self.mean + 2 * self.deviation * gain**0.5
+        self.best = min(self.best, likely) if settled else likely
 
 
 class Upstream:
@@ -385,6 +387,7 @@
         self._usual = [Mean(SLOW_GAIN) for _ in settings.classes]  # answer times by class
         self._timers: dict[int, tuple[str, int, int]] = {}
         self._next_token = 0
+        self._first_ms = float("inf")
         self._asks = 0
         self._following = False
         self._out: list[api.Action] = []
@@ -425,6 +428,7 @@
             return
         request = Request(event, self._settings.classes[event.class_index], now)
         self._requests[request.id] = request
+        self._first_ms = min(self._first_ms, now)
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = not self._is_front or self._admission.admits(
             len(self._requests) - 1, self._picker.usable(now), event.tenant_index, self._typical_ms(), now
@@ -487,7 +491,7 @@
         if request is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
             usual = self._usual[request.class_index]
             if outcome is Outcome.OK:
-                usual.add(elapsed_ms)
+                usual.add(elapsed_ms, now - self._first_ms >= request.klass.aim_ms)
                 self._picker.typical.add(elapsed_ms)
             if upstream is not None and usual.mean > 0:
                 upstream.slowness += GAIN * (elapsed_ms / usual.mean - upstream.slowness)
