--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -29,7 +29,7 @@
 # How the room for open requests shrinks on a sign of queues.
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 6.0, 4.0
+ROOM_START, ROOM_LEAST = 9.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
 NEAR, COPIES_EACH = 4, 12
 # What goes over the whole fleet is counted anew after this long.
