--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -29,9 +29,11 @@
 # How the room for open requests shrinks on a sign of queues.
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 9.0, 4.0
+ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
 NEAR, COPIES_EACH = 4, 12
+# Columns of a load report that count requests at an upstream, and how soon a report is half as certain.
+HELD_COLUMNS, REPORT_MS = ("in_flight", "waiting"), 1000.0
 # What goes over the whole fleet is counted anew after this long.
 KEPT_MS = 50.0
 # How the room grows in a usual answer time in which it was short.
@@ -103,6 +105,7 @@
         self.dead = False
         self.heard_ms = float("-inf")  # its last answer
         self.cold_credit: float | None = None
+        self.held, self.held_ms = 0.0, float("-inf")  # requests it last reported to hold, over all copies
 
     def relist(self, entry: api.UpstreamEntry) -> None:
         if entry.started_ms > self.started_ms:
@@ -191,6 +194,17 @@
         self._order: list[Upstream] = []  # the ready, the preferred first
         self._near = 0  # how many idle ones a pick draws from
         self._usable, self._usable_ms = 0.0, float("-inf")
+        columns = settings.report_columns
+        self._column = next((columns.index(c) for c in HELD_COLUMNS if c in columns), None)
+        self._usual_held = Mean(SLOW_GAIN)
+
+    def reported(self, u: Upstream, report: tuple[float, ...], now: float) -> None:
+        """A load report: what the upstream holds of all copies' requests. An unreadable one tells nothing."""
+        if self._column is not None and self._column < len(report):
+            held = report[self._column]
+            if 0 <= held < float("inf"):
+                u.held, u.held_ms = held, now
+                self._usual_held.add(held)
 
     def listed(self, kind: ListKind, entries: Iterable[api.UpstreamEntry]) -> None:
         fresh = {entry.upstream: entry for entry in entries}
@@ -283,7 +297,15 @@
     def _weight(self, u: Upstream) -> float:
         """The tie-break: the faster the likelier, and the own zone sooner where crossing is priced."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u) ** 2
+        return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u) ** 2 / self._crowd(u)
+
+    def _crowd(self, u: Upstream) -> float:
+        """What it was reported to hold over the usual, the less certain the older. It tells what other copies
+        do there, and weighs no more than in proportion: all who heard it act on it before the next report."""
+        if not self._usual_held.seen:
+            return 1.0
+        fresh = 2.0 ** ((u.held_ms - self._now) / REPORT_MS)
+        return ((1 + u.held) / (1 + self._usual_held.mean)) ** fresh
 
     def slowness(self, u: Upstream) -> float:
         """Its learned slowness, or its silence with work out, which tells before any answer does."""
@@ -477,6 +499,7 @@
         upstream = self._picker.fleet.get(event.upstream)
         outcome, elapsed_ms = event.outcome, max(event.elapsed_ms, SHORTEST_MS)
         if upstream is not None:
+            self._picker.reported(upstream, event.report, now)
             upstream.sent_ms.pop((event.request_id, event.attempt), None)
             if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
                 upstream.dead = True
