--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -299,12 +299,6 @@
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
         return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u) ** 2 / self._crowd(u)
 
-    def stalest(self) -> Upstream | None:
-        """Of the nearest, the one whose last report is the oldest."""
-        if self._column is None or not self._order:
-            return None
-        return min(self._order[: self._near], key=lambda u: u.held_ms)
-
     def _crowd(self, u: Upstream) -> float:
         """What it was reported to hold over the usual, the less certain the older. It tells what other copies
         do there, and weighs no more than in proportion: all who heard it act on it before the next report."""
@@ -442,9 +436,6 @@
                     self._ask_later()
             case api.ListFailed():
                 self._ask_later()
-            case api.ProbeEnded():
-                if event.upstream in self._picker.fleet:
-                    self._picker.reported(self._picker.fleet[event.upstream], event.report, now)
         return self._out
 
     def _ask_later(self) -> None:
@@ -466,10 +457,6 @@
         )
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
-        if room and self._is_front and self._settings.may_probe:
-            stale = self._picker.stalest()
-            if stale is not None:
-                self._out.append(api.Probe(stale.entry.upstream))
 
     def _typical_ms(self) -> float:
         """An answer's usual time; before any answer, the shortest that clients want."""
