--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -305,7 +305,7 @@
         if not self._usual_held.seen:
             return 1.0
         fresh = 2.0 ** ((u.held_ms - self._now) / REPORT_MS)
-        return ((1 + u.held) / (1 + self._usual_held.mean)) ** fresh
+        return ((1 + u.held) / (1 + self._usual_held.mean)) ** (2 * fresh)
 
     def slowness(self, u: Upstream) -> float:
         """Its learned slowness, or its silence with work out, which tells before any answer does."""
