--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -33,7 +33,7 @@
 # Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
 NEAR, COPIES_EACH = 4, 12
 # Columns of a load report that count requests at an upstream, and how soon a report is half as certain.
-HELD_COLUMNS, REPORT_MS = ("in_flight", "waiting"), 1000.0
+HELD_COLUMNS, REPORT_MS = ("in_flight", "waiting"), 4000.0
 # What goes over the whole fleet is counted anew after this long.
 KEPT_MS = 50.0
 # How the room grows in a usual answer time in which it was short.
@@ -203,7 +203,8 @@
         if self._column is not None and self._column < len(report):
             held = report[self._column]
             if 0 <= held < float("inf"):
-                u.held, u.held_ms = held, now
+                u.held += (held - u.held) * (GAIN * 2 if u.held_ms > 0 else 1.0)
+                u.held_ms = now
                 self._usual_held.add(held)
 
     def listed(self, kind: ListKind, entries: Iterable[api.UpstreamEntry]) -> None:
@@ -305,7 +306,7 @@
         if not self._usual_held.seen:
             return 1.0
         fresh = 2.0 ** ((u.held_ms - self._now) / REPORT_MS)
-        return ((1 + u.held) / (1 + self._usual_held.mean)) ** (2 * fresh)
+        return ((1 + u.held) / (1 + self._usual_held.mean)) ** fresh
 
     def slowness(self, u: Upstream) -> float:
         """Its learned slowness, or its silence with work out, which tells before any answer does."""
