--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -29,7 +29,7 @@
 # How the room for open requests shrinks on a sign of queues.
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 6.0, 4.0
+ROOM_START, ROOM_LEAST = 9.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
 NEAR, COPIES_EACH = 4, 12
 # Columns of a load report that count requests at an upstream, and how soon a report is half as certain.
@@ -40,8 +40,8 @@
 ROOM_GROWTH = 0.04
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
 CHANCE = 3.0
-# Credit that traffic beyond a tenant's share leaves to the rest.
-OVER_SHARE_CREDIT = 0.5
+# Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
+OVER_SHARE_ROOM, SHORT_CREDIT = 0.6, 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
@@ -353,26 +353,30 @@
         self._shrunk_ms = float("-inf")
         self._grown_ms = 0.0
         self._allowance: dict[int, tuple[float, float]] = {}
-        self._credit, self._credited_ms, self._short = float("inf"), 0.0, False
+        self._credits, self._credited_ms = [1.0, 1.0], 0.0
 
     def _copies(self) -> int:
         return max(1, self._settings.copies)
 
-    def credit(self, open_requests: int, usable: float, typical_ms: float, now: float) -> float:
+    def credit(
+        self, open_requests: int, usable: float, typical_ms: float, now: float
+    ) -> tuple[float, float]:
         """What is left of the room, as a part of what chance needs: from 1 (nothing used of late) down to -1.
-        Earned at this copy's part of the room, spent by each open request, over a usual answer time."""
-        part = self.room * max(1.0, usable) / self._copies()
-        most = CHANCE * max(part, 0.01) ** 0.5
-        gain = (part - open_requests) * (now - self._credited_ms) / typical_ms
-        self._credit, self._credited_ms = max(-most, min(most, self._credit + gain)), now
-        self._short = self._credit < OVER_SHARE_CREDIT * most
-        return self._credit / most
+        Earned at this copy's part of the room, spent by each open request, over a usual answer time. The second
+        is what traffic beyond shares finds: that of a smaller room."""
+        spent = (now - self._credited_ms) / typical_ms
+        self._credited_ms = now
+        for over, size in enumerate((self.room, self.room * OVER_SHARE_ROOM)):
+            part = max(size * max(1.0, usable) / self._copies(), 0.01)
+            gain = (part - open_requests) * spent / (CHANCE * part**0.5)
+            self._credits[over] = max(-1.0, min(1.0, self._credits[over] + gain))
+        return self._credits[0], self._credits[1]
 
     def admits(
         self, open_requests: int, usable: float, tenant_index: int, typical_ms: float, now: float
     ) -> bool:
-        least = 0.0 if self._within_share(tenant_index, now) else OVER_SHARE_CREDIT
-        return self.credit(open_requests, usable, typical_ms, now) > least
+        within, beyond = self.credit(open_requests, usable, typical_ms, now)
+        return (within if self._within_share(tenant_index, now) else beyond) > 0
 
     def _within_share(self, tenant_index: int, now: float) -> bool:
         """This copy's even part of the tenant's quota, as a bucket that holds what chance may bring in 1 s."""
@@ -391,7 +395,7 @@
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif self._short:
+        elif self._credits[0] < SHORT_CREDIT:
             self.room *= 1 + min(SLOW_GAIN, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
 
