--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -29,7 +29,7 @@
 # How the room for open requests shrinks on a sign of queues.
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 9.0, 4.0
+ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
 NEAR, COPIES_EACH = 4, 12
 # Columns of a load report that count requests at an upstream, and how soon a report is half as certain.
@@ -41,7 +41,7 @@
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
 CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
-OVER_SHARE_ROOM, SHORT_CREDIT = 0.6, 0.5
+OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
