--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -31,7 +31,7 @@
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
-NEAR, COPIES_EACH = 4, 12
+NEAR, COPIES_EACH = 4, 6
 # Columns of a load report that count requests at an upstream, and how soon a report is half as certain.
 HELD_COLUMNS, REPORT_MS = ("in_flight", "waiting"), 4000.0
 # What goes over the whole fleet is counted anew after this long.
