--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -31,9 +31,11 @@
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
-NEAR, COPIES_EACH = 4, 6
+NEAR, COPIES_EACH = 4, 8
 # Columns of a load report that count requests at an upstream, and how soon a report is half as certain.
 HELD_COLUMNS, REPORT_MS = ("in_flight", "waiting"), 4000.0
+# Steps of this part of a circle keep all points well apart, however many there are.
+GOLDEN = 0.6180339887498949
 # What goes over the whole fleet is counted anew after this long.
 KEPT_MS = 50.0
 # How the room grows in a usual answer time in which it was short.
@@ -236,7 +238,7 @@
         ready.sort(key=lambda u: (u.entry.rating, u.entry.upstream))
         count, copies = len(ready), max(1, self._settings.copies)
         self._near = min(count, max(NEAR, math.ceil(COPIES_EACH * count / copies)))
-        start, step = self._settings.me % copies * count / copies, count / max(1, self._near)
+        start, step = self._settings.me * GOLDEN % 1 * count, count / max(1, self._near)
         self._order = [ready[p] for p in sorted(range(count), key=lambda p: (p - start) % count % step)]
         self._usable_ms = float("-inf")
 
