--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -30,7 +30,7 @@
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
-# Idle upstreams that a pick draws from, and copies that each upstream is near to, so that no copy alone matters.
+# Idle upstreams that a pick draws from, and copies that each upstream is near to, so that none alone matters.
 NEAR, COPIES_EACH = 4, 8
 # Columns of a load report that count requests at an upstream, and how soon a report is half as certain.
 HELD_COLUMNS, REPORT_MS = ("in_flight", "waiting"), 4000.0
@@ -88,7 +88,7 @@
         gain = max(self.gain, 1 / self.seen)
         self.deviation += gain * (abs(value - self.mean) - self.deviation) if self.seen > 1 else value / 2
         self.mean += gain * (value - self.mean)
-        # Few answers tell little, and the lowest of a noisy mean would be a lucky one: so with its error on top.
+        # Few answers tell little, and the lowest of a noisy mean is a lucky one: so with its error on top.
         # The first answers to come back at all are the short ones, so they set no best.
         likely = self.mean + 2 * self.deviation * gain**0.5
         self.best = min(self.best, likely) if settled else likely
@@ -231,9 +231,9 @@
         return 1.0
 
     def _reorder(self) -> None:
-        """Each copy prefers some of the fleet: every so-many-th by rating, the copies' starts spread evenly, so
-        that each upstream has its part of copies and each copy its part of big and small ones. What few copies
-        share they come to know, and hold few connections for."""
+        """Each copy prefers some of the fleet: every so-many-th by rating, from starts spread over the copies,
+        so that each upstream has its part of copies and each copy its part of big and small ones. Guards
+        against copies that know nothing of any upstream and hold a connection to each."""
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
         ready.sort(key=lambda u: (u.entry.rating, u.entry.upstream))
         count, copies = len(ready), max(1, self._settings.copies)
@@ -337,6 +337,13 @@
                     u.cold_credit = min(u.cold_credit + earned, max(u.cold_credit, 0.0))
 
 
+class Credit:
+    """What a copy may still use of a part of the room; a new one has used nothing."""
+
+    def __init__(self, room_part: float) -> None:
+        self.room_part, self.left, self.most_open = room_part, 1.0, 0.0
+
+
 class Admission:
     """How many requests may be open. The room grows while answers show no queues to speak of, else shrinks.
 
@@ -344,8 +351,8 @@
     ratio of answer times to a mark a third of the way (by ratio) from the class's best time to its aim: above
     an idle fleet's times, well under what clients still want.
 
-    Requests reach a copy at random, so its even part of the room binds its open requests in the mean over time,
-    as a credit: a copy with room for less than one may have several open, and all copies together keep the room.
+    Requests reach a copy at random, so its even part of the room binds what it has open in the mean over time,
+    as a credit: a copy with room for less than one may have several open; all together keep the room.
     """
 
     def __init__(self, settings: api.Settings) -> None:
@@ -355,36 +362,28 @@
         self._shrunk_ms = float("-inf")
         self._grown_ms = 0.0
         self._allowance: dict[int, tuple[float, float]] = {}
-        self._credits, self._credited_ms = [1.0, 1.0], 0.0
-
-    def _copies(self) -> int:
-        return max(1, self._settings.copies)
-
-    def credit(
-        self, open_requests: int, usable: float, typical_ms: float, now: float
-    ) -> tuple[float, float]:
-        """What is left of the room, as a part of what chance needs: from 1 (nothing used of late) down to -1.
-        Earned at this copy's part of the room, spent by each open request, over a usual answer time. The second
-        is what traffic beyond shares finds: that of a smaller room."""
-        spent = (now - self._credited_ms) / typical_ms
-        self._credited_ms = now
-        for over, size in enumerate((self.room, self.room * OVER_SHARE_ROOM)):
-            part = max(size * max(1.0, usable) / self._copies(), 0.01)
-            gain = (part - open_requests) * spent / (CHANCE * part**0.5)
-            self._credits[over] = max(-1.0, min(1.0, self._credits[over] + gain))
-        return self._credits[0], self._credits[1]
-
-    def admits(
-        self, open_requests: int, usable: float, tenant_index: int, typical_ms: float, now: float
-    ) -> bool:
-        within, beyond = self.credit(open_requests, usable, typical_ms, now)
-        return (within if self._within_share(tenant_index, now) else beyond) > 0
+        self._copies = max(1, settings.copies)
+        self._credits, self._settled_ms = (Credit(1.0), Credit(OVER_SHARE_ROOM)), 0.0
+
+    def settle(self, open_requests: int, usable: float, typical_ms: float, now: float) -> None:
+        """Both credits up to now, from 1 (nothing used of late) to -1: earned at this copy's part of the room
+        and spent by each open request, over a usual answer time, measured in what chance may bring."""
+        spent, self._settled_ms = (now - self._settled_ms) / typical_ms, now
+        for credit in self._credits:
+            part = credit.room_part * self.room * max(1.0, usable) / self._copies
+            chance = CHANCE * part**0.5
+            credit.left = max(-1.0, min(1.0, credit.left + (part - open_requests) * spent / chance))
+            credit.most_open = part + chance
+
+    def admits(self, open_requests: int, tenant_index: int, now: float) -> bool:
+        credit = self._credits[0 if self._within_share(tenant_index, now) else 1]
+        return credit.left > 0 and open_requests < credit.most_open
 
     def _within_share(self, tenant_index: int, now: float) -> bool:
-        """This copy's even part of the tenant's quota, as a bucket that holds what chance may bring in 1 s."""
+        """This copy's even part of the tenant's quota, as a bucket for what chance may bring in a second."""
         if tenant_index >= len(self._settings.tenants):
             return True
-        rate = self._settings.tenants[tenant_index].quota_per_s / self._copies()
+        rate = self._settings.tenants[tenant_index].quota_per_s / self._copies
         most = rate + CHANCE * rate**0.5
         tokens, since = self._allowance.get(tenant_index, (most, now))
         tokens = min(most, tokens + rate * (now - since) / 1000)
@@ -397,7 +396,7 @@
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif self._credits[0] < SHORT_CREDIT:
+        elif self._credits[0].left < SHORT_CREDIT:
             self.room *= 1 + min(SLOW_GAIN, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
 
@@ -459,16 +458,17 @@
         self._requests[request.id] = request
         self._first_ms = min(self._first_ms, now)
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
-        room = not self._is_front or self._admission.admits(
-            len(self._requests) - 1, self._picker.usable(now), event.tenant_index, self._typical_ms(), now
-        )
+        room = True
+        if self._is_front:
+            self._settle(now, len(self._requests) - 1)
+            room = self._admission.admits(len(self._requests) - 1, event.tenant_index, now)
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
 
-    def _typical_ms(self) -> float:
-        """An answer's usual time; before any answer, the shortest that clients want."""
-        typical = self._picker.typical
-        return typical.mean if typical.seen else min(c.aim_ms for c in self._settings.classes)
+    def _settle(self, now: float, open_requests: int) -> None:
+        """Before any answer, the shortest time that clients want stands for the usual."""
+        typical_ms = self._picker.typical.mean or min(c.aim_ms for c in self._settings.classes)
+        self._admission.settle(open_requests, self._picker.usable(now), typical_ms, now)
 
     def _send(self, now: float, request: Request, cost: float) -> bool:
         """One more attempt, where an upstream may have it. The only way to a send."""
@@ -526,9 +526,7 @@
             if upstream is not None and usual.mean > 0:
                 upstream.slowness += GAIN * (elapsed_ms / usual.mean - upstream.slowness)
             if outcome is Outcome.OK and self._is_front:
-                self._admission.credit(
-                    len(self._requests), self._picker.usable(now), self._typical_ms(), now
-                )
+                self._settle(now, len(self._requests))
                 self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, now)
 
     def _set_aside(self, now: float, upstream: Upstream) -> None:
