--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -30,12 +30,12 @@
 ROOM_SHRINK = 0.9
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
-# Idle upstreams that a pick draws from, and copies that each upstream is near to, so that none alone matters.
+# Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
 NEAR, COPIES_EACH = 4, 8
-# Columns of a load report that count requests at an upstream, and how soon a report is half as certain.
-HELD_COLUMNS, REPORT_MS = ("in_flight", "waiting"), 4000.0
+# Columns of a load report that count requests; its smoothing, and how soon it is half as certain.
+HELD_COLUMNS, REPORT_GAIN, REPORT_MS = ("in_flight", "waiting"), 1 / 4, 4000.0
 # Steps of this part of a circle keep all points well apart, however many there are.
-GOLDEN = 0.6180339887498949
+GOLDEN = 0.618034
 # What goes over the whole fleet is counted anew after this long.
 KEPT_MS = 50.0
 # How the room grows in a usual answer time in which it was short.
@@ -107,7 +107,7 @@
         self.dead = False
         self.heard_ms = float("-inf")  # its last answer
         self.cold_credit: float | None = None
-        self.held, self.held_ms = 0.0, float("-inf")  # requests it last reported to hold, over all copies
+        self.held, self.held_ms = 0.0, float("-inf")  # requests it reports to hold, of all copies
 
     def relist(self, entry: api.UpstreamEntry) -> None:
         if entry.started_ms > self.started_ms:
@@ -197,17 +197,15 @@
         self._near = 0  # how many idle ones a pick draws from
         self._usable, self._usable_ms = 0.0, float("-inf")
         columns = settings.report_columns
-        self._column = next((columns.index(c) for c in HELD_COLUMNS if c in columns), None)
+        self._column = next((columns.index(c) for c in HELD_COLUMNS if c in columns), len(columns))
         self._usual_held = Mean(SLOW_GAIN)
 
     def reported(self, u: Upstream, report: tuple[float, ...], now: float) -> None:
         """A load report: what the upstream holds of all copies' requests. An unreadable one tells nothing."""
-        if self._column is not None and self._column < len(report):
-            held = report[self._column]
-            if 0 <= held < float("inf"):
-                u.held += (held - u.held) * (GAIN * 2 if u.held_ms > 0 else 1.0)
-                u.held_ms = now
-                self._usual_held.add(held)
+        held = report[self._column] if self._column < len(report) else -1.0
+        if 0 <= held < float("inf"):
+            u.held, u.held_ms = u.held + (held - u.held) * (REPORT_GAIN if u.held_ms > 0 else 1.0), now
+            self._usual_held.add(held)
 
     def listed(self, kind: ListKind, entries: Iterable[api.UpstreamEntry]) -> None:
         fresh = {entry.upstream: entry for entry in entries}
@@ -227,13 +225,12 @@
     def _first_slowness(self, entry: api.UpstreamEntry, ratings: list[float]) -> float:
         """What an upstream not yet heard from counts for: picked by its size, where ratings tell that."""
         if self._settings.ratings_tell_size and entry.rating > 0:
-            return (sum(ratings) / len(ratings) / entry.rating) ** 0.5
+            return math.sqrt(sum(ratings) / len(ratings) / entry.rating)
         return 1.0
 
     def _reorder(self) -> None:
-        """Each copy prefers some of the fleet: every so-many-th by rating, from starts spread over the copies,
-        so that each upstream has its part of copies and each copy its part of big and small ones. Guards
-        against copies that know nothing of any upstream and hold a connection to each."""
+        """Each copy prefers every so-many-th by rating, from starts spread over the copies: big and small.
+        Guards against copies that know nothing of any upstream and hold a connection to each."""
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
         ready.sort(key=lambda u: (u.entry.rating, u.entry.upstream))
         count, copies = len(ready), max(1, self._settings.copies)
@@ -248,9 +245,8 @@
     def usable(self, now: float) -> float:
         """How many upstreams can be counted on: those ready and not set aside, cold ones by their warmth."""
         if now - self._usable_ms >= KEPT_MS:
-            self._usable_ms = now
-            ready = [u for u in self._order if now >= u.aside_until_ms]
-            self._usable = sum(u.warmth(now, self._settings) for u in ready)
+            in_use = (u.warmth(now, self._settings) for u in self._order if now >= u.aside_until_ms)
+            self._usable, self._usable_ms = sum(in_use), now
         return self._usable
 
     def pick(self, request: Request, now: float, size: float) -> Upstream | None:
@@ -259,33 +255,29 @@
         tried = request.attempts[-1].upstream.upstream if request.attempts else None
         any_warm = any(u.warmth(now, self._settings) >= 1 for u in self._order)
         able: list[Upstream] = []
-        sound: list[Upstream] = []
-        pool: list[Upstream] = []
         last: list[Upstream] = []  # the one just tried, and dead ones
         cold: list[Upstream] = []
+        idle = 0
         for u in self._order:
             if not may_be_resent(request, u.entry, now, self._settings):
                 continue
-            is_sound = u.sound(now)
             if u.warmth(now, self._settings) < 1:
                 cold.append(u)
                 if not self._takes_cold(u, any_warm, size):
                     continue
             # Guards against dead upstreams, which look idle: none is picked while others live.
-            if u.entry.upstream == tried or (u.dead and not is_sound):
+            if u.entry.upstream == tried or (u.dead and not u.sound(now)):
                 last.append(u)
                 continue
             able.append(u)
-            if is_sound:
-                sound.append(u)
-                if not u.sent_ms:
-                    pool.append(u)
-                    if len(pool) >= self._near:
-                        break
+            idle += u.sound(now) and not u.sent_ms
+            if idle >= self._near:
+                break
         able = able or last
+        sound = [u for u in able if u.sound(now)]
         if len(sound) < SOUND_PART * len(able):
             sound = able
-            pool = [u for u in sound if not u.sent_ms][: self._near]
+        pool = [u for u in sound if not u.sent_ms][: self._near]
         if not pool and sound:
             # Guards against slow upstreams holding as many: in flight counts in the time that it takes there.
             load = [len(u.sent_ms) * self.slowness(u) for u in sound]
@@ -303,12 +295,11 @@
         return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u) ** 2 / self._crowd(u)
 
     def _crowd(self, u: Upstream) -> float:
-        """What it was reported to hold over the usual, the less certain the older. It tells what other copies
-        do there, and weighs no more than in proportion: all who heard it act on it before the next report."""
+        """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
         if not self._usual_held.seen:
             return 1.0
-        fresh = 2.0 ** ((u.held_ms - self._now) / REPORT_MS)
-        return ((1 + u.held) / (1 + self._usual_held.mean)) ** fresh
+        fresh = math.exp2((u.held_ms - self._now) / REPORT_MS)
+        return math.pow((1 + u.held) / (1 + self._usual_held.mean), fresh)
 
     def slowness(self, u: Upstream) -> float:
         """Its learned slowness, or its silence with work out, which tells before any answer does."""
@@ -338,8 +329,6 @@
 
 
 class Credit:
-    """What a copy may still use of a part of the room; a new one has used nothing."""
-
     def __init__(self, room_part: float) -> None:
         self.room_part, self.left, self.most_open = room_part, 1.0, 0.0
 
@@ -348,19 +337,16 @@
     """How many requests may be open. The room grows while answers show no queues to speak of, else shrinks.
 
     Guards against crowding: an upstream that holds too many grows slow and stays so. The sign is the smoothed
-    ratio of answer times to a mark a third of the way (by ratio) from the class's best time to its aim: above
-    an idle fleet's times, well under what clients still want.
-
-    Requests reach a copy at random, so its even part of the room binds what it has open in the mean over time,
-    as a credit: a copy with room for less than one may have several open; all together keep the room.
+    ratio of answer times to a mark a third of the way (by ratio) from the class's best time to its aim.
+    Requests reach a copy at random, so its even part of the room binds in the mean over time, as a credit: a
+    copy with room for less than one may have several open; all together keep the room.
     """
 
     def __init__(self, settings: api.Settings) -> None:
         self._settings = settings
         self.room = ROOM_START  # an upstream in use, over all copies, so that it goes with those lost
         self._pressure = Mean()
-        self._shrunk_ms = float("-inf")
-        self._grown_ms = 0.0
+        self._shrunk_ms, self._grown_ms = float("-inf"), 0.0
         self._allowance: dict[int, tuple[float, float]] = {}
         self._copies = max(1, settings.copies)
         self._credits, self._settled_ms = (Credit(1.0), Credit(OVER_SHARE_ROOM)), 0.0
@@ -371,7 +357,7 @@
         spent, self._settled_ms = (now - self._settled_ms) / typical_ms, now
         for credit in self._credits:
             part = credit.room_part * self.room * max(1.0, usable) / self._copies
-            chance = CHANCE * part**0.5
+            chance = CHANCE * math.sqrt(part)
             credit.left = max(-1.0, min(1.0, credit.left + (part - open_requests) * spent / chance))
             credit.most_open = part + chance
 
@@ -384,7 +370,7 @@
         if tenant_index >= len(self._settings.tenants):
             return True
         rate = self._settings.tenants[tenant_index].quota_per_s / self._copies
-        most = rate + CHANCE * rate**0.5
+        most = rate + CHANCE * math.sqrt(rate)
         tokens, since = self._allowance.get(tenant_index, (most, now))
         tokens = min(most, tokens + rate * (now - since) / 1000)
         within = tokens >= min(1.0, most)
@@ -414,8 +400,7 @@
         self._requests: dict[int, Request] = {}
         self._usual = [Mean(SLOW_GAIN) for _ in settings.classes]  # answer times by class
         self._timers: dict[int, tuple[str, int, int]] = {}
-        self._next_token = 0
-        self._first_ms = float("inf")
+        self._next_token, self._first_ms = 0, float("inf")
         self._asks = 0
         self._following = False
         self._out: list[api.Action] = []
@@ -517,7 +502,7 @@
             if outcome is Outcome.OK:
                 upstream.failures //= 2
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-                self._set_aside(now, upstream)
+                upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
             usual = self._usual[request.class_index]
             if outcome is Outcome.OK:
@@ -529,9 +514,6 @@
                 self._settle(now, len(self._requests))
                 self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, now)
 
-    def _set_aside(self, now: float, upstream: Upstream) -> None:
-        upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
-
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
         """After a failure: the quota's retry after its wait, or the answer at once. The front owns retries;
         an inner copy owns those of attempts proven never to have run, since the proof is lost one tier up."""
@@ -570,7 +552,7 @@
         if upstream is not None:
             if upstream.heard_ms > attempt.sent_ms:
                 return  # it lives: a second copy would be work wasted on a request that is merely long
-            self._set_aside(now, upstream)
+            upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request.attempts[-1] is not attempt or not self._settings.second_copies:
             return
         if self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
