--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -382,7 +382,7 @@
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif self._credits[0].left < SHORT_CREDIT:
+        elif self._credits[0].left < SHORT_CREDIT or self.room < ROOM_START:
             self.room *= 1 + min(SLOW_GAIN, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
 
