--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -486,6 +486,12 @@
         elif not request.open_attempts() and request.waiting_cost is None:
             self._retry_or_answer(now, request, event.outcome)
 
+    def _late(self, request: Request | None, elapsed_ms: float) -> bool:
+        """Answers far over the usual count as failures: guards against upstreams that have grown slow from
+        crowding, which rest only while nobody sends to them."""
+        usual = self._usual[request.class_index] if request is not None else Mean()
+        return usual.seen > 1 and elapsed_ms > usual.mean + OVERDUE_DEVIATIONS * usual.deviation
+
     def _learn(self, now: float, event: api.AttemptEnded, request: Request | None) -> None:
         """What an attempt's end tells of its upstream, its class and the room for requests."""
         upstream = self._picker.fleet.get(event.upstream)
@@ -499,7 +505,7 @@
                 upstream.restarted(now)  # life after a death is a restart, even before the list tells
             if outcome in (Outcome.OK, Outcome.ERROR):
                 upstream.heard_ms = now
-            if outcome is Outcome.OK:
+            if outcome is Outcome.OK and not self._late(request, elapsed_ms):
                 upstream.failures //= 2
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
