--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -152,6 +152,7 @@
         aim_ms = klass.aim_ms if klass.late_worth <= 0 else klass.deadline_ms
         self.useful_until_ms = min(event.deadline_ms, now + aim_ms)
         self.attempts: list[Attempt] = []
+        self.size = 1.0  # its work over its class's usual, where a hint tells
         self.waiting_cost: float | None = None  # set while a retry's wait runs
         self.streaming = False
 
@@ -399,6 +400,7 @@
         self._is_front = settings.tier == 0
         self._requests: dict[int, Request] = {}
         self._usual = [Mean(SLOW_GAIN) for _ in settings.classes]  # answer times by class
+        self._hints = [Mean(SLOW_GAIN) for _ in settings.classes]  # work that requests announce, by class
         self._timers: dict[int, tuple[str, int, int]] = {}
         self._next_token, self._first_ms = 0, float("inf")
         self._asks = 0
@@ -441,6 +443,10 @@
             return
         request = Request(event, self._settings.classes[event.class_index], now)
         self._requests[request.id] = request
+        if event.work_hint_ms is not None and 0 < event.work_hint_ms < float("inf"):
+            hints = self._hints[event.class_index]
+            hints.add(event.work_hint_ms)
+            request.size = (1 + event.work_hint_ms / hints.mean) / 2  # half, since waits do not go with the work
         self._first_ms = min(self._first_ms, now)
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = True
@@ -458,7 +464,7 @@
     def _send(self, now: float, request: Request, cost: float) -> bool:
         """One more attempt, where an upstream may have it. The only way to a send."""
         usual = self._usual[request.class_index]
-        size = usual.mean / self._picker.typical.mean if usual.seen else 1.0
+        size = request.size * usual.mean / self._picker.typical.mean if usual.seen else 1.0
         upstream = self._picker.pick(request, now, size)
         if upstream is None:
             return False
@@ -467,7 +473,7 @@
         upstream.sent_ms[request.id, number] = now
         self._out.append(api.Send(request.id, upstream.entry.upstream, 0.0))
         if self._is_front and usual.seen > 1 and request.klass.effect is not Effect.UNSAFE:
-            overdue_ms = usual.mean + OVERDUE_DEVIATIONS * usual.deviation
+            overdue_ms = request.size * (usual.mean + OVERDUE_DEVIATIONS * usual.deviation)
             if now + overdue_ms + usual.mean < request.useful_until_ms:
                 self._set_timer("overdue", request.id, number, overdue_ms)
         return True
@@ -486,12 +492,6 @@
         elif not request.open_attempts() and request.waiting_cost is None:
             self._retry_or_answer(now, request, event.outcome)
 
-    def _late(self, request: Request | None, elapsed_ms: float) -> bool:
-        """Answers far over the usual count as failures: guards against upstreams that have grown slow from
-        crowding, which rest only while nobody sends to them."""
-        usual = self._usual[request.class_index] if request is not None else Mean()
-        return usual.seen > 1 and elapsed_ms > usual.mean + OVERDUE_DEVIATIONS * usual.deviation
-
     def _learn(self, now: float, event: api.AttemptEnded, request: Request | None) -> None:
         """What an attempt's end tells of its upstream, its class and the room for requests."""
         upstream = self._picker.fleet.get(event.upstream)
@@ -505,12 +505,12 @@
                 upstream.restarted(now)  # life after a death is a restart, even before the list tells
             if outcome in (Outcome.OK, Outcome.ERROR):
                 upstream.heard_ms = now
-            if outcome is Outcome.OK and not self._late(request, elapsed_ms):
+            if outcome is Outcome.OK:
                 upstream.failures //= 2
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
                 upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
-            usual = self._usual[request.class_index]
+            usual, elapsed_ms = self._usual[request.class_index], elapsed_ms / request.size
             if outcome is Outcome.OK:
                 usual.add(elapsed_ms, now - self._first_ms >= request.klass.aim_ms)
                 self._picker.typical.add(elapsed_ms)
