--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -286,14 +286,15 @@
             pool = [u for u, held in zip(sound, load, strict=True) if held <= mean]
         if not pool:
             return None
-        chosen = self._rng.choices(pool, [self._weight(u) for u in pool])[0]
+        chosen = self._rng.choices(pool, [self._weight(u, request.size) for u in pool])[0]
         self._count_cold(chosen, cold, any_warm, now, size)
         return chosen
 
-    def _weight(self, u: Upstream) -> float:
-        """The tie-break: the faster the likelier, and the own zone sooner where crossing is priced."""
+    def _weight(self, u: Upstream, size: float) -> float:
+        """The tie-break: the faster the likelier, most of all for heavy work, and the own zone sooner where
+        crossing is priced."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (CROSS_ZONE_PART if crosses else 1.0) / self.slowness(u) ** 2 / self._crowd(u)
+        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), 2 * size) / self._crowd(u)
 
     def _crowd(self, u: Upstream) -> float:
         """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
