--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -294,7 +294,7 @@
         """The tie-break: the faster the likelier, most of all for heavy work, and the own zone sooner where
         crossing is priced."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), 3 * size) / self._crowd(u)
+        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), 4 * size) / self._crowd(u)
 
     def _crowd(self, u: Upstream) -> float:
         """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
