--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -41,7 +41,7 @@
 # How the room grows in a usual answer time in which it was short.
 ROOM_GROWTH = 0.04
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
-CHANCE = 3.0
+CHANCE = 5.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
 OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
@@ -294,7 +294,7 @@
         """The tie-break: the faster the likelier, most of all for heavy work, and the own zone sooner where
         crossing is priced."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), 4 * size) / self._crowd(u)
+        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), 3 * size) / self._crowd(u)
 
     def _crowd(self, u: Upstream) -> float:
         """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
