--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -41,7 +41,7 @@
 # How the room grows in a usual answer time in which it was short.
 ROOM_GROWTH = 0.04
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
-CHANCE = 5.0
+CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
 OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
@@ -385,7 +385,8 @@
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
         elif self._credits[0].left < SHORT_CREDIT or self.room < ROOM_START:
-            self.room *= 1 + min(SLOW_GAIN, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
+            calm = (1 - self._pressure.mean) ** 2
+            self.room *= 1 + min(GAIN * calm, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
 
 
