--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -32,8 +32,8 @@
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
 NEAR, COPIES_EACH = 4, 8
-# Columns of a load report that count requests; its smoothing, and how soon it is half as certain.
-HELD_COLUMNS, REPORT_GAIN, REPORT_MS = ("in_flight", "waiting"), 1 / 4, 4000.0
+# The column of a load report that counts requests; its smoothing, and how soon it is half as certain.
+HELD_COLUMN, REPORT_GAIN, REPORT_MS = "in_flight", 1 / 4, 4000.0
 # Steps of this part of a circle keep all points well apart, however many there are.
 GOLDEN = 0.618034
 # What goes over the whole fleet is counted anew after this long.
@@ -44,6 +44,8 @@
 CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
 OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
+# Part of the room that upstreams report to hold when it is used.
+USED_PART = 0.75
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
@@ -198,15 +200,15 @@
         self._near = 0  # how many idle ones a pick draws from
         self._usable, self._usable_ms = 0.0, float("-inf")
         columns = settings.report_columns
-        self._column = next((columns.index(c) for c in HELD_COLUMNS if c in columns), len(columns))
-        self._usual_held = Mean(SLOW_GAIN)
+        self._column = columns.index(HELD_COLUMN) if HELD_COLUMN in columns else len(columns)
+        self.usual_held = Mean(SLOW_GAIN)  # what upstreams report to hold
 
     def reported(self, u: Upstream, report: tuple[float, ...], now: float) -> None:
         """A load report: what the upstream holds of all copies' requests. An unreadable one tells nothing."""
         held = report[self._column] if self._column < len(report) else -1.0
         if 0 <= held < float("inf"):
             u.held, u.held_ms = u.held + (held - u.held) * (REPORT_GAIN if u.held_ms > 0 else 1.0), now
-            self._usual_held.add(held)
+            self.usual_held.add(held)
 
     def listed(self, kind: ListKind, entries: Iterable[api.UpstreamEntry]) -> None:
         fresh = {entry.upstream: entry for entry in entries}
@@ -298,10 +300,10 @@
 
     def _crowd(self, u: Upstream) -> float:
         """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
-        if not self._usual_held.seen:
+        if not self.usual_held.seen:
             return 1.0
         fresh = math.exp2((u.held_ms - self._now) / REPORT_MS)
-        return math.pow((1 + u.held) / (1 + self._usual_held.mean), fresh)
+        return math.pow((1 + u.held) / (1 + self.usual_held.mean), fresh)
 
     def slowness(self, u: Upstream) -> float:
         """Its learned slowness, or its silence with work out, which tells before any answer does."""
@@ -379,12 +381,15 @@
         self._allowance[tenant_index] = (tokens - 1 if within else tokens, now)
         return within
 
-    def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, now: float) -> None:
+    def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, held: Mean, now: float) -> None:
+        """Chance makes one copy short of room while all together are not: reports, where there are any, tell."""
         self._pressure.add(elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif self._credits[0].left < SHORT_CREDIT or self.room < ROOM_START:
+        elif self.room < ROOM_START or self._credits[0].left < SHORT_CREDIT and (
+            not held.seen or self.room * USED_PART < held.mean
+        ):
             calm = (1 - self._pressure.mean) ** 2
             self.room *= 1 + min(GAIN * calm, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
@@ -520,7 +525,7 @@
                 upstream.slowness += GAIN * (elapsed_ms / usual.mean - upstream.slowness)
             if outcome is Outcome.OK and self._is_front:
                 self._settle(now, len(self._requests))
-                self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, now)
+                self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, self._picker.usual_held, now)
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
         """After a failure: the quota's retry after its wait, or the answer at once. The front owns retries;
--- a/tests/policy/test_pick.py
+++ b/tests/policy/test_pick.py
@@ -228,7 +228,7 @@
 
     for odd in [(), (1.0,), (0.0, float("nan")), (0.0, float("inf")), (0.0, -4.0)]:
         serve(odd)
-    assert script.balancer._picker._usual_held.seen == 0
+    assert script.balancer._picker.usual_held.seen == 0
     fleet = script.balancer._picker.fleet
     for _ in range(60):
         request, actions = script.arrives()
