--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -32,6 +32,8 @@
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
 NEAR, COPIES_EACH = 4, 8
+# The power of slowness in the tie-break.
+STEEPNESS = 3.0
 # The column of a load report that counts requests; its smoothing, and how soon it is half as certain.
 HELD_COLUMN, REPORT_GAIN, REPORT_MS = "in_flight", 1 / 4, 4000.0
 # Steps of this part of a circle keep all points well apart, however many there are.
@@ -228,7 +230,7 @@
     def _first_slowness(self, entry: api.UpstreamEntry, ratings: list[float]) -> float:
         """What an upstream not yet heard from counts for: picked by its size, where ratings tell that."""
         if self._settings.ratings_tell_size and entry.rating > 0:
-            return math.sqrt(sum(ratings) / len(ratings) / entry.rating)
+            return math.pow(sum(ratings) / len(ratings) / entry.rating, 1 / STEEPNESS)
         return 1.0
 
     def _reorder(self) -> None:
@@ -296,7 +298,7 @@
         """The tie-break: the faster the likelier, most of all for heavy work, and the own zone sooner where
         crossing is priced."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), 3 * size) / self._crowd(u)
+        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), STEEPNESS * size) / self._crowd(u)
 
     def _crowd(self, u: Upstream) -> float:
         """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
