--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -46,8 +46,6 @@
 CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
 OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
-# Part of the room that upstreams report to hold when it is used.
-USED_PART = 0.75
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
@@ -390,7 +388,7 @@
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
         elif self.room < ROOM_START or self._credits[0].left < SHORT_CREDIT and (
-            not held.seen or self.room * USED_PART < held.mean
+            not held.seen or self.room < held.mean
         ):
             calm = (1 - self._pressure.mean) ** 2
             self.room *= 1 + min(GAIN * calm, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
