--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -18,30 +18,26 @@
 QUOTA_CAP = 500.0
 COST_TRANSIENT, COST_FULL, CLEAN_REFUND = 14.0, 5.0, 1.0
 BASE_TRANSIENT_MS, BASE_FULL_MS, CEILING_MS = 100.0, 1000.0, 20_000.0
-# Smoothing of what is learned: about the last eight answers count, as in TCP's round-trip estimate.
-GAIN = 1 / 8
-# What is compared with over longer times, a class's usual answer time, moves more slowly.
-SLOW_GAIN = 1 / 64
+# Smoothing: about the last eight answers count, as in TCP's round-trip estimate; for what is usual, 64.
+GAIN, SLOW_GAIN = 1 / 8, 1 / 64
 # An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
 OVERDUE_DEVIATIONS = 4.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
 SOUND_PART = 0.5
-# How the room for open requests shrinks on a sign of queues.
-ROOM_SHRINK = 0.9
+# How the room shrinks on a sign of queues, and grows in a usual answer time in which it was short.
+ROOM_SHRINK, ROOM_GROWTH = 0.9, 0.04
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
 NEAR, COPIES_EACH = 4, 8
-# The power of slowness in the tie-break.
-STEEPNESS = 3.0
+# The power of slowness in the tie-break, and what another zone counts there if crossing is priced.
+STEEPNESS, CROSS_ZONE_PART = 3.0, 0.2
 # The column of a load report that counts requests; its smoothing, and how soon it is half as certain.
 HELD_COLUMN, REPORT_GAIN, REPORT_MS = "in_flight", 1 / 4, 4000.0
 # Steps of this part of a circle keep all points well apart, however many there are.
 GOLDEN = 0.618034
-# What goes over the whole fleet is counted anew after this long.
+# How long a count over the whole fleet is kept.
 KEPT_MS = 50.0
-# How the room grows in a usual answer time in which it was short.
-ROOM_GROWTH = 0.04
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
 CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
@@ -50,8 +46,6 @@
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
 SHORTEST_MS = 0.1
-# An upstream in another zone, where crossing is priced, is picked this much less often among equals.
-CROSS_ZONE_PART = 0.2
 
 
 class RetryQuota:
@@ -61,10 +55,6 @@
         self.tokens = QUOTA_CAP
         self._rng = rng
 
-    @staticmethod
-    def cost(outcome: Outcome) -> float:
-        return COST_FULL if outcome is Outcome.FULL else COST_TRANSIENT
-
     def spend(self, cost: float) -> bool:
         if self.tokens < cost:
             return False
@@ -90,8 +80,8 @@
         gain = max(self.gain, 1 / self.seen)
         self.deviation += gain * (abs(value - self.mean) - self.deviation) if self.seen > 1 else value / 2
         self.mean += gain * (value - self.mean)
-        # Few answers tell little, and the lowest of a noisy mean is a lucky one: so with its error on top.
-        # The first answers to come back at all are the short ones, so they set no best.
+        # With its error on top, as the lowest of a noisy mean is a lucky one; and the first answers to come
+        # back at all are the short ones, so they set no best.
         likely = self.mean + 2 * self.deviation * gain**0.5
         self.best = min(self.best, likely) if settled else likely
 
@@ -201,20 +191,20 @@
         self._usable, self._usable_ms = 0.0, float("-inf")
         columns = settings.report_columns
         self._column = columns.index(HELD_COLUMN) if HELD_COLUMN in columns else len(columns)
-        self.usual_held = Mean(SLOW_GAIN)  # what upstreams report to hold
+        self._usual_held, self.held = Mean(SLOW_GAIN), float("inf")  # what an upstream reports to hold
 
     def reported(self, u: Upstream, report: tuple[float, ...], now: float) -> None:
         """A load report: what the upstream holds of all copies' requests. An unreadable one tells nothing."""
         held = report[self._column] if self._column < len(report) else -1.0
         if 0 <= held < float("inf"):
             u.held, u.held_ms = u.held + (held - u.held) * (REPORT_GAIN if u.held_ms > 0 else 1.0), now
-            self.usual_held.add(held)
+            self._usual_held.add(held)
+            self.held = self._usual_held.mean
 
     def listed(self, kind: ListKind, entries: Iterable[api.UpstreamEntry]) -> None:
         fresh = {entry.upstream: entry for entry in entries}
         if kind is not ListKind.CHANGES:
-            for upstream in [u for u in self.fleet if u not in fresh]:
-                del self.fleet[upstream]
+            self.fleet = {number: u for number, u in self.fleet.items() if number in fresh}
         ratings = [entry.rating for entry in fresh.values()] + [u.entry.rating for u in self.fleet.values()]
         for upstream, entry in fresh.items():
             if entry.state is UpstreamState.GONE:
@@ -256,7 +246,7 @@
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         self._now = now
         tried = request.attempts[-1].upstream.upstream if request.attempts else None
-        any_warm = any(u.warmth(now, self._settings) >= 1 for u in self._order)
+        warm = any(u.warmth(now, self._settings) >= 1 for u in self._order)
         able: list[Upstream] = []
         last: list[Upstream] = []  # the one just tried, and dead ones
         cold: list[Upstream] = []
@@ -266,7 +256,7 @@
                 continue
             if u.warmth(now, self._settings) < 1:
                 cold.append(u)
-                if not self._takes_cold(u, any_warm, size):
+                if not self._takes_cold(u, warm, size):
                     continue
             # Guards against dead upstreams, which look idle: none is picked while others live.
             if u.entry.upstream == tried or (u.dead and not u.sound(now)):
@@ -289,54 +279,50 @@
         if not pool:
             return None
         chosen = self._rng.choices(pool, [self._weight(u, request.size) for u in pool])[0]
-        self._count_cold(chosen, cold, any_warm, now, size)
+        self._count(chosen, cold, warm, now, size)
         return chosen
 
     def _weight(self, u: Upstream, size: float) -> float:
-        """The tie-break: the faster the likelier, most of all for heavy work, and the own zone sooner where
-        crossing is priced."""
+        """The tie-break: the faster the likelier, for heavy work most of all."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), STEEPNESS * size) / self._crowd(u)
+        return (
+            (CROSS_ZONE_PART if crosses else 1.0)
+            / math.pow(self.slowness(u), STEEPNESS * size)
+            / self._crowd(u)
+        )
 
     def _crowd(self, u: Upstream) -> float:
         """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
-        if not self.usual_held.seen:
+        if not self._usual_held.seen:
             return 1.0
         fresh = math.exp2((u.held_ms - self._now) / REPORT_MS)
-        return math.pow((1 + u.held) / (1 + self.usual_held.mean), fresh)
+        return math.pow((1 + u.held) / (1 + self.held), fresh)
 
     def slowness(self, u: Upstream) -> float:
         """Its learned slowness, or its silence with work out, which tells before any answer does."""
         silent_ms = self._now - max(u.heard_ms, next(iter(u.sent_ms.values()), self._now))
         return max(u.slowness, silent_ms / self.typical.mean if self.typical.seen else 0.0)
 
-    def _takes_cold(self, u: Upstream, any_warm: bool, size: float) -> bool:
+    def _takes_cold(self, u: Upstream, warm: bool, size: float) -> bool:
         """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
-        if not any_warm:
+        if not warm:
             return not u.sent_ms
         if u.cold_credit is None:  # a random start, so that not all copies send their first at once
             u.cold_credit = -self._rng.random() * size
         return u.cold_credit >= 0 and not u.sent_ms
 
-    def _count_cold(
-        self, chosen: Upstream, cold: list[Upstream], any_warm: bool, now: float, size: float
-    ) -> None:
+    def _count(self, chosen: Upstream, cold: list[Upstream], warm: bool, now: float, size: float) -> None:
         """Guards against all copies together pushing a cold upstream over: the work sent to it stays under
         this copy's mean a warm upstream, cut to the least part of its capacity that it can have by now."""
         if chosen.cold_credit is not None:
             chosen.cold_credit -= size
-        if any_warm and chosen.warmth(now, self._settings) >= 1:
+        if warm and chosen.warmth(now, self._settings) >= 1:
             for u in cold:
                 if u.cold_credit is not None:
                     earned = size / self._near * u.warmth(now, self._settings) * COLD_CAUTION
                     u.cold_credit = min(u.cold_credit + earned, max(u.cold_credit, 0.0))
 
 
-class Credit:
-    def __init__(self, room_part: float) -> None:
-        self.room_part, self.left, self.most_open = room_part, 1.0, 0.0
-
-
 class Admission:
     """How many requests may be open. The room grows while answers show no queues to speak of, else shrinks.
 
@@ -353,27 +339,28 @@
         self._shrunk_ms, self._grown_ms = float("-inf"), 0.0
         self._allowance: dict[int, tuple[float, float]] = {}
         self._copies = max(1, settings.copies)
-        self._credits, self._settled_ms = (Credit(1.0), Credit(OVER_SHARE_ROOM)), 0.0
+        # The credit, and the most that may be open at a moment: for traffic within shares, and beyond.
+        self.left, self.most_open, self._settled_ms = [1.0, 1.0], [0.0, 0.0], 0.0
 
     def settle(self, open_requests: int, usable: float, typical_ms: float, now: float) -> None:
-        """Both credits up to now, from 1 (nothing used of late) to -1: earned at this copy's part of the room
-        and spent by each open request, over a usual answer time, measured in what chance may bring."""
+        """Both credits up to now, from 1 (nothing used) to -1: earned at this copy's part of the room and
+        spent by each open request, over a usual answer time, measured in what chance may bring."""
         spent, self._settled_ms = (now - self._settled_ms) / typical_ms, now
-        for credit in self._credits:
-            part = credit.room_part * self.room * max(1.0, usable) / self._copies
+        for over, room_part in enumerate((1.0, OVER_SHARE_ROOM)):
+            part = room_part * self.room * max(1.0, usable) / self._copies
             chance = CHANCE * math.sqrt(part)
-            credit.left = max(-1.0, min(1.0, credit.left + (part - open_requests) * spent / chance))
-            credit.most_open = part + chance
+            self.left[over] = max(-1.0, min(1.0, self.left[over] + (part - open_requests) * spent / chance))
+            self.most_open[over] = part + chance
 
     def admits(self, open_requests: int, tenant_index: int, now: float) -> bool:
-        credit = self._credits[0 if self._within_share(tenant_index, now) else 1]
-        return credit.left > 0 and open_requests < credit.most_open
+        over = 0 if self._within_share(tenant_index, now) else 1
+        return self.left[over] > 0 and open_requests < self.most_open[over]
 
     def _within_share(self, tenant_index: int, now: float) -> bool:
         """This copy's even part of the tenant's quota, as a bucket for what chance may bring in a second."""
         if tenant_index >= len(self._settings.tenants):
             return True
-        rate = self._settings.tenants[tenant_index].quota_per_s / self._copies
+        rate = max(0.0, self._settings.tenants[tenant_index].quota_per_s) / self._copies
         most = rate + CHANCE * math.sqrt(rate)
         tokens, since = self._allowance.get(tenant_index, (most, now))
         tokens = min(most, tokens + rate * (now - since) / 1000)
@@ -381,17 +368,15 @@
         self._allowance[tenant_index] = (tokens - 1 if within else tokens, now)
         return within
 
-    def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, held: Mean, now: float) -> None:
-        """Chance makes one copy short of room while all together are not: reports, where there are any, tell."""
+    def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, held: float, now: float) -> None:
+        """Chance makes one copy short of room while all together are not: reports tell, where they come."""
         self._pressure.add(elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif self.room < ROOM_START or self._credits[0].left < SHORT_CREDIT and (
-            not held.seen or self.room < held.mean
-        ):
-            calm = (1 - self._pressure.mean) ** 2
-            self.room *= 1 + min(GAIN * calm, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
+        elif self.room < ROOM_START or (self.left[0] < SHORT_CREDIT and self.room < held):
+            told = GAIN * (1 - self._pressure.mean) ** 2  # one answer tells more, the farther it is from slow
+            self.room *= 1 + min(told, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
 
 
@@ -425,9 +410,8 @@
                 self._timer_fired(now, *self._timers.pop(event.token, ("", 0, 0)))
             case api.ClientLeft():
                 self._requests.pop(event.request_id, None)
-            case api.AnswerBegan():
-                if event.request_id in self._requests:
-                    self._requests[event.request_id].streaming = True
+            case api.AnswerBegan() if event.request_id in self._requests:
+                self._requests[event.request_id].streaming = True
             case api.FleetListed():
                 self._picker.listed(event.kind, event.entries)
                 if event.kind is not ListKind.CACHED:
@@ -445,15 +429,14 @@
 
     def _arrived(self, now: float, event: api.RequestArrived) -> None:
         if not 0 <= event.class_index < len(self._settings.classes):
-            # Nothing is known of its class, so nothing is promised.
-            self._out.append(api.Fail(event.request_id))
+            self._out.append(api.Fail(event.request_id))  # its class is unknown, so nothing is promised
             return
         request = Request(event, self._settings.classes[event.class_index], now)
         self._requests[request.id] = request
-        if event.work_hint_ms is not None and 0 < event.work_hint_ms < float("inf"):
-            hints = self._hints[event.class_index]
-            hints.add(event.work_hint_ms)
-            request.size = (1 + event.work_hint_ms / hints.mean) / 2  # half, since waits do not go with the work
+        hint_ms, hints = event.work_hint_ms or 0.0, self._hints[event.class_index]
+        if 0 < hint_ms < float("inf"):
+            hints.add(hint_ms)
+            request.size = (1 + hint_ms / hints.mean) / 2  # half, since waits do not go with the work
         self._first_ms = min(self._first_ms, now)
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = True
@@ -525,21 +508,22 @@
                 upstream.slowness += GAIN * (elapsed_ms / usual.mean - upstream.slowness)
             if outcome is Outcome.OK and self._is_front:
                 self._settle(now, len(self._requests))
-                self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, self._picker.usual_held, now)
+                self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, self._picker.held, now)
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
         """After a failure: the quota's retry after its wait, or the answer at once. The front owns retries;
         an inner copy owns those of attempts proven never to have run, since the proof is lost one tier up."""
         usual_ms = self._usual[request.class_index].mean
-        base_ms = BASE_FULL_MS if outcome is Outcome.FULL else BASE_TRANSIENT_MS
+        full = outcome is Outcome.FULL
+        cost, base_ms = (COST_FULL, BASE_FULL_MS) if full else (COST_TRANSIENT, BASE_TRANSIENT_MS)
         wait_ms = self._quota.wait_ms(base_ms, len(request.attempts) - 1)
         if (
             (self._is_front or outcome.never_ran)
             and now + wait_ms + usual_ms < request.useful_until_ms
             and self._picker.has_place(request, now + wait_ms)
-            and self._quota.spend(self._quota.cost(outcome))
+            and self._quota.spend(cost)
         ):
-            request.waiting_cost = self._quota.cost(outcome)
+            request.waiting_cost = cost
             self._set_timer("retry", request.id, 0, wait_ms)
         else:
             self._answer(request)
--- a/tests/policy/test_pick.py
+++ b/tests/policy/test_pick.py
@@ -228,7 +228,7 @@
 
     for odd in [(), (1.0,), (0.0, float("nan")), (0.0, float("inf")), (0.0, -4.0)]:
         serve(odd)
-    assert script.balancer._picker.usual_held.seen == 0
+    assert script.balancer._picker._usual_held.seen == 0
     fleet = script.balancer._picker.fleet
     for _ in range(60):
         request, actions = script.arrives()
@@ -236,7 +236,9 @@
         script.now += 10
         held = 20.0 if sent.upstream == 1 else 2.0
         script.event(api.AttemptEnded(request, True, 0, Outcome.OK, sent.upstream, 10.0, (0.0, held)))
-    assert script.balancer._picker._weight(fleet[2]) > 2 * script.balancer._picker._weight(fleet[1])
+    assert script.balancer._picker._weight(fleet[2], 1.0) > 2 * script.balancer._picker._weight(fleet[1], 1.0)
     script.now += 60_000
     script.serve()
-    assert script.balancer._picker._weight(fleet[2]) < 1.2 * script.balancer._picker._weight(fleet[1])
+    assert script.balancer._picker._weight(fleet[2], 1.0) < 1.2 * script.balancer._picker._weight(
+        fleet[1], 1.0
+    )
