--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -424,7 +424,7 @@
 
     def _ask_later(self) -> None:
         """Subscribe after a full-jitter wait: copies that start or lose discovery together spread out."""
-        self._set_timer("ask", 0, 0, self._quota.wait_ms(BASE_FULL_MS, self._asks))
+        self._set_timer("ask", 0, 0, self._quota.wait_ms(self._settings.ask_within_ms / 2, self._asks))
         self._asks += 1
 
     def _arrived(self, now: float, event: api.RequestArrived) -> None:
