--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -250,7 +250,7 @@
         able: list[Upstream] = []
         last: list[Upstream] = []  # the one just tried, and dead ones
         cold: list[Upstream] = []
-        idle = 0
+        idle = 0.0  # a slow one counts for less, so that who is near to few sound ones looks further
         for u in self._order:
             if not may_be_resent(request, u.entry, now, self._settings):
                 continue
@@ -263,14 +263,15 @@
                 last.append(u)
                 continue
             able.append(u)
-            idle += u.sound(now) and not u.sent_ms
+            if u.sound(now) and not u.sent_ms:
+                idle += 1 / max(1.0, self.slowness(u))
             if idle >= self._near:
                 break
         able = able or last
         sound = [u for u in able if u.sound(now)]
         if len(sound) < SOUND_PART * len(able):
             sound = able
-        pool = [u for u in sound if not u.sent_ms][: self._near]
+        pool = [u for u in sound if not u.sent_ms]
         if not pool and sound:
             # Guards against slow upstreams holding as many: in flight counts in the time that it takes there.
             load = [len(u.sent_ms) * self.slowness(u) for u in sound]
@@ -424,7 +425,8 @@
 
     def _ask_later(self) -> None:
         """Subscribe after a full-jitter wait: copies that start or lose discovery together spread out."""
-        self._set_timer("ask", 0, 0, self._quota.wait_ms(self._settings.ask_within_ms / 2, self._asks))
+        base_ms = max(BASE_FULL_MS, self._settings.ask_within_ms / 2)
+        self._set_timer("ask", 0, 0, self._quota.wait_ms(base_ms, self._asks))
         self._asks += 1
 
     def _arrived(self, now: float, event: api.RequestArrived) -> None:
