--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -205,7 +205,8 @@
         fresh = {entry.upstream: entry for entry in entries}
         if kind is not ListKind.CHANGES:
             self.fleet = {number: u for number, u in self.fleet.items() if number in fresh}
-        ratings = [entry.rating for entry in fresh.values()] + [u.entry.rating for u in self.fleet.values()]
+        known = list(fresh.values()) + [u.entry for u in self.fleet.values()]
+        ratings = [entry.rating for entry in known if 0 < entry.rating < float("inf")]
         for upstream, entry in fresh.items():
             if entry.state is UpstreamState.GONE:
                 self.fleet.pop(upstream, None)
@@ -217,7 +218,7 @@
 
     def _first_slowness(self, entry: api.UpstreamEntry, ratings: list[float]) -> float:
         """What an upstream not yet heard from counts for: picked by its size, where ratings tell that."""
-        if self._settings.ratings_tell_size and entry.rating > 0:
+        if self._settings.ratings_tell_size and 0 < entry.rating < float("inf"):
             return math.pow(sum(ratings) / len(ratings) / entry.rating, 1 / STEEPNESS)
         return 1.0
 
@@ -250,7 +251,7 @@
         able: list[Upstream] = []
         last: list[Upstream] = []  # the one just tried, and dead ones
         cold: list[Upstream] = []
-        idle = 0.0  # a slow one counts for less, so that who is near to few sound ones looks further
+        idle = 0.0  # slow and far ones count for less: who is near to few good ones looks further
         for u in self._order:
             if not may_be_resent(request, u.entry, now, self._settings):
                 continue
@@ -264,7 +265,7 @@
                 continue
             able.append(u)
             if u.sound(now) and not u.sent_ms:
-                idle += 1 / max(1.0, self.slowness(u))
+                idle += self._zone_part(u) / max(1.0, self.slowness(u))
             if idle >= self._near:
                 break
         able = able or last
@@ -285,17 +286,14 @@
 
     def _weight(self, u: Upstream, size: float) -> float:
         """The tie-break: the faster the likelier, for heavy work most of all."""
+        return self._zone_part(u) / math.pow(self.slowness(u), STEEPNESS * size) / self._crowd(u)
+
+    def _zone_part(self, u: Upstream) -> float:
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (
-            (CROSS_ZONE_PART if crosses else 1.0)
-            / math.pow(self.slowness(u), STEEPNESS * size)
-            / self._crowd(u)
-        )
+        return CROSS_ZONE_PART if crosses else 1.0
 
     def _crowd(self, u: Upstream) -> float:
         """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
-        if not self._usual_held.seen:
-            return 1.0
         fresh = math.exp2((u.held_ms - self._now) / REPORT_MS)
         return math.pow((1 + u.held) / (1 + self.held), fresh)
 
