--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -29,7 +29,7 @@
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
-NEAR, COPIES_EACH = 4, 8
+NEAR, COPIES_EACH = 3, 8
 # The power of slowness in the tie-break, and what another zone counts there if crossing is priced.
 STEEPNESS, CROSS_ZONE_PART = 3.0, 0.2
 # The column of a load report that counts requests; its smoothing, and how soon it is half as certain.
@@ -251,7 +251,7 @@
         able: list[Upstream] = []
         last: list[Upstream] = []  # the one just tried, and dead ones
         cold: list[Upstream] = []
-        idle = 0.0  # slow and far ones count for less: who is near to few good ones looks further
+        idle = 0.0  # a slow one counts for less, so that who is near to few sound ones looks further
         for u in self._order:
             if not may_be_resent(request, u.entry, now, self._settings):
                 continue
@@ -265,7 +265,7 @@
                 continue
             able.append(u)
             if u.sound(now) and not u.sent_ms:
-                idle += self._zone_part(u) / max(1.0, self.slowness(u))
+                idle += 1 / max(1.0, self.slowness(u))
             if idle >= self._near:
                 break
         able = able or last
@@ -286,11 +286,9 @@
 
     def _weight(self, u: Upstream, size: float) -> float:
         """The tie-break: the faster the likelier, for heavy work most of all."""
-        return self._zone_part(u) / math.pow(self.slowness(u), STEEPNESS * size) / self._crowd(u)
-
-    def _zone_part(self, u: Upstream) -> float:
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return CROSS_ZONE_PART if crosses else 1.0
+        part = CROSS_ZONE_PART if crosses else 1.0
+        return part / math.pow(self.slowness(u), STEEPNESS * size) / self._crowd(u)
 
     def _crowd(self, u: Upstream) -> float:
         """What it reports to hold over the usual, less certain with age; in proportion, as all act on it."""
