--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -29,7 +29,7 @@
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 6.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
-NEAR, COPIES_EACH = 2, 6
+NEAR, COPIES_EACH = 3, 8
 # The power of slowness in the tie-break, and what another zone counts there if crossing is priced.
 STEEPNESS, CROSS_ZONE_PART = 3.0, 0.2
 # The column of a load report that counts requests; its smoothing, and how soon it is half as certain.
