--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -15,7 +15,7 @@
 from madderwind.policy.api import Effect, Group, ListKind, Outcome, UpstreamState
 
 # The design page's figures.
-QUOTA_CAP = 500.0
+QUOTA_CAP = 50.0
 COST_TRANSIENT, COST_FULL, CLEAN_REFUND = 14.0, 5.0, 1.0
 BASE_TRANSIENT_MS, BASE_FULL_MS, CEILING_MS = 100.0, 1000.0, 20_000.0
 # Smoothing: about the last eight answers count, as in TCP's round-trip estimate; for what is usual, 64.
