--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -21,7 +21,7 @@
 # Smoothing: about the last eight answers count, as in TCP's round-trip estimate; for what is usual, 64.
 GAIN, SLOW_GAIN = 1 / 8, 1 / 64
 # An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
-OVERDUE_DEVIATIONS = 7.0
+OVERDUE_DEVIATIONS = 14.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
 SOUND_PART = 0.5
 # How the room shrinks on a sign of queues, and grows in a usual answer time in which it was short.
