--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -27,7 +27,7 @@
 # How the room shrinks on a sign of queues, and grows in a usual answer time in which it was short.
 ROOM_SHRINK, ROOM_GROWTH = 0.9, 0.04
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 8.0, 4.0
+ROOM_START, ROOM_LEAST = 10.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
 NEAR, COPIES_EACH = 3, 8
 # The power of slowness in the tie-break, and what another zone counts there if crossing is priced.
