--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -20,14 +20,15 @@
 BASE_TRANSIENT_MS, BASE_FULL_MS, CEILING_MS = 100.0, 1000.0, 20_000.0
 # Smoothing: about the last eight answers count, as in TCP's round-trip estimate; for what is usual, 64.
 GAIN, SLOW_GAIN = 1 / 8, 1 / 64
-# An attempt is overdue at mean + 4 deviations of its class (TCP's retransmission rule): few sound ones are.
+# An attempt is overdue at this many deviations over its class's mean. TCP's four call one sound attempt in
+# forty late, as answer times have long tails, and copies of those crowd the fleet.
 OVERDUE_DEVIATIONS = 8.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
 SOUND_PART = 0.5
 # How the room shrinks on a sign of queues, and grows in a usual answer time in which it was short.
 ROOM_SHRINK, ROOM_GROWTH = 0.9, 0.04
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 10.0, 4.0
+ROOM_START, ROOM_LEAST = 8.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
 NEAR, COPIES_EACH = 3, 8
 # The power of slowness in the tie-break, and what another zone counts there if crossing is priced.
