--- a/tests/policy/test_pick.py
+++ b/tests/policy/test_pick.py
@@ -242,3 +242,30 @@
     assert script.balancer._picker._weight(fleet[2], 1.0) < 1.2 * script.balancer._picker._weight(
         fleet[1], 1.0
     )
+
+
+def test_a_copy_whose_nearest_are_slow_looks_further() -> None:
+    """Incidents i470ccd and i3358cd: crowded servers stay slow while anybody sends to them."""
+
+    def serve(script: Script, slow: set[int]) -> int:
+        request, actions = script.arrives()
+        (sent,) = sends(actions)
+        script.now += 10.0
+        elapsed_ms = 900.0 if sent.upstream in slow else 100.0
+        script.ends(request, Outcome.OK, sent.upstream, elapsed_ms=elapsed_ms)
+        return sent.upstream
+
+    (script, *_) = copies_of([entry(n) for n in range(40)], 100, tier=1)
+    near = {serve(script, set()) for _ in range(60)}
+    for _ in range(60):
+        serve(script, near)
+    later = Counter(serve(script, near) for _ in range(60))
+    assert sum(later[n] for n in near) < 20 and len(set(later) - near) >= 2
+
+
+def test_heavy_work_prefers_fast_upstreams_more() -> None:
+    script = Script([entry(1), entry(2)])
+    fleet = script.balancer._picker.fleet
+    fleet[2].slowness = 2.0
+    weight = script.balancer._picker._weight
+    assert weight(fleet[1], 2.0) / weight(fleet[2], 2.0) > 4 * weight(fleet[1], 1.0) / weight(fleet[2], 1.0)
--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -181,3 +181,33 @@
     for _ in range(5):
         script.serve(elapsed_ms=0.0)
     assert script.serve() == 1
+
+
+def test_a_request_that_is_merely_long_gets_no_second_copy() -> None:
+    """gye-central-later: one in forty attempts was called overdue, and their copies choked servers."""
+    script = warmed_up(3)
+    chance = random.Random(5)
+    for _ in range(400):
+        script.serve(elapsed_ms=chance.expovariate(1 / 100.0))
+    usual = script.balancer._usual[SAFE]
+    script.arrives()
+    assert not sends(script.wait(usual.mean + 5 * usual.deviation))
+
+
+def test_the_room_grows_only_while_reports_say_that_it_is_used() -> None:
+    """gye-central-later big-1: a room of ten an upstream while five were held."""
+    rooms = []
+    for held in (3.0, 30.0):
+        script = Script([entry(1)], copies=20, report_columns=("in_flight",))
+        for _ in range(200):
+            script.balancer._admission.left[0] = 0.4
+            request, actions = script.arrives()
+            for sent in sends(actions):
+                script.now += 50.0
+                script.event(
+                    api.AttemptEnded(request, True, 0, Outcome.OK, sent.upstream, 50.0, (held,)),
+                )
+            script.now += 200.0
+            script.balancer._admission.left[0] = 0.4
+        rooms.append(script.balancer._admission.room)
+    assert rooms[0] <= 8.0 < rooms[1]
