--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -42,7 +42,7 @@
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
 CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
-OVER_SHARE_ROOM, SHORT_CREDIT = 0.9, 0.5
+OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
 # Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
@@ -83,7 +83,7 @@
         self.mean += gain * (value - self.mean)
         # With its error on top, as the lowest of a noisy mean is a lucky one; and the first answers to come
         # back at all are the short ones, so they set no best.
-        likely = self.mean + 2 * self.deviation * gain**0.5
+        likely = self.mean + self.deviation * gain**0.5
         self.best = min(self.best, likely) if settled else likely
 
 
