--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -83,7 +83,7 @@
         self.mean += gain * (value - self.mean)
         # With its error on top, as the lowest of a noisy mean is a lucky one; and the first answers to come
         # back at all are the short ones, so they set no best.
-        likely = self.mean + self.deviation * gain**0.5
+        likely = self.mean + 2 * self.deviation * gain**0.5
         self.best = min(self.best, likely) if settled else likely
 
 
