--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -204,10 +204,7 @@
             request, actions = script.arrives()
             for sent in sends(actions):
                 script.now += 50.0
-                script.event(
-                    api.AttemptEnded(request, True, 0, Outcome.OK, sent.upstream, 50.0, (held,)),
-                )
+                script.event(api.AttemptEnded(request, True, 0, Outcome.OK, sent.upstream, 50.0, (held,)))
             script.now += 200.0
-            script.balancer._admission.left[0] = 0.4
         rooms.append(script.balancer._admission.room)
     assert rooms[0] <= 8.0 < rooms[1]
