SIGHUP re-reads the configuration and follows discovery's new address at once

The program had no handler (service.py, _run), so the signal's default acted. Now the handler is installed before readiness; the file is read again, an unreadable one changes nothing, a new address is watched at once, the rest is named in the log as needing a restart. Ruled out: a second question to the new agent before the watch, which it does not need. Tests: the watch moves on SIGHUP, also where copies must ask; unreadable files; changes that need a restart.

--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -31,6 +31,7 @@
 
 
 class Configuration(msgspec.Struct, frozen=True):
+    path: str
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
@@ -52,6 +53,7 @@
         host = read_host_settings(msgspec.json.decode(bytes(file.settings)))
         seed = int(file.seed, 16)
         return Configuration(
+            path,
             file.name,
             read_address(file.listen, "listen"),
             read_address(file.discovery, "discovery"),
--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -9,10 +9,11 @@
 import resource
 import signal
 
+import msgspec
 from aiohttp import web
 
 from madderwind.clock import Clock
-from madderwind.program.configuration import Configuration
+from madderwind.program.configuration import Configuration, ConfigurationError, read_configuration
 from madderwind.program.log import JsonLog, LibraryLog
 from madderwind.protocol.requests import LONGEST_BODY
 from madderwind.routing.copy import Copy
@@ -30,6 +31,9 @@
 MOST_DEADLINE_S = 3.0
 # What is still open so long after that deadline is answered by the host, and then has so long to be written.
 LAST_WORD_S, LAST_WRITE_S = 0.35, 0.15
+# What of a new configuration needs a restart. The seed is new with each start and the list known is for the
+# start alone, so changes of those are nothing to speak of.
+FOR_THE_START = ("name", "listen", "limits", "host")
 # Descriptors for all but connections: streams, loop, listener, the watch and its successor, and a margin.
 OWN_DESCRIPTORS = 20
 
@@ -46,7 +50,9 @@
         most = max(2, (min(configuration.limits.sockets, allowed) - OWN_DESCRIPTORS) // 2)
         self._upstreams = Upstreams(host.settings.connect_timeout_ms, host.idle_ms, most)
         self.copy = Copy(host, configuration.seed, Clock(), self._upstreams, log)
-        self._follower = Follower(self.copy, configuration.discovery, random.Random(configuration.seed))
+        self._chance = random.Random(configuration.seed)
+        self._follower = Follower(self.copy, configuration.discovery, self._chance)
+        self._following: asyncio.Task[None] | None = None
         self._listener = Listener(self._answer, LONGEST_BODY, most, log)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -59,6 +65,26 @@
         """SIGTERM: finish what is taken and end."""
         self._ending.set()
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again; a new address of discovery is followed at once.
+
+        Guards against the signal's default, which ends the program with all that it has taken.
+        """
+        before = self._configuration
+        try:
+            new = read_configuration(before.path)
+        except ConfigurationError as error:
+            self._log("configuration_unreadable", error=str(error))  # the one in force stays
+            return
+        needs_restart = [what for what in FOR_THE_START if getattr(new, what) != getattr(before, what)]
+        self._log("configuration_read", discovery=list(new.discovery), needs_restart=needs_restart)
+        # What needs a restart is compared with what runs, not with what an earlier reading found.
+        self._configuration = msgspec.structs.replace(before, discovery=new.discovery)
+        if new.discovery != before.discovery and self._following is not None:
+            self._following.cancel()  # leaves the old address at once: no descriptor is held for both
+            self._follower = Follower(self.copy, new.discovery, self._chance)
+            self._following = asyncio.get_running_loop().create_task(self._follower.run(at_once=True))
+
     async def run(self) -> None:
         """Serve until SIGTERM, and end."""
         library_log = LibraryLog(self._log)
@@ -73,10 +99,11 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.end)
         loop.add_signal_handler(signal.SIGINT, self.end)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)  # before readiness: until then it would kill
         configuration = self._configuration
         self.copy.listed(configuration.known, cached=True)
         self.port = await self._listener.start(*configuration.listen)
-        following = loop.create_task(self._follower.run())
+        self._following = loop.create_task(self._follower.run())
         if not configuration.host.settings.must_ask:  # else the module asks in its own time
             try:
                 await asyncio.wait_for(self._follower.heard.wait(), FIRST_WORD_S)
@@ -88,7 +115,7 @@
         self._log("ready", listen=list(configuration.listen), tier=configuration.host.settings.tier)
         await self._ending.wait()
         await self._finish()
-        following.cancel()
+        self._following.cancel()
         await self._upstreams.close()
         self._log("ended", invariants_broken=dict(self.copy.invariants.broken))
 
--- a/madderwind/routing/discovery.py
+++ b/madderwind/routing/discovery.py
@@ -33,9 +33,10 @@
         self.heard = asyncio.Event()
         self._told, self._last_reason = False, ""
 
-    async def run(self) -> None:
+    async def run(self, at_once: bool = False) -> None:
+        """Follow for good. `at_once`: also where copies must ask, as at an address that is new."""
         copy = self._copy
-        if copy.settings.must_ask:
+        if copy.settings.must_ask and not at_once:
             await self._asked()
         while True:
             try:
--- a/tests/program/test_discovery.py
+++ b/tests/program/test_discovery.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import os
+import signal
 from collections.abc import Callable
 from pathlib import Path
 
@@ -265,3 +267,66 @@
             assert (await caller.read()).status == 200
 
     run(test())
+
+
+def test_sighup_moves_the_watch_to_a_new_address_at_once(tmp_path: Path) -> None:
+    """Guards against a SIGHUP that ends the program, and against one that leaves the old watch open."""
+
+    async def test() -> None:
+        upstream = Upstream(says(answer(200)))
+        new = Agent()
+        async with Running(tmp_path, upstream) as running, new:
+            await within(running.agent.watches.get())
+            path = tmp_path / "config.json"
+            old_port, new_port = running.agent.port, new.port
+            path.write_text(path.read_text().replace(f":{old_port}", f":{new_port}"))
+            os.kill(os.getpid(), signal.SIGHUP)
+            watch = await within(new.watches.get())
+            assert await within(running.agent.ended.get())  # and the old one is left
+            drains = examples.member("s-0", upstream.port, phase="Terminating")
+            tell(watch, examples.listing(drains, revision=90, complete=False))
+            await until(lambda: running.service.copy.directory.revision == 90)
+            (read,) = running.log.named("configuration_read")
+            assert read == {"discovery": [examples.HOST, new_port], "needs_restart": []}
+            assert not running.log.named("watch_ended")
+
+    run(test())
+
+
+def test_the_new_address_is_watched_at_once_also_where_copies_must_ask(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against what counts as told 4 s after SIGHUP, while a first question may wait for longer."""
+    for name in ("LEAST_UNASKED_S", "MOST_UNASKED_S"):
+        monkeypatch.setattr(discovery, name, 1000.0)
+
+    async def test() -> None:
+        new = Agent()
+        async with Running(tmp_path, Upstream(silent), discovery="on_request") as running, new:
+            monkeypatch.setattr(Balancer, "handle", lambda *_: [])  # the module asks for nothing
+            path = tmp_path / "config.json"
+            path.write_text(path.read_text().replace(f":{running.agent.port}", f":{new.port}"))
+            running.service.reload()
+            await within(new.watches.get())
+
+    run(test())
+
+
+def test_an_unreadable_configuration_changes_nothing_and_the_rest_needs_a_restart(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = Upstream(says(answer(200)))
+        async with Running(tmp_path, upstream) as running:
+            path = tmp_path / "config.json"
+            sound = path.read_text()
+            path.write_text(sound[:-9])
+            running.service.reload()
+            assert len(running.log.named("configuration_unreadable")) == 1
+            path.write_text(sound.replace('"n3"', '"n4"').replace("192", "64"))
+            running.service.reload()
+            running.service.reload()
+            said = [e["needs_restart"] for e in running.log.named("configuration_read")]
+            assert said == [["name", "limits"]] * 2
+            assert (await (await Caller.connect(running.port)).ask()).status == 200
+            assert len(running.agent.asked) == 1  # the watch was left alone
+
+    run(test())
