A spoilt answer is an error at once, and what lies behind an answer closes its connection

The logs show 950 refusals with no attempt at the two fronts, not failed attempts. Cause: a spoilt answer became a reset (upstreams.py, ask: every ClientError), a reset marks the upstream dead (balancer.py, _learn), and the next answer from it then counts as a restart, so that it is cold for the warm-up time and gets one attempt at a time; soon every upstream was. Checked by tests that failed before: bytes on an idle connection stay in the client's buffer and answer the next request (connector._get asks is_connected() only); noise in the same segment as a good answer loses the answer (the parser raises and drops what it had); lengths over 64 KiB, two lengths, and heads or bodies that stop were waited for; a broken chunk hung until the deadline. Ruled out: the retry quota (a front never ran out of it here). Now answering.py takes in one answer for each request, to its length; what cannot be read is an error.

--- /dev/null
+++ b/madderwind/transport/answering.py
@@ -0,0 +1,137 @@
+"""One answer for each request: how the bytes of an upstream's connection become answers.
+
+Stands in for the client's own `ResponseHandler`, which keeps what comes for the next request's parser and
+loses a good answer when the bytes behind it cannot be read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import Any
+
+from aiohttp import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
+
+from madderwind.transport.unread import has_unread
+
+HEAD_END = b"\r\n\r\n"
+NO_BODY = frozenset((204, 304))
+LONGEST_ANSWER = 64 * 1024
+
+
+class _Awaits(Enum):
+    NOTHING = "nothing"
+    HEAD = "head"
+    BODY = "body"
+
+
+class OneAnswer(ResponseHandler):
+    """Takes in one answer after each request and closes on what nobody asked for.
+
+    Guards against a second copy, or noise, behind a good answer: read on, it would be the next answer, or
+    spoil the one before it. Guards too against an answer that begins and never ends: once it has begun,
+    `stall_s` without another byte make it unreadable, and its request need not wait for its deadline.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, stall_s: float) -> None:
+        super().__init__(loop)
+        self.unreadable = False
+        self._stall_s = stall_s
+        self._stalls: asyncio.TimerHandle | None = None
+        self._awaits = _Awaits.NOTHING
+        self._left: float = 0  # bytes of the body that are still to come; infinite where the framing tells
+        self._begun = b""  # the last bytes of a head that has not ended
+        self._body: Any = None
+
+    def set_response_params(self, **params: Any) -> None:
+        self._awaits = _Awaits.HEAD
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """A head is whole: how long its body is, if that can be said and is allowed."""
+        message, body = data
+        if 100 <= message.code < 200 and message.code != 101:
+            super().feed_data(data, size)
+            return  # the answer proper is still to come
+        lengths = message.headers.getall("Content-Length", ())
+        if message.code == 101 or len(lengths) + message.chunked > 1:
+            self.set_exception(HttpProcessingError(message="an answer of no certain length"))
+        elif lengths and not (lengths[0].isdecimal() and int(lengths[0]) <= LONGEST_ANSWER):
+            self.set_exception(HttpProcessingError(message="an answer longer than any may be"))
+        else:
+            super().feed_data(data, size)
+            self._awaits, self._body = _Awaits.BODY, body
+            if message.code in NO_BODY:
+                self._left = 0
+            else:  # without a length the framing tells, or the connection's end
+                self._left = int(lengths[0]) if lengths else float("inf")
+
+    def data_received(self, data: bytes) -> None:
+        while data and self.transport is not None and not self.unreadable:
+            if self._awaits is _Awaits.NOTHING:
+                self._close_on_the_rest()
+                return
+            if self._awaits is _Awaits.HEAD:
+                cut = (self._begun + data).find(HEAD_END)
+                size = len(data) if cut < 0 else cut + len(HEAD_END) - len(self._begun)
+            else:
+                size = int(min(self._left, len(data)))
+            part, data = data[:size], data[size:]
+            if self._awaits is _Awaits.HEAD:
+                self._begun = (self._begun + part)[-len(HEAD_END) + 1 :] if cut < 0 else b""
+            elif data:
+                self.force_close()  # more came than belongs to the answer: before its end gives it back
+            self._feed(part)
+        if self._stalls is not None:
+            self._stalls.cancel()
+            self._stalls = None
+        if (self._awaits is _Awaits.BODY or self._begun) and self.transport is not None and self._stall_s:
+            self._stalls = self._loop.call_later(self._stall_s, self._stalled)
+
+    def _feed(self, part: bytes) -> None:
+        in_body = self._awaits is _Awaits.BODY
+        super().data_received(part)
+        if in_body:
+            self._left -= len(part)
+        if self.exception() is not None or (self._body is not None and self._body.exception() is not None):
+            self._spoilt("the answer cannot be read")
+        elif self._awaits is _Awaits.BODY and (self._left <= 0 or self._body.is_eof()):
+            self._awaits, self._body = _Awaits.NOTHING, None
+
+    def _spoilt(self, why: str) -> None:
+        """Fails the request at once, where the client would wait for a body whose framing broke."""
+        self.unreadable = True
+        if self._body is not None:
+            self._body.set_exception(ClientPayloadError(why))
+        if self.exception() is None:
+            self.set_exception(HttpProcessingError(message=why))
+        self._close_on_the_rest()
+
+    def _close_on_the_rest(self) -> None:
+        self.force_close()
+        if self.transport is not None:
+            self.transport.close()
+
+    def _stalled(self) -> None:
+        self._stalls = None
+        if self.transport is None or (self._awaits is not _Awaits.BODY and not self._begun):
+            return
+        self._spoilt("the answer began and did not go on")
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if self._stalls is not None:
+            self._stalls.cancel()
+            self._stalls = None
+        super().connection_lost(exc)
+
+    def clean(self) -> bool:
+        """Whether it stands open with nothing asked, and nothing has come that nobody asked for."""
+        transport = self.transport
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and not self.should_close
+            and not has_unread(transport)
+        )
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -14,6 +13,7 @@
 
 from madderwind.eventlog import EventLog
 from madderwind.transport.limits import OWN_LIMITS
+from madderwind.transport.unread import has_unread
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 # Callers keep connections; one that stands idle for longer than this is forgotten by its caller.
@@ -208,6 +208,4 @@
     waiter, transport = connection._waiter, connection.transport
     if waiter is None or waiter.done() or connection._messages or transport is None:
         return False
-    waiting = select.poll()
-    waiting.register(transport.get_extra_info("socket"), select.POLLIN)
-    return not waiting.poll(0)
+    return not has_unread(transport)
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -7,24 +7,25 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 from contextvars import ContextVar
 from typing import NamedTuple
 
 import aiohttp
 import msgspec
-from aiohttp.client_reqrep import ClientRequest, ClientResponse
+from aiohttp.client_reqrep import ClientRequest, ClientResponse, ConnectionKey
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
 from madderwind.policy.api import Outcome
+from madderwind.transport.answering import LONGEST_ANSWER, OneAnswer
 from madderwind.transport.limits import OWN_LIMITS
 
 # Idle connections are given up this part of the upstream's idle time: one that it may be closing is not used.
 IDLE_PART = 0.8
-LONGEST_ANSWER = 1024 * 1024
 AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -42,7 +43,7 @@
     `may_write` is asked when the connection is up: what was right to send may by then be wrong.
     """
 
-    __slots__ = ("body", "headers", "may_write", "method", "target", "written")
+    __slots__ = ("body", "connection", "headers", "may_write", "method", "target", "written")
 
     def __init__(
         self,
@@ -55,6 +56,7 @@
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_write = may_write
         self.written = False
+        self.connection: OneAnswer | None = None  # that it is written to
 
 
 class _NotWritten(Exception):
@@ -73,14 +75,17 @@
 class _GatedRequest(ClientRequest):
     """Asks the letter between the connection's coming up and the first byte.
 
-    Guards against a drain notice, a deadline or an answer that came while the connection came up, and against
-    targets that a URL cannot hold unchanged, such as one that ends in a bare question mark.
+    Guards against a drain notice, a deadline or an answer that came while the connection came up, against an
+    answer that lies on the connection before anything is asked, and against targets that a URL cannot hold
+    unchanged, such as one that ends in a bare question mark.
     """
 
     async def send(self, conn: Connection) -> ClientResponse:
-        letter = _letter.get()
-        if not letter.may_write():
+        letter, connection = _letter.get(), conn.protocol
+        assert isinstance(connection, OneAnswer)
+        if not letter.may_write() or not connection.clean():
             raise _NotWritten
+        letter.connection = connection
         letter.written = True
         self.url = _Target(letter.target)  # type: ignore[assignment]
         return await super().send(conn)
@@ -93,17 +98,33 @@
     be lost. An idle connection makes way for a new one; where none is idle the attempt is not written.
     """
 
-    def __init__(self, most: int, idle_s: float) -> None:
+    def __init__(self, most: int, idle_s: float, stall_s: float) -> None:
         super().__init__(limit=0, keepalive_timeout=idle_s, use_dns_cache=False)
         self._most = most
+        self._factory = functools.partial(OneAnswer, asyncio.get_running_loop(), stall_s)  # type: ignore[assignment]
 
     async def connect(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
+        self._drop_unclean(req.connection_key)
         if not self._conns.get(req.connection_key) and self._held() >= self._most and not self._drop_idle():
             raise _NotWritten
         return await super().connect(req, traces, timeout)
 
+    def _drop_unclean(self, key: ConnectionKey) -> None:
+        """Until the next connection to be taken is one that the upstream has neither ended nor written to.
+
+        Guards against an attempt on a connection that has ended unread: a reset that may have run.
+        """
+        idle = self._conns.get(key)
+        while idle:
+            protocol, _ = idle[0]
+            if isinstance(protocol, OneAnswer) and protocol.clean():
+                return
+            idle.popleft()
+            protocol.close()
+        self._conns.pop(key, None)
+
     def _held(self) -> int:
         return len(self._acquired) + sum(len(idle) for idle in self._conns.values())
 
@@ -123,7 +144,8 @@
     """The pool of connections to all upstreams of one balancer."""
 
     def __init__(self, connect_timeout_ms: float, idle_ms: float, most: int) -> None:
-        self._connector = _BoundedConnector(most, idle_ms * IDLE_PART / 1000)
+        # An answer that has begun goes on within the time in which a connection comes up.
+        self._connector = _BoundedConnector(most, idle_ms * IDLE_PART / 1000, connect_timeout_ms / 1000)
         self._session = aiohttp.ClientSession(
             connector=self._connector,
             request_class=_GatedRequest,
@@ -167,7 +189,11 @@
         except TimeoutError:
             return Outcome.TIMEOUT if letter.written else Outcome.NOT_SENT
         except (aiohttp.ClientError, OSError):
-            return Outcome.RESET if letter.written else Outcome.CONNECT_FAILED
+            if not letter.written:
+                return Outcome.CONNECT_FAILED
+            # What cannot be read says that the upstream lives; that a connection ends does not.
+            spoilt = letter.connection is not None and letter.connection.unreadable
+            return Outcome.ERROR if spoilt else Outcome.RESET
 
     def close_idle(self, address: tuple[str, int]) -> None:
         """Close the idle connections to one upstream."""
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -189,7 +189,6 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
         b"HTTP/1.1 200 OK\r\nConte",
-        b"what is this\r\n\r\n",
         b"",
     ],
 )
@@ -303,3 +302,105 @@
             assert await pool.get(upstream) is outcome
 
     run(test())
+
+
+GOOD = answer(200, b"made for this one")
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize("pieces", [1, 3, 1000])
+@pytest.mark.parametrize("behind", [GOOD, b"\x00\xff noise \r\n\r\n", HEAD, b"\r\n"])
+def test_what_follows_a_good_answer_neither_spoils_it_nor_serves_the_next(behind: bytes, pieces: int) -> None:
+    """Guards against a second copy read as the next answer, and against noise that fails the one before."""
+
+    async def test() -> None:
+        async def behave(_: Message, writer: Writer) -> None:
+            said = GOOD + behind
+            size = -(-len(said) // pieces)
+            for at in range(0, len(said), size):
+                writer.write(said[at : at + size])
+                await asyncio.sleep(0)
+
+        async with Upstream(behave) as upstream, Pool() as pool:
+            for number in range(4):
+                upstream.behave = behave if number % 2 == 0 else says(answer(200, b"second"))
+                got = await pool.get(upstream)
+                assert isinstance(got, Answer)
+                assert got.body == (b"made for this one" if number % 2 == 0 else b"second")
+
+    run(test())
+
+
+def test_what_comes_on_an_idle_connection_closes_it() -> None:
+    """Guards against the client, which keeps such bytes and reads them as the next request's answer."""
+
+    async def test() -> None:
+        writers: list[Writer] = []
+
+        async def behave(_: Message, writer: Writer) -> None:
+            writers.append(writer)
+            writer.write(answer(200, b"%d" % len(writers)))
+
+        async with Upstream(behave) as upstream, Pool() as pool:
+            for number in (1, 2, 3):
+                got = await pool.get(upstream)
+                assert isinstance(got, Answer)
+                assert got.body == b"%d" % number
+                writers[-1].write(answer(200, b"a copy"))
+                if number == 1:  # read by the loop before the next request, or still unread when it is sent
+                    assert await within(upstream.ended.get()) == 1
+            assert upstream.connections == 3
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"\x00\xff\x16 noise\r\n\r\n",
+        b"HTTP/9 what\r\n\r\n",
+        b"what is this\r\n\r\n",
+        HEAD + b"X-Long: " + b"a" * 70_000,
+        HEAD + b"".join(b"X-%d: 1\r\n" % n for n in range(4000)),
+        HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"a" * 70_000,
+        HEAD + b"Content-Length: 65537\r\n\r\n",
+        HEAD + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+        HEAD + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nabcde",
+        HEAD + b"Content-Length: -5\r\n\r\nabcde",
+        HEAD + b"Content-Length: five\r\n\r\nabcde",
+        HEAD + b"Content-Length: 99999999999999999999999\r\n\r\nabcde",
+        HEAD + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabcde\r\n",
+        HEAD + b"\r\n" + b"a" * 70_000,
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        HEAD + b"Content-Length: 5\r\n\r\nabc",  # and no more
+        b"HTTP/1.1 2",  # and no more
+    ],
+    ids=range(18),
+)
+def test_a_spoilt_answer_is_an_error_at_once_and_its_connection_is_closed(said: bytes) -> None:
+    """Guards against waiting for its end until the deadline, and against taking the upstream for dead."""
+
+    async def test() -> None:
+        async with Upstream(says(said)) as upstream, Pool(connect_timeout_ms=200.0) as pool:
+            assert await pool.get(upstream) is Outcome.ERROR
+            assert await within(upstream.ended.get()) == 1
+            upstream.behave = says(GOOD)
+            assert isinstance(await pool.get(upstream), Answer)
+
+    run(test())
+
+
+def test_answers_ahead_are_passed_over_and_may_be_waited_after() -> None:
+    async def test() -> None:
+        async def behave(_: Message, writer: Writer) -> None:
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n")
+            await asyncio.sleep(0.1)  # longer than an answer that has begun may stand still
+            writer.write(GOOD)
+
+        async with Upstream(behave) as upstream, Pool(connect_timeout_ms=50.0) as pool:
+            got = await pool.get(upstream)
+            assert isinstance(got, Answer)
+            assert (got.status, got.body) == (200, b"made for this one")
+
+    run(test())
