A reset marks no upstream as dead, only a failed connect does

Cause: _learn (balancer.py) took a reset for a death, so the next answer counted as a restart and the upstream was cold for the warm-up time. One broken connection did that. A process that died resets all connections and refuses new ones, so a failed connect follows for whoever asks it again.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -489,7 +489,7 @@
         if upstream is not None:
             self._picker.reported(upstream, event.report, now)
             upstream.sent_ms.pop((event.request_id, event.attempt), None)
-            if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            if outcome is Outcome.CONNECT_FAILED:  # a reset may be one connection's alone
                 upstream.dead = True
             elif upstream.dead and outcome in (Outcome.OK, Outcome.ERROR):
                 upstream.restarted(now)  # life after a death is a restart, even before the list tells
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -183,6 +183,21 @@
     assert load[1] < 0.5 * (load[2] + load[3]) / 2
 
 
+def test_a_reset_connection_makes_no_upstream_cold() -> None:
+    """Guards against calling a restart what was one connection's end: soon all were held back as cold."""
+    script = Script([entry(1), entry(2)], max_attempts=1)
+    for _ in range(40):
+        request, actions = script.arrives()
+        script.ends(request, Outcome.RESET, sends(actions)[0].upstream)
+        script.now += 60_000
+    for _ in range(8):
+        script.serve()  # life after it
+    assert (
+        min(u.warmth(script.now, script.balancer._settings) for u in script.balancer._picker.fleet.values())
+        == 1
+    )
+
+
 # -- all rules under odd but legal sequences
 
 
