Silent callers are closed after 2 s, bad requests get one error and a close

Checked by tests: two lengths, length with chunks, negative and huge lengths were refused by the parser already; 60 MB were read on for a second; the id of an open request went on; 300 requests at once were served one after the other.

--- a/madderwind/program/log.py
+++ b/madderwind/program/log.py
@@ -87,5 +87,5 @@
         if record.created - self._said.get(place, 0.0) < 1.0:
             return
         self._said[place] = record.created
-        error = repr(record.exc_info[1]) if record.exc_info else None
+        error = repr(record.exc_info[1])[:500] if record.exc_info else None  # may quote a caller at length
         self._log("library_says", logger=record.name, text=record.getMessage()[:500], error=error)
--- a/madderwind/protocol/answers.py
+++ b/madderwind/protocol/answers.py
@@ -7,7 +7,7 @@
 from madderwind.policy.api import Outcome
 
 NEVER_RAN, REPORT, RETRY_AFTER = "X-Never-Ran", "Endpoint-Load-Metrics", "Retry-After"
-REFUSED, FAILED, TIMED_OUT, BROKEN = 503, 502, 504, 500
+REFUSED, FAILED, TIMED_OUT, BROKEN, BAD = 503, 502, 504, 500, 400
 
 
 def outcome_of(status: int, headers: Mapping[str, str]) -> Outcome:
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -8,7 +8,7 @@
 from multidict import CIMultiDict
 
 from madderwind.clock import Clock
-from madderwind.eventlog import EventLog, Invariants
+from madderwind.eventlog import EventLog, Invariants, Sparing
 from madderwind.policy import api
 from madderwind.policy.balancer import Balancer
 from madderwind.protocol.answers import read_report
@@ -32,10 +32,12 @@
     ) -> None:
         self.host, self.settings = host, host.settings
         self.clock, self.upstreams, self.log = clock, upstreams, log
+        self.log_sparingly = Sparing(log, clock.now_ms)
         self.invariants = Invariants(log)
         self.reader = RequestReader(host)
         self.directory = Directory(host.zone_names, host.kind_names)
         self.open: dict[int, Exchange] = {}
+        self.open_ids: set[str] = set()
         self.watch_asked_for = asyncio.Event()
         self._balancer = Balancer(host.settings, seed)
         self._last_number = 0
--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -13,6 +13,7 @@
 from madderwind.policy import api
 from madderwind.policy.api import Outcome
 from madderwind.protocol.answers import (
+    BAD,
     BROKEN,
     FAILED,
     REFUSED,
@@ -21,7 +22,7 @@
     outcome_of,
     refusal_headers,
 )
-from madderwind.protocol.requests import Asked, BadRequest, headers_onward
+from madderwind.protocol.requests import TRACE_ID, Asked, BadRequest, headers_onward
 from madderwind.routing.copy import Copy
 from madderwind.transport.listening import BadBody, whole_body
 from madderwind.transport.upstreams import Answer, Letter
@@ -29,8 +30,8 @@
 # The host's own last word comes this long after the deadline, if the module has said none by then: the rules
 # leave it 50 ms and the settings' slack, and a loop that is late must not overtake the module's answer.
 LAST_WORD_MS = 35.0
-# A caller has this long for a request's body.
-READ_S = 30.0
+# A caller has this long for a body: it sends at once, and is owed an error within 3 s of connecting.
+READ_S = 2.0
 
 
 class LastWord(Enum):
@@ -67,6 +68,7 @@
         self.withdrawn: set[int] = set()
         self.trail: list[tuple[str, str, float]] = []  # each attempt's upstream, outcome and time
         self.answers: dict[int, Answer] = {}
+        self.turned_away: set[int] = set()
         self.final: Final | None = None
         self.left = False
 
@@ -122,7 +124,7 @@
             outcome = Outcome.ERROR
         elapsed_ms = self.copy.clock.now_ms() - sent_ms
         self.trail.append((self.copy.directory.name(upstream), outcome.value, round(elapsed_ms, 1)))
-        over = self.over or outcome is Outcome.OK
+        over = self.over or outcome is Outcome.OK or number in self.turned_away
         ended = api.AttemptEnded(self.number, over, number, outcome, upstream, elapsed_ms, report)
         if self.over:
             self.copy.happened(ended)
@@ -146,6 +148,10 @@
         answer = await copy.upstreams.ask(address, letter, copy.clock.loop_time_s(until_ms))
         if isinstance(answer, Outcome):
             return answer, ()
+        if answer.status == BAD:
+            # The request is at fault, and would be anywhere: no other attempt, and no mark on the upstream.
+            self.turned_away.add(number)
+            return Outcome.CANCELLED, ()
         outcome = outcome_of(answer.status, answer.headers)
         if outcome is Outcome.OK:
             self.answers[number] = answer
@@ -167,16 +173,23 @@
         now_ms = copy.clock.now_ms()  # its time counts from its last byte
         target = request._message.path
         asked = copy.reader.read(request.method, target, request.headers)
+        if asked.trace_id in copy.open_ids:
+            raise BadRequest(f"{TRACE_ID} of a request that is open")  # it would be a second copy of that one
     except (BadBody, BadRequest) as error:
         status = error.status if isinstance(error, BadBody) else 400
-        copy.log("bad_request", status=status, reason=str(error), target=request._message.path[:120])
-        return web.Response(status=status, text=f"{error}\n")
+        copy.log_sparingly(
+            "bad_request", status=status, reason=str(error), target=request._message.path[:120]
+        )
+        response = web.Response(status=status, text=f"{error}\n")
+        response.force_close()  # who sends such things sends more of them
+        return response
     if asked.odd_props is not None:
         copy.log("odd_props", trace_id=asked.trace_id, part=asked.odd_props)
     exchange = Exchange(
         copy, copy.next_number(), asked, (request.method, target, request.headers, body), now_ms
     )
     copy.open[exchange.number] = exchange
+    copy.open_ids.add(asked.trace_id)
     last_word = asyncio.get_running_loop().call_at(
         copy.clock.loop_time_s(exchange.deadline_ms + LAST_WORD_MS),
         exchange.inbox.put_nowait,
@@ -204,6 +217,8 @@
                 # The first whole answer is the caller's at once; the module is told that the request is over.
                 answer = exchange.answers[happening.attempt]
                 exchange.settle(Final(200, answer.body, _kept(answer)))
+            elif isinstance(happening, api.AttemptEnded) and happening.attempt in exchange.turned_away:
+                exchange.settle(Final(BAD, b"an upstream cannot use it\n"))
             copy.decide(happening, exchange)
             if exchange.final is not None:
                 break
@@ -221,6 +236,7 @@
     finally:
         last_word.cancel()
         del copy.open[exchange.number]
+        copy.open_ids.remove(asked.trace_id)
         while not exchange.inbox.empty():  # what came while the last decision was carried out
             if not isinstance(late := exchange.inbox.get_nowait(), LastWord):
                 copy.happened(late)
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 from aiohttp import web
@@ -16,11 +16,17 @@
 from madderwind.transport.unread import has_unread
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-# Callers keep connections; one that stands idle for longer than this is forgotten by its caller.
-IDLE_S = 75.0
+# The server's own bound on an idle connection. Ours are shorter; this one is what it counts idle time by.
+KEEPALIVE_S = 75.0
+# A connection on which no request is open may be closed after 2 s. Callers that ask once and stay take memory
+# and descriptors for good; those that go on asking come back sooner than this.
+IDLE_S = 5.0
+# Callers send as soon as they are connected. One that has said nothing, or half a head, is owed an error or a
+# close within 3 s; where descriptors run short, a part of that tells it from one that is new.
+SILENT_S, FRESH_S = 2.0, 0.5
+# How often connections are looked through for those two.
+ROUND_S = 0.25
 BACKLOG = 1024
-# How long a caller has for the rest of a request that was answered before it was whole.
-LINGER_S = 1.0
 # How often it is looked whether connections or descriptors have come free.
 LOOK_S = 0.01
 FIRST_LOOK_S = 0.05
@@ -28,6 +34,21 @@
 ACCEPTS = 64
 
 
+class _Caller(RequestHandler):
+    """One caller's connection, which knows since when it is open."""
+
+    __slots__ = ("made_s",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.made_s = self._loop.time()
+        super().connection_made(transport)
+
+    @property
+    def quiet_since_s(self) -> float:
+        """Since when it has been between requests, where it is."""
+        return self._next_keepalive_close_time - KEEPALIVE_S if self._request_count else self.made_s
+
+
 class _Connections(web.Server):
     """Closes the connections idle for longest while more are open than there are descriptors for.
 
@@ -37,6 +58,9 @@
 
     most = 0
 
+    def __call__(self) -> RequestHandler:
+        return _Caller(self, loop=self._loop, **self._kwargs)
+
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
         self.make_room(self.over())
@@ -46,21 +70,38 @@
         return len(self._connections) - self.most
 
     def make_room(self, count: int) -> None:
-        """Close so many of those that are idle, the longest first, and none that has had no request yet.
+        """Close so many of those that are idle, the longest first; first requests have a moment to come.
 
         Guards against closing a connection as its first request comes: only between requests do clients send
         again what crosses a close.
         """
         if count <= 0:
             return
-        used = (c for c in self._connections if c._request_count)
-        for connection in sorted(used, key=lambda c: c._next_keepalive_close_time):
+        newest_s = self._loop.time() - FRESH_S
+        able = (c for c in self._callers() if c._request_count or c.made_s <= newest_s)
+        for connection in sorted(able, key=lambda c: (not c._request_count, c.quiet_since_s)):
             if is_idle(connection):
                 connection.force_close()
                 count -= 1
                 if not count:
                     return
 
+    def close_quiet(self) -> int:
+        """Close those that have been idle for too long; how many of them had never asked.
+
+        Guards against callers that connect by hundreds and say nothing: each holds a descriptor.
+        """
+        now_s, silent = self._loop.time(), 0
+        for connection in list(self._callers()):
+            most_s = IDLE_S if connection._request_count else SILENT_S
+            if now_s - connection.quiet_since_s >= most_s and is_idle(connection):
+                silent += not connection._request_count
+                connection.force_close()
+        return silent
+
+    def _callers(self) -> Iterator[_Caller]:
+        return (c for c in self._connections if isinstance(c, _Caller))
+
 
 class Listener:
     """Accepts callers' connections. A client that goes away cancels its handler."""
@@ -73,14 +114,15 @@
         self._taking_in: set[asyncio.Task[None]] = set()
         self._open = 0
         self._ending = False
+        self._round: asyncio.TimerHandle | None = None
         self._web = _Connections(
             self._handle,
             request_factory=self._request,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
-            keepalive_timeout=IDLE_S,
-            lingering_time=LINGER_S,
+            keepalive_timeout=KEEPALIVE_S,
+            lingering_time=0,  # of a request answered before it was whole, nothing more is read
         )
         self._web.most = most_connections
 
@@ -95,12 +137,18 @@
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
         self._socket.setblocking(False)
         self._listen()
+        self._look_round()
         return int(self._socket.getsockname()[1])
 
     def _listen(self) -> None:
         if self._socket is not None:
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
+    def _look_round(self) -> None:
+        if silent := self._web.close_quiet():
+            self._log("silent_callers_closed", count=silent)
+        self._round = asyncio.get_running_loop().call_later(ROUND_S, self._look_round)
+
     def _accept(self) -> None:
         """Take the connections that wait.
 
@@ -134,6 +182,12 @@
             accepted.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.protocol._messages:
+            # Callers send one request at a time. Guards against hundreds at once, which would take from the
+            # time of all others: the connection gets one error, and ends.
+            crowded = web.Response(status=400, text="one request at a time\n")
+            crowded.force_close()
+            return crowded
         self._open += 1
         try:
             response = await self._handler(request)
@@ -169,6 +223,8 @@
             loop.remove_reader(self._socket)
             self._socket.close()
             self._socket = None
+            if self._round is not None:
+                self._round.cancel()
             await asyncio.sleep(FIRST_LOOK_S)  # what was just taken has time for its first request
         while True:
             self.close_idle()
@@ -186,7 +242,12 @@
 
 
 async def whole_body(request: web.BaseRequest, within_s: float) -> bytes:
-    """The body as it came. Callers that ask first are told to go on."""
+    """The body as it came. Callers that ask first are told to go on.
+
+    Guards against reading what is too long by its own header: that takes time from all other requests.
+    """
+    if (request.content_length or 0) > request._client_max_size:
+        raise BadBody(413, "the body is too long")
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         request.writer.output_size = 0  # or the answer's own headers would count as sent
--- a/tests/program/test_log.py
+++ b/tests/program/test_log.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from madderwind.eventlog import Invariants
+from madderwind.eventlog import Invariants, Sparing
 from madderwind.policy.api import Outcome
 from madderwind.program import log as program_log
 from madderwind.program.log import JsonLog
@@ -101,9 +101,20 @@
     assert said == [("invariant_broken", {"name": "one_final_answer", "times": 1, "trace_id": "t"})]
 
 
+def test_what_others_cause_at_will_has_a_line_a_second() -> None:
+    """Guards against a caller that fills the log with its bad requests."""
+    now_ms, said = [0.0], []
+    sparing = Sparing(lambda event, /, **fields: said.append((event, fields)), lambda: now_ms[0])
+    for now_ms[0] in (0.0, 1.0, 999.0, 1000.0, 1001.0):
+        sparing("bad_request", status=400)
+    assert said == [("bad_request", {"status": 400, "unsaid_before": n}) for n in (0, 2)]
+
+
 def test_the_on_call_page_explains_every_line_and_no_other() -> None:
     code = "".join(path.read_text() for path in (ROOT / "madderwind").rglob("*.py"))
-    said = set(re.findall(r"\b_?log\(\s*\"([a-z_]+)\"", code)) | set(re.findall(r"self\(\"([a-z_]+)\"", code))
+    said = set(re.findall(r"\b_?log(?:_sparingly)?\(\s*\"([a-z_]+)\"", code)) | set(
+        re.findall(r"self\(\"([a-z_]+)\"", code)
+    )
     explained = set(
         re.findall(r"^\| `([a-z_]+)` \|", (ROOT / "docs" / "on-call.md").read_text(), re.MULTILINE)
     )
--- a/tests/program/test_requests.py
+++ b/tests/program/test_requests.py
@@ -38,13 +38,17 @@
         async with Running(tmp_path, upstream) as running:
             caller = await Caller.connect(running.port)
             got = await caller.ask(
-                "POST /checkout/7?x=%2F", b"\x00\xffhello", Idempotency_Key=KEY, wait_ms=480
+                "POST /checkout/7?x=%2F",
+                b"\x00\xffhello",
+                Idempotency_Key=KEY,
+                wait_ms=480,
+                X_Trace_Id="7d41",
             )
             assert (got.status, got.body, got.header("Content-Type")) == (200, body, "image/png")
             (asked,) = upstream.asked
             assert asked.start == "POST /checkout/7?x=%2F HTTP/1.1"
             assert asked.body == b"\x00\xffhello"
-            assert asked.header("X-Trace-Id") == "9b1f03aa5c7e2d41"
+            assert asked.header("X-Trace-Id") == "7d41"
             assert asked.header("Idempotency-Key") == KEY
             assert 0 < int(asked.header("X-Expires-In-Ms") or 0) <= 480
             again = await caller.ask("GET /lookup")
@@ -373,3 +377,76 @@
             assert not running.broken
 
     run(test())
+
+
+@pytest.mark.parametrize(
+    "lengths",
+    [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3",
+        "Content-Length: 3\r\nContent-Length: 4",
+        "Content-Length: 3\r\nContent-Length: 3",
+        "Content-Length: -3",
+        "Content-Length: +3",
+        "Content-Length: ten",
+        "Content-Length: 99999999999999999999999",
+        "Content-Length: 62914560",
+        "Content-Length: 65537",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    ],
+)
+def test_lengths_that_are_wrong_are_refused_on_the_header(tmp_path: Path, lengths: str) -> None:
+    """Guards against a request that hides in another's body, and against reading 60 MB to refuse them."""
+
+    async def test() -> None:
+        upstream = Upstream(says(answer(200)))
+        async with Running(tmp_path, upstream) as running:
+            caller = await Caller.connect(running.port)
+            head = "POST /charge HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a1\r\nX-Customer: acme"
+            head += "\r\nX-Expires-In-Ms: 900"
+            hidden = b"0\r\n\r\nGET /lookup HTTP/1.1\r\nHost: x\r\nX-Trace-Id: a2\r\nX-Customer: acme\r\n\r\n"
+            caller.writer.write(f"{head}\r\n{lengths}\r\n\r\n".encode() + hidden)
+            assert 400 <= (await caller.read()).status < 500
+            await caller.reader.read()  # what else is said of it, up to the end
+            assert not upstream.asked
+
+    run(test())
+
+
+def test_the_id_of_an_open_request_is_turned_away(tmp_path: Path) -> None:
+    """Guards against another client's request under the id of one that is out: a second copy of it."""
+
+    async def test() -> None:
+        upstream = Upstream(silent)
+        async with Running(tmp_path, upstream) as running:
+            first, other = await Caller.connect(running.port), await Caller.connect(running.port)
+            first.write("POST /charge", b"1", X_Trace_Id="a1")
+            await within(upstream.arrivals.get())
+            got = await other.ask("POST /charge", b"2", X_Trace_Id="a1")
+            assert (got.status, got.header("Connection")) == (400, "close")
+            assert await other.at_end()
+            upstream.behave = says(answer(200))
+            first.close()
+            await running.settled()
+            again = await Caller.connect(running.port)
+            assert (await again.ask("POST /charge", b"2", X_Trace_Id="a1")).status == 200
+
+    run(test())
+
+
+def test_a_request_that_an_upstream_cannot_use_is_tried_once_and_blames_nobody(tmp_path: Path) -> None:
+    """Guards against a caller whose bad requests set every upstream aside and spend the retry quota."""
+
+    async def test() -> None:
+        upstreams = [Upstream(says(answer(400))) for _ in range(2)]
+        async with Running(tmp_path, *upstreams) as running:
+            caller = await Caller.connect(running.port)
+            for _ in range(6):
+                assert (await caller.ask()).status == 400
+            assert sum(len(u.asked) for u in upstreams) == 6
+            fleet = running.service.copy._balancer._picker.fleet.values()
+            assert [u.failures for u in fleet] == [0, 0]
+            assert not running.service.copy._balancer._requests
+
+    run(test())
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -144,6 +145,9 @@
     writer.write(b"%x\r\n%s\r\n" % (len(raw), raw))
 
 
+_trace_ids = itertools.count(0x9B1F03AA5C7E2D41)  # new with every request, also with a client's retry
+
+
 class Caller:
     """One connection of a client."""
 
@@ -159,7 +163,7 @@
     ) -> None:
         values: dict[str, str | None] = {
             "Host": "app.svc",
-            "X-Trace-Id": "9b1f03aa5c7e2d41",
+            "X-Trace-Id": f"{next(_trace_ids):016x}",
             "X-Customer": "acme",
             "X-Expires-In-Ms": str(wait_ms),
             "Content-Length": str(len(body)) if body else None,
--- a/tests/transport/test_listening.py
+++ b/tests/transport/test_listening.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import socket
 from typing import Any
@@ -9,6 +10,7 @@
 import pytest
 from aiohttp import web
 
+from madderwind.transport import listening
 from madderwind.transport.listening import Listener
 from tests.examples import HOST
 from tests.standins import Caller, run, within
@@ -83,3 +85,86 @@
         await listener.finish(5.0)
 
     run(test())
+
+
+@pytest.mark.parametrize("said", [b"", b"GET /lookup HTTP/1.1\r\nHost:"], ids=["nothing", "half a head"])
+def test_a_caller_that_says_nothing_is_closed(monkeypatch: pytest.MonkeyPatch, said: bytes) -> None:
+    """Guards against hundreds that keep their descriptors for good. A request that has come is served."""
+    monkeypatch.setattr(listening, "SILENT_S", 0.0)
+
+    async def handler(_: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"taken")
+
+    async def test() -> None:
+        listener = Listener(handler, 1000, 10, lambda *_, **__: None)
+        port = await listener.start(HOST, 0)
+        quiet, asks = await Caller.connect(port), await Caller.connect(port)
+        quiet.writer.write(said)
+        asks.write()  # lies on the socket when connections are looked through
+        listener._web.close_quiet()
+        assert (await asks.read()).body == b"taken"
+        assert await quiet.at_end()
+        await listener.finish(5.0)
+
+    run(test())
+
+
+def test_a_caller_that_asked_once_and_stays_is_closed_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections that grow in number all day."""
+    monkeypatch.setattr(listening, "IDLE_S", 0.0)
+
+    async def handler(_: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"taken")
+
+    async def test() -> None:
+        listener = Listener(handler, 1000, 10, lambda *_, **__: None)
+        caller = await Caller.connect(await listener.start(HOST, 0))
+        assert (await caller.ask()).body == b"taken"
+        assert await caller.at_end()
+        await listener.finish(5.0)
+
+    run(test())
+
+
+def test_for_want_of_descriptors_silent_callers_make_room_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against silent connections that hold all descriptors for two seconds, over and over."""
+
+    async def handler(_: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"taken")
+
+    async def test() -> None:
+        listener = Listener(handler, 1000, 10, lambda *_, **__: None)
+        port = await listener.start(HOST, 0)
+        fresh = await Caller.connect(port)
+        asks = await Caller.connect(port)
+        assert (await asks.ask()).status == 200
+        listener._web.make_room(2)
+        assert await asks.at_end()
+        assert (await fresh.ask()).body == b"taken"  # it was too new to be taken for silent
+        silent = await Caller.connect(port)
+        while len(listener._web.connections) < 2:
+            await asyncio.sleep(0)
+        monkeypatch.setattr(listening, "FRESH_S", 0.0)
+        listener._web.make_room(2)
+        assert await silent.at_end()
+        await listener.finish(5.0)
+
+    run(test())
+
+
+def test_requests_that_come_at_once_get_one_error_and_a_close() -> None:
+    """Guards against hundreds on one connection, which take from the time of all others."""
+
+    async def handler(_: web.BaseRequest) -> web.Response:
+        raise AssertionError("none of them is served")
+
+    async def test() -> None:
+        listener = Listener(handler, 1000, 10, lambda *_, **__: None)
+        caller = await Caller.connect(await listener.start(HOST, 0))
+        caller.writer.write(b"GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n" * 300)
+        got = await caller.read()
+        assert (got.status, got.header("Connection")) == (400, "close")
+        assert await caller.at_end()
+        await listener.finish(5.0)
+
+    run(test())
