After SIGTERM open connections serve on until the shortest aim before the end

The logs show why: one front gets SIGTERM 3 s after the other, whose restart takes 4 s and more; both had sent their callers away 0.6 s after the signal (service.py, _finish), so for 1.3 s nobody served. Callers go on using connections for as long as these stay open. They now do, until what is taken would no longer have its class's aim before SIGKILL may come. Ruled out: the watch (told within 2 ms of each SIGHUP), lost requests (none).

--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -122,10 +122,15 @@
     async def _finish(self) -> None:
         """Take on what comes for a while, close connections as they come free, answer the rest, and end."""
         self._log("ending", open_requests=len(self.copy.open))
-        self._listener.announce_end()
+        loop = asyncio.get_running_loop()
+        classes = self._configuration.host.settings.classes
+        began_s = loop.time()
+        end_s = began_s + min(max(c.deadline_ms for c in classes) / 1000, MOST_DEADLINE_S) + LAST_WORD_S
         await asyncio.sleep(TAKE_ON_S)
-        longest_s = max(c.deadline_ms for c in self._configuration.host.settings.classes) / 1000
-        left = await self._listener.finish(min(longest_s, MOST_DEADLINE_S) + LAST_WORD_S - TAKE_ON_S)
+        # Callers go on using the connections that they have: what comes on them so long before the end still
+        # has the time that its caller hopes for.
+        await self._listener.serve_on(end_s - min(c.aim_ms for c in classes) / 1000)
+        left = await self._listener.finish(end_s - loop.time())
         if left:
             # Guards against requests lost to SIGKILL: a client may wait longer than the platform does.
             self._log("answered_at_the_end", count=left)
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -197,9 +197,20 @@
             response.force_close()
         return response
 
-    def announce_end(self) -> None:
-        """Answers from here on close their connection; new connections are still taken."""
-        self._ending = True
+    async def serve_on(self, until_s: float) -> None:
+        """Accept nothing more, and serve on the connections that are open, while there are any.
+
+        `until_s`: the loop's clock. Guards against sending callers away while another balancer is down too.
+        """
+        loop = asyncio.get_running_loop()
+        if self._socket is not None:
+            self._accept()  # what waits by now is taken, not reset
+            loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+            await asyncio.sleep(FIRST_LOOK_S)  # what was just taken has time for its first request
+        while self._web.connections and loop.time() < until_s:
+            await asyncio.sleep(LOOK_S)
 
     def close_idle(self) -> None:
         """Close the connections that stand between requests.
@@ -218,14 +229,10 @@
         """
         loop = asyncio.get_running_loop()
         until_s = loop.time() + within_s
-        if self._socket is not None:
-            self._accept()  # what waits by now is taken, not reset
-            loop.remove_reader(self._socket)
-            self._socket.close()
-            self._socket = None
-            if self._round is not None:
-                self._round.cancel()
-            await asyncio.sleep(FIRST_LOOK_S)  # what was just taken has time for its first request
+        self._ending = True  # answers from here on close their connection
+        await self.serve_on(0.0)
+        if self._round is not None:
+            self._round.cancel()
         while True:
             self.close_idle()
             if not self._web.connections or loop.time() >= until_s:
