Upstreams that are gone are forgotten, and connections belong to an upstream, not an address

Read in the code and shown by tests that failed before: Directory kept each id, number and address for good; the pool and CloseIdle went by address, so a new upstream at the address of one that is gone was served by the old one's connections, and the end of one closed the other's. Idle connections to an upstream that drains or is gone stayed for 24 s; now they are closed at the notice. A new connection that never comes up closes the idle ones beside it: they are silent too.

--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -10,6 +10,7 @@
 from madderwind.clock import Clock
 from madderwind.eventlog import EventLog, Invariants, Sparing
 from madderwind.policy import api
+from madderwind.policy.api import UpstreamState
 from madderwind.policy.balancer import Balancer
 from madderwind.protocol.answers import read_report
 from madderwind.protocol.listing import Listing
@@ -57,7 +58,13 @@
         """What discovery told, in force for the module and for sends on their way from the same moment."""
         for odd in listing.odd:
             self.log("odd_member", member=odd)
-        self.happened(self.directory.take(listing, cached))
+        event = self.directory.take(listing, cached)
+        for entry in event.entries:
+            if (
+                entry.state is not UpstreamState.READY
+            ):  # nothing new goes there: its connections are of no use
+                self.upstreams.close_idle(entry.upstream)
+        self.happened(event)
 
     def happened(self, event: api.Event) -> None:
         """An event that no request's task waits for."""
@@ -87,8 +94,7 @@
                 case api.Probe(upstream):
                     self._start_probe(upstream)
                 case api.CloseIdle(upstream):
-                    if (address := self.directory.address(upstream)) is not None:
-                        self.upstreams.close_idle(address)
+                    self.upstreams.close_idle(upstream)
                 case api.Log(text):
                     self.log("module_says", text=text)
                 case _:  # copies share nothing here: no wire for words to peers
@@ -124,7 +130,11 @@
         has_reports = bool(self.settings.report_columns)
         letter = Letter("GET", "/load" if has_reports else "/healthz", CIMultiDict(), b"", lambda: True)
         until_s = self.clock.loop_time_s(started_ms + PROBE_TIMEOUT_MS)
-        answer = await self.upstreams.ask(address, letter, until_s)
+        self.directory.began(upstream)
+        try:
+            answer = await self.upstreams.ask(upstream, address, letter, until_s)
+        finally:
+            self.directory.ended(upstream)
         report: tuple[float, ...] = ()
         if isinstance(answer, Answer):
             outcome = api.Outcome.OK if answer.status == 200 else api.Outcome.ERROR
--- a/madderwind/routing/directory.py
+++ b/madderwind/routing/directory.py
@@ -2,38 +2,53 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from madderwind.policy.api import FleetListed, ListKind, UpstreamEntry, UpstreamState
 from madderwind.protocol.listing import STATES, Listing, Member
 
 
 class Directory:
-    """Gives every id a number for good, and keeps where each is and whether it may get anything new."""
+    """Gives every id a number, and keeps where each is and whether it may get anything new.
+
+    Guards against growth on days on which upstreams are replaced by ever new ones: one that the list no
+    longer has is forgotten once nothing is out there. No number is given twice, so none is taken for another.
+    """
 
     def __init__(self, zone_names: tuple[str, ...], kind_names: tuple[str, ...]) -> None:
         self._zones = {name: number for number, name in enumerate(zone_names)}
         self._kinds = {name: number for number, name in enumerate(kind_names)}
         self._numbers: dict[str, int] = {}
-        self._ids: list[str] = []
+        self._next_number = 0
+        self._ids: dict[int, str] = {}
+        self._out: Counter[int] = Counter()  # attempts and probes
         self._addresses: dict[int, tuple[str, int]] = {}
         self._states: dict[int, UpstreamState] = {}
         self.revision = 0
 
     def take(self, listing: Listing, cached: bool = False) -> FleetListed:
         """The listing as the module's event, after the directory has learned from it."""
+        before = set(self._states)
         entries = tuple(self._entry(member) for member in listing.members)
         if listing.complete:
             self._states = {}  # what a whole list leaves out is gone
         for member, entry in zip(listing.members, entries, strict=True):
             self._addresses[entry.upstream] = member.address
             self._states[entry.upstream] = entry.state
+        for number in before - set(self._states) | {
+            e.upstream for e in entries if e.state is UpstreamState.GONE
+        }:
+            self._states[number] = UpstreamState.GONE
+            self._forget(number)
         self.revision = listing.revision
         kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
         return FleetListed(ListKind.CACHED if cached else kind, listing.revision, entries)
 
     def _entry(self, member: Member) -> UpstreamEntry:
-        number = self._numbers.setdefault(member.id, len(self._ids))
-        if number == len(self._ids):
-            self._ids.append(member.id)
+        number = self._numbers.setdefault(member.id, self._next_number)
+        if number == self._next_number:
+            self._next_number += 1
+            self._ids[number] = member.id
         return UpstreamEntry(
             number,
             self._zones.setdefault(member.locality, len(self._zones)),
@@ -44,8 +59,23 @@
             max(0.0, member.up_since_ms),
         )
 
+    def began(self, upstream: int) -> None:
+        """An attempt or a probe is out there."""
+        self._out[upstream] += 1
+
+    def ended(self, upstream: int) -> None:
+        self._out[upstream] -= 1
+        self._forget(upstream)
+
+    def _forget(self, number: int) -> None:
+        """One that is gone, once nothing is out there."""
+        if self._out[number] <= 0:
+            del self._out[number]
+            if self._states.get(number) is UpstreamState.GONE:
+                del self._numbers[self._ids.pop(number)], self._addresses[number], self._states[number]
+
     def name(self, upstream: int) -> str:
-        return self._ids[upstream]
+        return self._ids.get(upstream, "")
 
     def address(self, upstream: int) -> tuple[str, int] | None:
         return self._addresses.get(upstream)
--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -113,6 +113,8 @@
         """Ask the upstream once; its end goes to the request's task, or to the copy if that is over."""
         sent_ms = self.copy.clock.now_ms()
         report: tuple[float, ...] = ()
+        name = self.copy.directory.name(upstream)
+        self.copy.directory.began(upstream)
         try:
             outcome, report = await self._ask(number, upstream, until_ms, sent_ms)
         except asyncio.CancelledError:
@@ -122,8 +124,10 @@
         except Exception as error:  # unsure how far it came, so it may have run
             self.copy.log("attempt_broke", trace_id=self.asked.trace_id, error=repr(error))
             outcome = Outcome.ERROR
+        finally:
+            self.copy.directory.ended(upstream)
         elapsed_ms = self.copy.clock.now_ms() - sent_ms
-        self.trail.append((self.copy.directory.name(upstream), outcome.value, round(elapsed_ms, 1)))
+        self.trail.append((name, outcome.value, round(elapsed_ms, 1)))
         over = self.over or outcome is Outcome.OK or number in self.turned_away
         ended = api.AttemptEnded(self.number, over, number, outcome, upstream, elapsed_ms, report)
         if self.over:
@@ -145,7 +149,7 @@
             self.body,
             lambda: self._may_write(upstream, until_ms),
         )
-        answer = await copy.upstreams.ask(address, letter, copy.clock.loop_time_s(until_ms))
+        answer = await copy.upstreams.ask(upstream, address, letter, copy.clock.loop_time_s(until_ms))
         if isinstance(answer, Outcome):
             return answer, ()
         if answer.status == BAD:
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -43,7 +43,7 @@
     `may_write` is asked when the connection is up: what was right to send may by then be wrong.
     """
 
-    __slots__ = ("body", "connection", "headers", "may_write", "method", "target", "written")
+    __slots__ = ("body", "connection", "headers", "may_write", "method", "target", "upstream", "written")
 
     def __init__(
         self,
@@ -56,6 +56,7 @@
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_write = may_write
         self.written = False
+        self.upstream = -1  # the number of the upstream asked
         self.connection: OneAnswer | None = None  # that it is written to
 
 
@@ -80,6 +81,15 @@
     unchanged, such as one that ends in a bare question mark.
     """
 
+    @property
+    def connection_key(self) -> ConnectionKey:
+        """Connections belong to an upstream, not to its address.
+
+        Guards against a new upstream at the address of one that is gone, served by connections to the old.
+        The client tells pools apart by a proxy's headers too; there is no proxy: the number stands there.
+        """
+        return super().connection_key._replace(proxy_headers_hash=_letter.get().upstream)
+
     async def send(self, conn: Connection) -> ClientResponse:
         letter, connection = _letter.get(), conn.protocol
         assert isinstance(connection, OneAnswer)
@@ -158,8 +168,11 @@
         # Guards against a second copy: the client resends a GET by itself when a kept connection breaks.
         self._session._retry_connection = False
 
-    async def ask(self, address: tuple[str, int], letter: Letter, until_s: float) -> Answer | Outcome:
+    async def ask(
+        self, upstream: int, address: tuple[str, int], letter: Letter, until_s: float
+    ) -> Answer | Outcome:
         """One attempt: the upstream's answer, or how it ended without one. `until_s`: the loop's clock."""
+        letter.upstream = upstream
         _letter.set(letter)
         url = URL.build(scheme="http", host=address[0], port=address[1])
         try:
@@ -183,6 +196,10 @@
         except _NotWritten:
             return Outcome.NOT_SENT
         except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as error:
+            if isinstance(error, aiohttp.ConnectionTimeoutError):
+                # Guards against a machine that vanished: a kept connection is silent until the deadline,
+                # while one that never comes up proves that nothing ran.
+                self.close_idle(upstream)
             own = isinstance(error, OSError) and error.errno in OWN_LIMITS
             # what this machine lacks says nothing of the upstream
             return Outcome.NOT_SENT if own else Outcome.CONNECT_FAILED
@@ -195,9 +212,9 @@
             spoilt = letter.connection is not None and letter.connection.unreadable
             return Outcome.ERROR if spoilt else Outcome.RESET
 
-    def close_idle(self, address: tuple[str, int]) -> None:
+    def close_idle(self, upstream: int) -> None:
         """Close the idle connections to one upstream."""
-        for key in [k for k in self._connector._conns if (k.host, k.port) == address]:
+        for key in [k for k in self._connector._conns if k.proxy_headers_hash == upstream]:
             for protocol, _ in self._connector._conns.pop(key):
                 protocol.close()
 
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -40,10 +40,10 @@
         await self.close()
 
     async def get(
-        self, upstream: Upstream, sent: Letter | None = None, in_s: float = FAR_S
+        self, upstream: Upstream, sent: Letter | None = None, in_s: float = FAR_S, number: int = 0
     ) -> Answer | Outcome:
         until_s = asyncio.get_running_loop().time() + in_s
-        return await self.ask(upstream.address, sent or letter(), until_s)
+        return await self.ask(number, upstream.address, sent or letter(), until_s)
 
 
 @pytest.mark.parametrize(
@@ -129,10 +129,10 @@
                 async with Pool(connect_timeout_ms=50.0) as pool:
                     until_s = asyncio.get_running_loop().time() + FAR_S
                     sent = letter()
-                    assert await pool.ask(address, sent, until_s) is Outcome.CONNECT_FAILED
+                    assert await pool.ask(0, address, sent, until_s) is Outcome.CONNECT_FAILED
                     assert not sent.written
                     sent = letter()
-                    assert await pool.ask(address, sent, until_s - FAR_S) is Outcome.NOT_SENT
+                    assert await pool.ask(0, address, sent, until_s - FAR_S) is Outcome.NOT_SENT
             finally:
                 for filler in fillers:
                     filler.close()
@@ -259,13 +259,30 @@
     async def test() -> None:
         async with Upstream(says(answer(200, b"a"))) as upstream, Pool() as pool:
             assert isinstance(await pool.get(upstream), Answer)
-            pool.close_idle(upstream.address)
+            pool.close_idle(1)
+            assert pool._connector._conns
+            pool.close_idle(0)
             assert await within(upstream.ended.get()) == 1
             assert isinstance(await pool.get(upstream), Answer)
 
     run(test())
 
 
+def test_a_new_upstream_at_the_address_of_one_that_is_gone_gets_connections_of_its_own() -> None:
+    """Guards against connections to the old one that serve the new, and against an end that closes both."""
+
+    async def test() -> None:
+        async with Upstream(says(answer(200, b"a"))) as upstream, Pool() as pool:
+            for number in (0, 1, 0, 1):
+                assert isinstance(await pool.get(upstream, number=number), Answer)
+            assert [m.connection for m in upstream.asked] == [1, 2, 1, 2]
+            pool.close_idle(0)
+            assert isinstance(await pool.get(upstream, number=1), Answer)
+            assert upstream.asked[-1].connection == 2
+
+    run(test())
+
+
 def test_no_more_connections_than_descriptors() -> None:
     """Guards against attempts that take the descriptors that callers' connections need."""
 
