After a reset on a kept connection requests get new ones for a time that doubles

The end of such a connection is not to be seen before the write (clean() asks for unread bytes), nor does idle time tell: upstreams.py kept them all alike. Now the pool stops using kept connections for a time after such a reset, and unsafe requests wait longer for that.

--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -11,7 +11,7 @@
 from multidict import CIMultiDictProxy
 
 from madderwind.policy import api
-from madderwind.policy.api import Outcome
+from madderwind.policy.api import Effect, Outcome
 from madderwind.protocol.answers import (
     BAD,
     BROKEN,
@@ -148,6 +148,7 @@
             headers_onward(self.headers, until_ms - sent_ms),
             self.body,
             lambda: self._may_write(upstream, until_ms),
+            copy.settings.classes[self.asked.class_index].effect is not Effect.UNSAFE,
         )
         answer = await copy.upstreams.ask(upstream, address, letter, copy.clock.loop_time_s(until_ms))
         if isinstance(answer, Outcome):
--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -38,6 +38,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, stall_s: float) -> None:
         super().__init__(loop)
         self.unreadable = False
+        self.asked = 0  # requests written to it
+        self.heard = False  # whether a byte of the present answer has come
         self._stall_s = stall_s
         self._stalls: asyncio.TimerHandle | None = None
         self._awaits = _Awaits.NOTHING
@@ -47,6 +49,7 @@
 
     def set_response_params(self, **params: Any) -> None:
         self._awaits = _Awaits.HEAD
+        self.asked, self.heard = self.asked + 1, False
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -69,6 +72,7 @@
                 self._left = int(lengths[0]) if lengths else float("inf")
 
     def data_received(self, data: bytes) -> None:
+        self.heard = True
         while data and self.transport is not None and not self.unreadable:
             if self._awaits is _Awaits.NOTHING:
                 self._close_on_the_rest()
@@ -120,6 +124,11 @@
             return
         self._spoilt("the answer began and did not go on")
 
+    @property
+    def given_up(self) -> bool:
+        """Whether it had been kept for another request, and brought not a byte of that one's answer."""
+        return self.asked > 1 and not self.heard
+
     def connection_lost(self, exc: BaseException | None) -> None:
         if self._stalls is not None:
             self._stalls.cancel()
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -43,7 +43,17 @@
     `may_write` is asked when the connection is up: what was right to send may by then be wrong.
     """
 
-    __slots__ = ("body", "connection", "headers", "may_write", "method", "target", "upstream", "written")
+    __slots__ = (
+        "body",
+        "connection",
+        "headers",
+        "may_repeat",
+        "may_write",
+        "method",
+        "target",
+        "upstream",
+        "written",
+    )
 
     def __init__(
         self,
@@ -52,9 +62,11 @@
         headers: CIMultiDict[str],
         body: bytes,
         may_write: Callable[[], bool],
+        may_repeat: bool = True,
     ) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_write = may_write
+        self.may_repeat = may_repeat  # whether a second copy of it would do no harm
         self.written = False
         self.upstream = -1  # the number of the upstream asked
         self.connection: OneAnswer | None = None  # that it is written to
@@ -101,6 +113,34 @@
         return await super().send(conn)
 
 
+class _Trust:
+    """Whether kept connections may be used again.
+
+    Guards against upstreams, or what stands between, that give up a kept connection and do not say so: the
+    next request on it is a reset that may have run. Nothing shows which ones, so after such a reset requests
+    get new connections for a time, which doubles when it happens again. After that only requests that may be
+    sent twice try kept ones, until enough of those have gone well.
+    """
+
+    BASE_S, CEILING_S, ENOUGH = 1.0, 20.0, 64
+
+    def __init__(self) -> None:
+        self._resets, self._went_well, self._until_s = 0, 0, float("-inf")
+
+    def may_reuse(self, now_s: float, may_repeat: bool) -> bool:
+        return not self._resets or (may_repeat and now_s >= self._until_s)
+
+    def went_well(self) -> None:
+        self._went_well += 1
+        if self._went_well >= self.ENOUGH:
+            self._resets, self._went_well = 0, 0
+
+    def was_reset(self, now_s: float) -> None:
+        if now_s >= self._until_s:  # what else was out by then tells nothing more
+            self._until_s = now_s + min(self.CEILING_S, self.BASE_S * 2.0**self._resets)
+            self._resets, self._went_well = self._resets + 1, 0
+
+
 class _BoundedConnector(aiohttp.TCPConnector):
     """Holds no more connections than its part of this machine's descriptors.
 
@@ -111,6 +151,7 @@
     def __init__(self, most: int, idle_s: float, stall_s: float) -> None:
         super().__init__(limit=0, keepalive_timeout=idle_s, use_dns_cache=False)
         self._most = most
+        self.trust = _Trust()
         self._factory = functools.partial(OneAnswer, asyncio.get_running_loop(), stall_s)  # type: ignore[assignment]
 
     async def connect(
@@ -122,14 +163,15 @@
         return await super().connect(req, traces, timeout)
 
     def _drop_unclean(self, key: ConnectionKey) -> None:
-        """Until the next connection to be taken is one that the upstream has neither ended nor written to.
+        """Until the next connection to be taken is one to trust, which is neither ended nor written to.
 
         Guards against an attempt on a connection that has ended unread: a reset that may have run.
         """
         idle = self._conns.get(key)
+        may_reuse = self.trust.may_reuse(self._loop.time(), _letter.get().may_repeat)
         while idle:
             protocol, _ = idle[0]
-            if isinstance(protocol, OneAnswer) and protocol.clean():
+            if may_reuse and isinstance(protocol, OneAnswer) and protocol.clean():
                 return
             idle.popleft()
             protocol.close()
@@ -192,6 +234,8 @@
                     if len(body) > LONGEST_ANSWER:
                         response.close()
                         return Outcome.ERROR
+                if letter.connection is not None and letter.connection.asked > 1:
+                    self._connector.trust.went_well()
                 return Answer(response.status, response.headers, body)
         except _NotWritten:
             return Outcome.NOT_SENT
@@ -209,8 +253,11 @@
             if not letter.written:
                 return Outcome.CONNECT_FAILED
             # What cannot be read says that the upstream lives; that a connection ends does not.
-            spoilt = letter.connection is not None and letter.connection.unreadable
-            return Outcome.ERROR if spoilt else Outcome.RESET
+            if letter.connection is not None and letter.connection.unreadable:
+                return Outcome.ERROR
+            if letter.connection is not None and letter.connection.given_up:
+                self._connector.trust.was_reset(asyncio.get_running_loop().time())
+            return Outcome.RESET
 
     def close_idle(self, upstream: int) -> None:
         """Close the idle connections to one upstream."""
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -103,6 +103,40 @@
     run(test())
 
 
+def test_a_kept_connection_that_was_given_up_brings_new_ones_for_a_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against resets that may have run, one for each connection that the upstream gave up silently."""
+
+    async def test() -> None:
+        async def once(message: Message, writer: Writer) -> None:
+            earlier = [m for m in upstream.asked if m.connection == message.connection]
+            await (resets if len(earlier) > 1 else says(answer(200, b"a")))(message, writer)
+
+        def unsafe() -> Letter:
+            return Letter("POST", "/charge", CIMultiDict(), b"1", lambda: True, may_repeat=False)
+
+        async with Upstream(once) as upstream, Pool() as pool:
+            trust = pool._connector.trust
+            assert isinstance(await pool.get(upstream), Answer)
+            assert await pool.get(upstream) is Outcome.RESET
+            for _ in range(9):
+                assert isinstance(await pool.get(upstream), Answer)
+            monkeypatch.setattr(trust, "_until_s", 0.0)  # the time is over
+            assert isinstance(await pool.get(upstream, unsafe()), Answer)
+            assert await pool.get(upstream) is Outcome.RESET  # who may be sent twice has tried one
+            assert trust._until_s > asyncio.get_running_loop().time() + 1.0  # twice as long
+            monkeypatch.setattr(trust, "_until_s", 0.0)
+            upstream.behave = says(answer(200, b"a"))
+            for _ in range(trust.ENOUGH + 1):
+                assert isinstance(await pool.get(upstream), Answer)
+            connections = upstream.connections
+            assert isinstance(await pool.get(upstream, unsafe()), Answer)
+            assert upstream.connections == connections
+
+    run(test())
+
+
 def test_refused_is_could_not_connect() -> None:
     async def test() -> None:
         async with Upstream(silent) as upstream:
