Two failed connects in a row are a death, one is not

As with resets before, one failed connect called its upstream dead, and its next answer a restart (balancer.py, _learn): all four upstreams were cold. A count of connects that failed in a row, each after the wait that the one before brought, takes the flag's place; two are a death. A process that died stays down for seconds.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -25,6 +25,7 @@
 OVERDUE_DEVIATIONS = 8.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
 SOUND_PART = 0.5
+DEAD = 2  # failed connects in a row that are a death: one, or a reset, may be that connection's alone
 # How the room shrinks on a sign of queues, and grows in a usual answer time in which it was short.
 ROOM_SHRINK, ROOM_GROWTH = 0.9, 0.04
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
@@ -97,7 +98,7 @@
         self.slowness = slowness  # its answers' times over the class's usual, smoothed
         self.failures = 0
         self.aside_until_ms = 0.0
-        self.dead = False
+        self.refused = 0  # connects that failed in a row, each after a wait
         self.heard_ms = float("-inf")  # its last answer
         self.cold_credit: float | None = None
         self.held, self.held_ms = 0.0, float("-inf")  # requests it reports to hold, of all copies
@@ -108,7 +109,7 @@
         self.entry = entry
 
     def restarted(self, started_ms: float) -> None:
-        self.started_ms, self.dead, self.cold_credit = started_ms, False, None
+        self.started_ms, self.refused, self.cold_credit = started_ms, 0, None
         self.failures, self.aside_until_ms = 0, 0.0
 
     def warmth(self, now: float, settings: api.Settings) -> float:
@@ -261,7 +262,7 @@
                 if not self._takes_cold(u, warm, size):
                     continue
             # Guards against dead upstreams, which look idle: none is picked while others live.
-            if u.entry.upstream == tried or (u.dead and not u.sound(now)):
+            if u.entry.upstream == tried or (u.refused >= DEAD and not u.sound(now)):
                 last.append(u)
                 continue
             able.append(u)
@@ -489,12 +490,12 @@
         if upstream is not None:
             self._picker.reported(upstream, event.report, now)
             upstream.sent_ms.pop((event.request_id, event.attempt), None)
-            if outcome is Outcome.CONNECT_FAILED:  # a reset may be one connection's alone
-                upstream.dead = True
-            elif upstream.dead and outcome in (Outcome.OK, Outcome.ERROR):
-                upstream.restarted(now)  # life after a death is a restart, even before the list tells
-            if outcome in (Outcome.OK, Outcome.ERROR):
-                upstream.heard_ms = now
+            if outcome is Outcome.CONNECT_FAILED:
+                upstream.refused += now >= upstream.aside_until_ms
+            elif outcome in (Outcome.OK, Outcome.ERROR):
+                if upstream.refused >= DEAD:
+                    upstream.restarted(now)  # life after a death is a restart, even before the list tells
+                upstream.refused, upstream.heard_ms = 0, now
             if outcome is Outcome.OK:
                 upstream.failures //= 2
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
