The room counts an upstream that failed only once as in use

The state logged each half second shows all four upstreams set aside for a moment each by single resets and by errors from the tiers behind them, and the room, counted over those left, at a quarter. One failure is no lost capacity; Picker.usable counts such an upstream now.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -241,7 +241,11 @@
     def usable(self, now: float) -> float:
         """How many upstreams can be counted on: those ready and not set aside, cold ones by their warmth."""
         if now - self._usable_ms >= KEPT_MS:
-            in_use = (u.warmth(now, self._settings) for u in self._order if now >= u.aside_until_ms)
+            in_use = (
+                u.warmth(now, self._settings)
+                for u in self._order
+                if now >= u.aside_until_ms or u.failures < 2
+            )
             self._usable, self._usable_ms = sum(in_use), now
         return self._usable
 
--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -216,3 +216,18 @@
             script.now += 200.0
         rooms.append(script.balancer._admission.room)
     assert rooms[0] <= 8.0 < rooms[1]
+
+
+def test_one_failure_takes_no_room_away() -> None:
+    """Guards against refusals while single connections break all over: no capacity is lost by that."""
+    script = Script([entry(n) for n in range(4)], max_attempts=1)
+    request, actions = script.arrives()
+    script.ends(request, Outcome.RESET, sends(actions)[0].upstream)
+    picker = script.balancer._picker
+    script.now += 100.0
+    (failed,) = (u for u in picker.fleet.values() if u.failures)
+    failed.aside_until_ms = script.now + 1000.0
+    assert picker.usable(script.now) == 4
+    failed.failures = 2
+    script.now += 100.0
+    assert picker.usable(script.now) == 3
