--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -239,14 +239,10 @@
         return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
 
     def usable(self, now: float) -> float:
-        """How many upstreams can be counted on: those ready and not set aside, cold ones by their warmth."""
+        """How many upstreams can be counted on: ready, not set aside repeatedly, cold by their warmth."""
         if now - self._usable_ms >= KEPT_MS:
-            in_use = (
-                u.warmth(now, self._settings)
-                for u in self._order
-                if now >= u.aside_until_ms or u.failures < 2
-            )
-            self._usable, self._usable_ms = sum(in_use), now
+            in_use = [u for u in self._order if now >= u.aside_until_ms or u.failures < 2]
+            self._usable, self._usable_ms = sum(u.warmth(now, self._settings) for u in in_use), now
         return self._usable
 
     def pick(self, request: Request, now: float, size: float) -> Upstream | None:
