--- a/madderwind/protocol/requests.py
+++ b/madderwind/protocol/requests.py
@@ -14,6 +14,8 @@
 # with hints; the protocol's page speaks of the figure, not of the header.
 HINT = "X-Size-Hint"
 LONGEST_BODY = 64 * 1024
+# Ids stand in several lines of the log: guards against lines as long as a caller likes.
+LONGEST_ID = 200
 # Longer waits than a day are no wait that a client means.
 LONGEST_WAIT_MS = 86_400_000
 # Headers that speak of one connection and not of the request; the client writes its own.
@@ -65,6 +67,8 @@
         trace_id = headers.get(TRACE_ID, "")
         if not trace_id:
             raise BadRequest(f"no {TRACE_ID}")
+        if len(trace_id) > LONGEST_ID:
+            raise BadRequest(f"{TRACE_ID} of {len(trace_id)} characters")
         name = target.partition("?")[0].removeprefix("/").partition("/")[0]
         class_index = self._classes.get(name)
         if class_index is None:
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -106,7 +106,7 @@
             return ()
         report = read_report(text, self.host.report_names)
         if report is None:
-            self.log("odd_report", upstream=self.directory.name(upstream), report=text[:120])
+            self.log_sparingly("odd_report", upstream=self.directory.name(upstream), report=text[:120])
             return ()
         return report
 
--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -189,7 +189,7 @@
         response.force_close()  # who sends such things sends more of them
         return response
     if asked.odd_props is not None:
-        copy.log("odd_props", trace_id=asked.trace_id, part=asked.odd_props)
+        copy.log_sparingly("odd_props", trace_id=asked.trace_id, part=asked.odd_props)
     exchange = Exchange(
         copy, copy.next_number(), asked, (request.method, target, request.headers, body), now_ms
     )
--- a/tests/program/test_requests.py
+++ b/tests/program/test_requests.py
@@ -173,6 +173,7 @@
     ("start", "body", "changes", "status"),
     [
         ("GET /lookup", b"", {"X_Trace_Id": None}, 400),
+        ("GET /lookup", b"", {"X_Trace_Id": "a" * 201}, 400),
         ("GET /nowhere", b"", {}, 400),
         ("GET /lookup", b"", {"X_Customer": "nobody"}, 400),
         ("GET /lookup", b"", {"X_Expires_In_Ms": "soon"}, 400),
