After SIGTERM open connections serve on until a third of the shortest aim before the end

The whole shortest aim (1.5 s) was left for what is open; the median answer takes 0.2 s. Two of four upstreams drain while a third errs in 2 ms on two of five requests and is set aside; the last one holds ten requests and answers twice as slowly.

--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -31,6 +31,8 @@
 MOST_DEADLINE_S = 3.0
 # What is still open so long after that deadline is answered by the host, and then has so long to be written.
 LAST_WORD_S, LAST_WRITE_S = 0.35, 0.15
+# Most answers come in this part of what their callers hope for: calm days have a median of a sixth of it.
+MOST_ANSWERS = 1 / 3
 # What of a new configuration needs a restart. The seed is new with each start and the list known is for the
 # start alone, so changes of those are nothing to speak of.
 FOR_THE_START = ("name", "listen", "limits", "host")
@@ -127,9 +129,9 @@
         began_s = loop.time()
         end_s = began_s + min(max(c.deadline_ms for c in classes) / 1000, MOST_DEADLINE_S) + LAST_WORD_S
         await asyncio.sleep(TAKE_ON_S)
-        # Callers go on using the connections that they have: what comes on them so long before the end still
-        # has the time that its caller hopes for.
-        await self._listener.serve_on(end_s - min(c.aim_ms for c in classes) / 1000)
+        # Callers go on using the connections that they have, and another balancer may be down as well: what
+        # comes on them is taken while it still has the time that most answers take.
+        await self._listener.serve_on(end_s - min(c.aim_ms for c in classes) * MOST_ANSWERS / 1000)
         left = await self._listener.finish(end_s - loop.time())
         if left:
             # Guards against requests lost to SIGKILL: a client may wait longer than the platform does.
