A SIGHUP that comes before the first watch moves it too

Read in the change again: reload() took the new configuration but left the follower at the old address when no watch was open yet, and no later signal would have moved it, as the address no longer differed. The test of unreadable files replaced 192 anywhere in the file, a port among others, and failed by chance; it names the setting now.

--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -82,10 +82,11 @@
         self._log("configuration_read", discovery=list(new.discovery), needs_restart=needs_restart)
         # What needs a restart is compared with what runs, not with what an earlier reading found.
         self._configuration = msgspec.structs.replace(before, discovery=new.discovery)
-        if new.discovery != before.discovery and self._following is not None:
-            self._following.cancel()  # leaves the old address at once: no descriptor is held for both
+        if new.discovery != before.discovery:
             self._follower = Follower(self.copy, new.discovery, self._chance)
-            self._following = asyncio.get_running_loop().create_task(self._follower.run(at_once=True))
+            if self._following is not None:  # else the start is still to come, and follows this one
+                self._following.cancel()  # leaves the old address at once: no descriptor is held for both
+                self._following = asyncio.get_running_loop().create_task(self._follower.run(at_once=True))
 
     async def run(self) -> None:
         """Serve until SIGTERM, and end."""
--- a/tests/program/test_discovery.py
+++ b/tests/program/test_discovery.py
@@ -13,6 +13,8 @@
 
 from madderwind.policy.api import UpstreamState
 from madderwind.policy.balancer import Balancer
+from madderwind.program.configuration import read_configuration
+from madderwind.program.service import Service
 from madderwind.routing import discovery
 from tests import examples
 from tests.program.harness import Running
@@ -312,6 +314,24 @@
     run(test())
 
 
+def test_a_signal_before_the_start_is_not_lost(tmp_path: Path) -> None:
+    """Guards against following for good an address that was replaced before the first watch."""
+
+    async def test() -> None:
+        new = Agent()
+        async with Running(tmp_path, Upstream(silent)) as running, new:
+            path = tmp_path / "config.json"
+            early = Service(read_configuration(str(path)), running.log)
+            path.write_text(path.read_text().replace(f":{running.agent.port}", f":{new.port}"))
+            early.reload()
+            task = asyncio.create_task(early.run())
+            await within(new.watches.get())
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    run(test())
+
+
 def test_an_unreadable_configuration_changes_nothing_and_the_rest_needs_a_restart(tmp_path: Path) -> None:
     async def test() -> None:
         upstream = Upstream(says(answer(200)))
@@ -321,7 +341,7 @@
             path.write_text(sound[:-9])
             running.service.reload()
             assert len(running.log.named("configuration_unreadable")) == 1
-            path.write_text(sound.replace('"n3"', '"n4"').replace("192", "64"))
+            path.write_text(sound.replace('"n3"', '"n4"').replace('"memory_mb": 192', '"memory_mb": 64'))
             running.service.reload()
             running.service.reload()
             said = [e["needs_restart"] for e in running.log.named("configuration_read")]
