An answer that the parser held back for want of room goes on

Read in the change again: the client tells its connection to go on with an empty data_received, which OneAnswer passed to nobody. An answer that fills its buffer (some 128 KB before its reader has a turn) then stood still until it counted as stalled.

--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -73,6 +73,10 @@
                 self._left = int(lengths[0]) if lengths else float("inf")
 
     def data_received(self, data: bytes) -> None:
+        """What the upstream sent; nothing where the client goes on with what its parser held back."""
+        if not data:
+            self._feed(data)
+            return
         self.heard = True
         while data and self.transport is not None and not self.unreadable:
             if self._awaits is _Awaits.NOTHING:
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -14,6 +14,7 @@
 
 from madderwind.policy.api import Outcome
 from madderwind.transport import upstreams as transport
+from madderwind.transport.answering import OneAnswer
 from madderwind.transport.upstreams import Answer, Letter, Upstreams
 from tests.examples import HOST
 from tests.standins import Message, Upstream, Writer, answer, resets, run, says, silent, within
@@ -455,6 +456,24 @@
     run(test())
 
 
+def test_an_answer_that_was_held_back_goes_on() -> None:
+    """Guards against a parser that stopped for want of room, and is never told to go on."""
+
+    async def test() -> None:
+        connection = OneAnswer(asyncio.get_running_loop(), 5.0)
+        connection.connection_made(asyncio.Transport())
+        connection.set_response_params(read_bufsize=1000)
+        connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"a" * 50_000)
+        _, body = await connection.read()
+        connection.data_received(b"a" * 50_000)
+        read = b""
+        while part := await within(body.readany()):
+            read += part
+        assert read == b"a" * 100_000
+
+    run(test())
+
+
 def test_answers_ahead_are_passed_over_and_may_be_waited_after() -> None:
     async def test() -> None:
         async def behave(_: Message, writer: Writer) -> None:
