--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -25,7 +25,7 @@
 OVERDUE_DEVIATIONS = 8.0
 # Set-aside upstreams are used again when fewer than this part of the fleet is left: then all have one cause.
 SOUND_PART = 0.5
-DEAD = 2  # failed connects in a row that are a death: one, or a reset, may be that connection's alone
+DEAD = 3  # failed connects in a row that are a death: fewer, or a reset, may be those connections alone
 # How the room shrinks on a sign of queues, and grows in a usual answer time in which it was short.
 ROOM_SHRINK, ROOM_GROWTH = 0.9, 0.04
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
