One place stops the stall timer; comments stand above the lines they explain

Found on reading the change again, behaviour as it was: the stall timer was stopped by the same lines in two places (answering.py); comments behind conditions were wrapped into the conditions (answers.py, copy.py, directory.py); a name for one use (service.py).

--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -127,8 +127,7 @@
         self._log("ending", open_requests=len(self.copy.open))
         loop = asyncio.get_running_loop()
         classes = self._configuration.host.settings.classes
-        began_s = loop.time()
-        end_s = began_s + min(max(c.deadline_ms for c in classes) / 1000, MOST_DEADLINE_S) + LAST_WORD_S
+        end_s = loop.time() + min(max(c.deadline_ms for c in classes) / 1000, MOST_DEADLINE_S) + LAST_WORD_S
         await asyncio.sleep(TAKE_ON_S)
         # Callers go on using the connections that they have, and another balancer may be down as well: what
         # comes on them is taken while it still has the time that most answers take.
--- a/madderwind/protocol/answers.py
+++ b/madderwind/protocol/answers.py
@@ -36,9 +36,8 @@
             found[name] = float(value)
         except ValueError:
             return None
-        if (
-            not 0 <= found[name] < float("inf")
-        ):  # no count or share is less than nothing, endless, or no number
+        # No count or share is less than nothing, endless, or no number.
+        if not 0 <= found[name] < float("inf"):
             return None
     if not all(name in found for name in names):
         return None
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -60,9 +60,8 @@
             self.log("odd_member", member=odd)
         event = self.directory.take(listing, cached)
         for entry in event.entries:
-            if (
-                entry.state is not UpstreamState.READY
-            ):  # nothing new goes there: its connections are of no use
+            # Nothing new goes to one that is not ready: its idle connections are of no use.
+            if entry.state is not UpstreamState.READY:
                 self.upstreams.close_idle(entry.upstream)
         self.happened(event)
 
--- a/madderwind/routing/directory.py
+++ b/madderwind/routing/directory.py
@@ -35,9 +35,8 @@
         for member, entry in zip(listing.members, entries, strict=True):
             self._addresses[entry.upstream] = member.address
             self._states[entry.upstream] = entry.state
-        for number in before - set(self._states) | {
-            e.upstream for e in entries if e.state is UpstreamState.GONE
-        }:
+        told_gone = {entry.upstream for entry in entries if entry.state is UpstreamState.GONE}
+        for number in before - set(self._states) | told_gone:
             self._states[number] = UpstreamState.GONE
             self._forget(number)
         self.revision = listing.revision
--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -93,9 +93,7 @@
             elif data:
                 self.force_close()  # more came than belongs to the answer: before its end gives it back
             self._feed(part)
-        if self._stalls is not None:
-            self._stalls.cancel()
-            self._stalls = None
+        self._stop_stall_timer()
         if (self._awaits is _Awaits.BODY or self._begun) and self.transport is not None and self._stall_s:
             self._stalls = self._loop.call_later(self._stall_s, self._stalled)
 
@@ -123,6 +121,11 @@
         if self.transport is not None:
             self.transport.close()
 
+    def _stop_stall_timer(self) -> None:
+        if self._stalls is not None:
+            self._stalls.cancel()
+            self._stalls = None
+
     def _stalled(self) -> None:
         self._stalls = None
         if self.transport is None or (self._awaits is not _Awaits.BODY and not self._begun):
@@ -135,9 +138,7 @@
         return self.asked > 1 and not self.heard
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        if self._stalls is not None:
-            self._stalls.cancel()
-            self._stalls = None
+        self._stop_stall_timer()
         super().connection_lost(exc)
 
     def clean(self) -> bool:
