--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -190,8 +190,8 @@
         self._now = 0.0
         self._order: list[Upstream] = []  # the ready, the preferred first
         self._near = 0  # how many idle ones a pick draws from
-        self._cold: list[Upstream] = []  # those that the last pick met, and how many warm ones it met
-        self._warm = 0
+        self._cold: list[Upstream] = []  # those that the last pick met, and the warm ones' size in all
+        self._warm = 0.0
         self._usable, self._usable_ms = 0.0, float("-inf")
         columns = settings.report_columns
         self._column = columns.index(HELD_COLUMN) if HELD_COLUMN in columns else len(columns)
@@ -287,7 +287,8 @@
         chosen = self._rng.choices(pool, [self._weight(u, request.size) for u in pool])[0]
         if chosen.cold_credit is not None:
             chosen.cold_credit -= size
-        self._cold, self._warm = cold, sum(u.warmth(now, self._settings) >= 1 for u in sound)
+        warm_ones = [u for u in sound if u.warmth(now, self._settings) >= 1]
+        self._cold, self._warm = cold, sum(self._size(u) for u in warm_ones)
         return chosen
 
     def _weight(self, u: Upstream, size: float) -> float:
@@ -314,15 +315,20 @@
             u.cold_credit = -self._rng.random() * size
         return u.cold_credit >= 0 and not u.sent_ms
 
+    def _size(self, u: Upstream) -> float:
+        """Its size against others', where ratings tell that."""
+        rating = u.entry.rating if self._settings.ratings_tell_size else 1.0
+        return rating if 0 < rating < float("inf") else 1.0
+
     def carried(self, u: Upstream, size: float, now: float) -> None:
         """Guards against all copies together pushing a cold upstream over: the work sent to it stays under
-        what this copy's warm ones do in the mean, cut to the least part of its capacity that it can have by
-        now. Counted by answers: the few warm ones that a wave leaves may be sent more than they can do."""
+        what this copy's warm ones do for their size, cut to the least part of its capacity that it can have
+        by now. Counted by answers: the few warm ones that a wave leaves may be sent more than they can do."""
         if u.warmth(now, self._settings) >= 1:
             for other in self._cold:
                 if other.cold_credit is not None:
                     part = other.warmth(now, self._settings) * COLD_CAUTION
-                    earned = size / max(1, self._warm) * part
+                    earned = size * part * self._size(other) / max(self._warm, self._size(other))
                     other.cold_credit = min(other.cold_credit + earned, max(other.cold_credit, 0.0))
 
 
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -171,6 +171,19 @@
     assert many > 0.75 * few
 
 
+def test_a_cold_upstream_earns_by_its_size() -> None:
+    """Guards against a big newcomer left idle beside small warm ones, and a small one that is pushed over."""
+    load: Counter[int] = Counter()
+    for seed in range(200):
+        script = Script([entry(n, rating=2.0) for n in range(3)], seed=seed, ratings_tell_size=True)
+        script.now = 50_000.0
+        newcomers = [entry(8, rating=1.0, started_ms=45_000.0), entry(9, rating=4.0, started_ms=45_000.0)]
+        script.listed(newcomers, ListKind.CHANGES)
+        for _ in range(24):
+            load[script.serve()] += 1
+    assert 2.0 < load[9] / load[8] < 6.0
+
+
 def test_what_is_sent_and_not_answered_earns_a_cold_upstream_nothing() -> None:
     """Guards against cold upstreams pushed over in step with warm ones sent more than they can do."""
     script = Script([entry(n) for n in range(2)])
