Cold upstreams whose size is told get the middle of their least and where they fall

What is told of a newcomer is the least it can have (12% at the start, all after 24 s); the module took four fifths of that, so half of what most can do stood idle.

At fault: Picker.carried, COLD_CAUTION. Change: where ratings tell sizes, the root of the stated multiple stands there. Forty copies on one script show that no cold upstream is sent over its multiple (tests/policy/test_fleet.py).

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -44,7 +44,8 @@
 CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
 OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
-# Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it.
+# Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it, and
+# so may their size, where that is not told.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
 SHORTEST_MS = 0.1
@@ -192,6 +193,9 @@
         self._near = 0  # how many idle ones a pick draws from
         self._cold: list[Upstream] = []  # those that the last pick met, and the warm ones' size in all
         self._warm = 0.0
+        # Where sizes are told: the middle, by ratio, of the least that a cold one can do and where it falls.
+        tells = settings.ratings_tell_size
+        self._cold_part = math.sqrt(max(1.0, settings.fall_multiple)) if tells else COLD_CAUTION
         self._usable, self._usable_ms = 0.0, float("-inf")
         columns = settings.report_columns
         self._column = columns.index(HELD_COLUMN) if HELD_COLUMN in columns else len(columns)
@@ -327,7 +331,7 @@
         if u.warmth(now, self._settings) >= 1:
             for other in self._cold:
                 if other.cold_credit is not None:
-                    part = other.warmth(now, self._settings) * COLD_CAUTION
+                    part = other.warmth(now, self._settings) * self._cold_part
                     earned = size * part * self._size(other) / max(self._warm, self._size(other))
                     other.cold_credit = min(other.cold_credit + earned, max(other.cold_credit, 0.0))
 
--- /dev/null
+++ b/tests/policy/test_fleet.py
@@ -0,0 +1,92 @@
+"""Forty copies of the module on one clock: what is harmless alone and must be harmless when all do it."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+
+import pytest
+
+from madderwind.policy import api
+from madderwind.policy.api import ListKind, Outcome
+from tests.policy.scripts import Script, answers, entry, sends
+
+COPIES = 40
+FALL_MS = 1500.0
+
+
+class Fleet:
+    """Many copies, requests that reach them at random, and upstreams that answer in a time by chance."""
+
+    def __init__(self, entries: list[api.UpstreamEntry], seed: int = 1, **more: object) -> None:
+        self.chance = random.Random(seed)
+        self.copies = [
+            Script(entries, seed * 1000 + me, copies=COPIES, me=me, **more) for me in range(COPIES)
+        ]
+        self.sent: list[tuple[float, int]] = []  # when, to which upstream
+        self.refused = 0
+
+    def listed(self, at_ms: float, entries: list[api.UpstreamEntry]) -> None:
+        for copy in self.copies:
+            copy.now = at_ms
+            copy.listed(entries, ListKind.CHANGES)
+
+    def runs(self, from_ms: float, for_ms: float, per_s: float) -> None:
+        """Requests at random until then, answered after 200 ms in the mean."""
+        ends: list[tuple[float, int, int, int, float]] = []
+        now = from_ms
+        while now < from_ms + for_ms:
+            now += self.chance.expovariate(per_s / 1000)
+            while ends and ends[0][0] <= now:
+                at_ms, me, request, upstream, took_ms = heapq.heappop(ends)
+                self.copies[me].now = at_ms
+                self.copies[me].ends(request, Outcome.OK, upstream, elapsed_ms=took_ms)
+            me = self.chance.randrange(COPIES)
+            self.copies[me].now = now
+            request, actions = self.copies[me].arrives()
+            self.refused += len(answers(actions))
+            for send in sends(actions):
+                self.sent.append((now, send.upstream))
+                took_ms = self.chance.expovariate(1 / 200.0)
+                heapq.heappush(ends, (now + took_ms, me, request, send.upstream, took_ms))
+
+    def most_in_a_window(self, upstream: int, from_ms: float) -> tuple[int, float]:
+        """The most sent to an upstream in any window of the fall's length, and when that window began."""
+        times = [at_ms for at_ms, to in self.sent if to == upstream and at_ms >= from_ms]
+        best, first = (0, from_ms), 0
+        for last, at_ms in enumerate(times):
+            while times[first] <= at_ms - FALL_MS:
+                first += 1
+            best = max(best, (last - first + 1, times[first]))
+        return best
+
+
+@pytest.mark.parametrize("tells", [False, True])
+def test_all_copies_together_do_not_push_cold_upstreams_over(tells: bool) -> None:
+    """A wave: six in ten are new. Rule 4 counts all copies, and each has to hold it alone."""
+    warm, wave = range(12), range(20, 38)
+    fleet = Fleet([entry(n) for n in warm], fall_multiple=2.5, fall_ms=FALL_MS, ratings_tell_size=tells)
+    fleet.runs(50_000.0, 3000.0, 240.0)
+    began_ms = 53_000.0
+    fleet.listed(began_ms, [entry(n, started_ms=began_ms) for n in wave])
+    fleet.runs(began_ms, 6000.0, 240.0)
+    load = Counter(to for at_ms, to in fleet.sent if at_ms >= began_ms)
+    a_warm_one = sum(load[n] for n in warm) / len(warm) / 6000.0 * FALL_MS
+    assert sum(load[n] for n in wave) > 0
+    for n in wave:
+        most, at_ms = fleet.most_in_a_window(n, began_ms)
+        can = a_warm_one * (0.2 + 0.8 * (at_ms - began_ms) / 20_000.0)
+        assert most <= 2.5 * can + 3  # with a little slack for chance, as the rule has
+
+
+def test_newcomers_whose_size_is_told_get_more_than_their_least() -> None:
+    """Guards against a wave that crowds those left: most can do more than the least told."""
+    shares = []
+    for tells in (False, True):
+        fleet = Fleet([entry(n) for n in range(8)], fall_multiple=2.5, ratings_tell_size=tells)
+        fleet.listed(50_000.0, [entry(n, started_ms=45_000.0) for n in (20, 21, 22, 23)])
+        fleet.runs(50_000.0, 8000.0, 160.0)
+        load = Counter(to for _, to in fleet.sent)
+        shares.append(sum(load[n] for n in (20, 21, 22, 23)) / sum(load.values()))
+    assert shares[1] > 1.3 * shares[0]
