An answer counts at most twice the mark in the room's pressure

One or two upstreams that the wave crowded for 2 s answer in 1 to 2 s from then on; a quarter of answers at four times the mark keep the mean pressure over 1, so the room of all shrinks and stays small.

At fault: Admission.answered, the mean of an unbounded ratio.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -28,6 +28,7 @@
 DEAD = 3  # failed connects in a row that are a death: fewer, or a reset, may be those connections alone
 # How the room shrinks on a sign of queues, and grows in a usual answer time in which it was short.
 ROOM_SHRINK, ROOM_GROWTH = 0.9, 0.04
+MOST_PRESSURE = 2.0  # that one answer tells, where 1 is the mark: as far above it as calm is below
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
 ROOM_START, ROOM_LEAST = 8.0, 4.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
@@ -383,7 +384,8 @@
 
     def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, held: float, now: float) -> None:
         """Chance makes one copy short of room while all together are not: reports tell, where they come."""
-        self._pressure.add(elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3))
+        # Guards against a few slow upstreams, hardly used, that shrink the room of all.
+        self._pressure.add(min(MOST_PRESSURE, elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3)))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -84,6 +84,18 @@
     assert script.balancer._admission.room >= 0.8 * before
 
 
+def test_a_few_slow_servers_do_not_shrink_the_room_of_all() -> None:
+    """Guards against one in four that crowding has left slow for good: the others are refused work for."""
+    script = Script([entry(n) for n in range(4)])
+    for _ in range(200):
+        script.serve(elapsed_ms=100.0)
+    before = script.balancer._admission.room
+    for _ in range(40):
+        for elapsed_ms in (100.0, 100.0, 2000.0, 100.0):
+            script.serve(elapsed_ms=elapsed_ms)
+    assert script.balancer._admission.room >= 0.9 * before
+
+
 def test_the_room_goes_with_the_servers_that_are_lost() -> None:
     """Incident i98539d: a third of the servers gone at once, and the rest crowded by the room of all."""
 
