An older revision of the list revives nothing that drains or is gone

Cause: Directory.take did not look at the revision.

At fault: Directory._entry, which took the phase as told whatever the revision.

Change: ends are remembered with their revision, the last 1024 of them. An older Ready does not end them, unless the upstream has started since by its up_since_ms, so that a discovery that counts anew loses nobody for good.

--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -4,13 +4,18 @@
 
 import json
 
+import pytest
+
 from madderwind.protocol.listing import read_listing
-from madderwind.routing.directory import Directory
+from madderwind.routing.directory import ENDS_KEPT, Directory
 from tests import examples
 
 
-def told(directory: Directory, *members: dict[str, object], complete: bool = False) -> list[int]:
-    listing = read_listing(json.dumps(examples.listing(*members, complete=complete)).encode())
+def told(
+    directory: Directory, *members: dict[str, object], complete: bool = False, revision: int = 41
+) -> list[int]:
+    text = json.dumps(examples.listing(*members, complete=complete, revision=revision))
+    listing = read_listing(text.encode())
     return [entry.upstream for entry in directory.take(listing).entries]
 
 
@@ -52,3 +57,41 @@
     (again,) = told(directory, examples.member("s-1", 5001))
     assert again != number
     assert directory.address(again) == (examples.HOST, 5001)
+
+
+@pytest.mark.parametrize("phase", ["Terminating", "Gone"])
+@pytest.mark.parametrize("complete", [False, True])
+def test_an_older_revision_revives_nothing(phase: str, complete: bool) -> None:
+    """Rule 3: a list that comes late, or again, would send new work to what drains or is gone."""
+    directory = Directory((), ())
+    told(directory, examples.member("s-1", 5000), complete=True, revision=41)
+    told(directory, examples.member("s-1", 5000, phase=phase), revision=43)
+    (number,) = told(directory, examples.member("s-1", 5000), complete=complete, revision=42)
+    assert not directory.takes_new(number)
+    (number,) = told(directory, examples.member("s-1", 5000), revision=43)
+    assert directory.takes_new(number)
+
+
+def test_what_a_whole_list_left_out_is_not_revived_by_an_older_one() -> None:
+    directory = Directory((), ())
+    both = examples.member("s-1", 5000), examples.member("s-2", 5001)
+    told(directory, *both, complete=True, revision=41)
+    told(directory, both[1], complete=True, revision=43)
+    numbers = told(directory, *both, complete=True, revision=42)
+    assert [directory.takes_new(number) for number in numbers] == [False, True]
+
+
+def test_one_that_started_since_is_ready_under_any_revision() -> None:
+    """Guards against a discovery that counts anew and would never bring a returned upstream back."""
+    directory = Directory((), ())
+    told(directory, examples.member("s-1", 5000, up_since_ms=1000.0), revision=41)
+    told(directory, examples.member("s-1", 5000, phase="Terminating", up_since_ms=1000.0), revision=43)
+    (number,) = told(directory, examples.member("s-1", 5000, up_since_ms=2000.0), revision=1)
+    assert directory.takes_new(number)
+
+
+def test_ends_are_kept_within_bounds() -> None:
+    directory = Directory((), ())
+    for n in range(ENDS_KEPT + 50):
+        told(directory, examples.member(f"s-{n}", 5000, phase="Gone"))
+    assert len(directory._ends) == ENDS_KEPT
