--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -5,10 +5,11 @@
 import heapq
 import random
 from collections import Counter
+from typing import Any
 
 import pytest
 
-from madderwind.policy import api
+from madderwind.policy import api, balancer
 from madderwind.policy.api import ListKind, Outcome
 from tests.policy.scripts import Script, answers, entry, sends
 
@@ -135,3 +136,23 @@
         load.update(neighbours(script))
     assert len(load) == 60
     assert max(load.values()) <= 16
+
+
+def test_a_calm_pick_looks_at_few_upstreams_however_many_there_are(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A count, not a time: guards against a pick that walks the whole fleet for each request."""
+    looked = [0]
+    real = balancer.may_be_resent
+
+    def counted(*args: Any) -> bool:
+        looked[0] += 1
+        return real(*args)
+
+    monkeypatch.setattr(balancer, "may_be_resent", counted)
+    per_pick = {}
+    for size in (60, 600):
+        script = Script([entry(n) for n in range(size)], copies=size * 2 // 3)
+        looked[0] = 0
+        for _ in range(20):
+            script.serve()
+        per_pick[size] = looked[0] / 20
+    assert per_pick[60] == per_pick[600] <= 12  # the nearest, which are as many at both sizes
