A pick that meets no cold upstream does not sum up the warm ones

Found on rereading: Picker.pick asked every sound upstream's warmth and size on each request, for a figure that is read only when cold upstreams were met. In the tests of the fleet a count was kept that nothing read, and answers still out were dropped between two runs of one script; they now come in the next. No assertion is changed.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -316,8 +316,9 @@
         chosen = self._rng.choices(pool, [self._weight(u, request.size) for u in pool])[0]
         if chosen.cold_credit is not None:
             chosen.cold_credit -= size
-        warm_ones = [u for u in sound if u.warmth(now, self._settings) >= 1]
-        self._cold, self._warm = cold, sum(self._size(u) for u in warm_ones)
+        self._cold = cold
+        if cold:
+            self._warm = sum(self._size(u) for u in sound if u.warmth(now, self._settings) >= 1)
         return chosen
 
     def _weight(self, u: Upstream, size: float) -> float:
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -11,7 +11,7 @@
 
 from madderwind.policy import api, balancer
 from madderwind.policy.api import ListKind, Outcome
-from tests.policy.scripts import Script, answers, entry, sends
+from tests.policy.scripts import Script, entry, sends
 
 COPIES = 40
 FALL_MS = 1500.0
@@ -26,7 +26,7 @@
             Script(entries, seed * 1000 + me, copies=COPIES, me=me, **more) for me in range(COPIES)
         ]
         self.sent: list[tuple[float, int]] = []  # when, to which upstream
-        self.refused = 0
+        self.out: list[tuple[float, int, int, int, float]] = []  # attempts, by when they are answered
 
     def listed(self, at_ms: float, entries: list[api.UpstreamEntry]) -> None:
         for copy in self.copies:
@@ -35,22 +35,20 @@
 
     def runs(self, from_ms: float, for_ms: float, per_s: float) -> None:
         """Requests at random until then, answered after 200 ms in the mean."""
-        ends: list[tuple[float, int, int, int, float]] = []
         now = from_ms
         while now < from_ms + for_ms:
             now += self.chance.expovariate(per_s / 1000)
-            while ends and ends[0][0] <= now:
-                at_ms, me, request, upstream, took_ms = heapq.heappop(ends)
+            while self.out and self.out[0][0] <= now:
+                at_ms, me, request, upstream, took_ms = heapq.heappop(self.out)
                 self.copies[me].now = at_ms
                 self.copies[me].ends(request, Outcome.OK, upstream, elapsed_ms=took_ms)
             me = self.chance.randrange(COPIES)
             self.copies[me].now = now
             request, actions = self.copies[me].arrives()
-            self.refused += len(answers(actions))
             for send in sends(actions):
                 self.sent.append((now, send.upstream))
                 took_ms = self.chance.expovariate(1 / 200.0)
-                heapq.heappush(ends, (now + took_ms, me, request, send.upstream, took_ms))
+                heapq.heappush(self.out, (now + took_ms, me, request, send.upstream, took_ms))
 
     def most_in_a_window(self, upstream: int, from_ms: float) -> tuple[int, float]:
         """The most sent to an upstream in any window of the fall's length, and when that window began."""
