A second address answers calls and figures; upstreams are suspended and restored by hand

Need: operators' staff have no way to ask a balancer whether it serves, what it did, or to take an upstream out.

Change: madderwind/admin (calls and figures pure, the listener apart), routing/tally.py counts each request once when it is taken and once when its life ends, an attempt when its last byte is written. A ban is one more state of the list (SUSPENDED): whatever is not ready is out of pick, room and cold credit already. After the call back the upstream counts as started then. Ids ever listed are remembered within a bound; descriptors are held back for the address.

--- /dev/null
+++ b/madderwind/admin/listener.py
@@ -0,0 +1,148 @@
+"""The second address on its socket: one line to a connection, one answer, and a close."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections.abc import Callable
+
+from madderwind.admin.commands import LONGEST_CALL
+from madderwind.eventlog import EventLog, Sparing
+from madderwind.transport.limits import OWN_LIMITS
+
+Answerer = Callable[[bytes], bytes]
+# Callers hold a connection for seconds and say nothing. So many are kept; one more ends the oldest of them.
+MOST_CALLS = 64
+# Who has made no whole call, or not taken its answer, by then is no longer waited for.
+CALL_S = 10.0
+# Descriptors held back for this address, and how long it waits when not even those are left.
+SPARES = 4
+LOOK_S = 0.01
+BACKLOG = 256
+
+
+class _Call(asyncio.Protocol):
+    """One connection. Bounded: what comes beyond the longest call ends it."""
+
+    def __init__(self, listener: AdminListener) -> None:
+        self._listener = listener
+        self._line = b""
+        self._answered = False
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self._late = asyncio.get_running_loop().call_later(CALL_S, transport.abort)
+        self._listener.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._answered:
+            return
+        self._line += data[: LONGEST_CALL + 2 - len(self._line)]
+        line, end, _ = self._line.partition(b"\n")
+        if not end and len(self._line) <= LONGEST_CALL:
+            return
+        self._answered = True
+        assert self.transport is not None
+        self.transport.write(self._listener.answer(line.removesuffix(b"\r")))
+        self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._late.cancel()
+        self._listener.closed(self)
+
+
+class AdminListener:
+    """Stays reachable when callers have taken every descriptor, and beside callers that say nothing."""
+
+    def __init__(self, answerer: Answerer, log: EventLog, now_ms: Callable[[], float]) -> None:
+        self._answerer, self._log_sparingly = answerer, Sparing(log, now_ms)
+        self._socket: socket.socket | None = None
+        self._calls: dict[_Call, None] = {}  # open ones, the oldest first
+        self._taking_in: set[asyncio.Task[None]] = set()
+        self._spares: list[int] = []
+
+    async def start(self, host: str, port: int) -> int:
+        """The port that is listened on: the one asked for, or a free one for 0."""
+        self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        self._socket.setblocking(False)
+        self._hold_back()
+        self._listen()
+        return int(self._socket.getsockname()[1])
+
+    def close(self) -> None:
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+        for call in list(self._calls):
+            if call.transport is not None:
+                call.transport.abort()
+        while self._spares:
+            os.close(self._spares.pop())
+
+    def answer(self, line: bytes) -> bytes:
+        return self._answerer(line)
+
+    def opened(self, call: _Call) -> None:
+        self._calls[call] = None
+        if len(self._calls) > MOST_CALLS:
+            self._end_oldest()
+
+    def closed(self, call: _Call) -> None:
+        self._calls.pop(call, None)
+        if self._socket is not None:
+            self._hold_back()
+
+    def _end_oldest(self) -> None:
+        oldest = next(iter(self._calls))
+        del self._calls[oldest]
+        if oldest.transport is not None:
+            oldest.transport.abort()
+
+    def _hold_back(self) -> None:
+        """Guards against an address that nobody reaches because callers have taken all descriptors."""
+        try:
+            while len(self._spares) < SPARES:
+                self._spares.append(os.open(os.devnull, os.O_RDONLY))
+        except OSError as error:
+            if error.errno not in OWN_LIMITS:
+                raise
+
+    def _listen(self) -> None:
+        if self._socket is not None:
+            asyncio.get_running_loop().add_reader(self._socket, self._accept)
+
+    def _accept(self) -> None:
+        """Take the calls that wait; the loop's own server would wait for a second without a descriptor."""
+        assert self._socket is not None
+        loop = asyncio.get_running_loop()
+        for _ in range(MOST_CALLS):
+            try:
+                accepted, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in OWN_LIMITS:
+                    raise
+                if self._spares:
+                    os.close(self._spares.pop())
+                    continue
+                if self._calls:
+                    self._end_oldest()
+                self._log_sparingly("no_descriptor_for_the_second_address")
+                loop.remove_reader(self._socket)
+                loop.call_later(LOOK_S, self._listen)
+                return
+            accepted.setblocking(False)
+            task = loop.create_task(self._take_in(accepted))
+            self._taking_in.add(task)
+            task.add_done_callback(self._taking_in.discard)
+
+    async def _take_in(self, accepted: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: _Call(self), accepted)
+        except OSError:  # it ended while it was taken in
+            accepted.close()
--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -58,6 +58,7 @@
     GONE = "gone"
     READY = "ready"
     DRAINING = "draining"
+    SUSPENDED = "suspended"  # by hand, whatever discovery says
 
 
 class RequestClass(msgspec.Struct, frozen=True):
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -276,6 +276,11 @@
             self._usable, self._usable_ms = sum(u.warmth(now, self._settings) for u in in_use), now
         return self._usable
 
+    def skipped(self, now: float) -> int:
+        """How many of the listed get nothing now, by hand or set aside."""
+        by_hand = sum(u.entry.state is UpstreamState.SUSPENDED for u in self.fleet.values())
+        return by_hand + sum(now < u.aside_until_ms for u in self._order)
+
     def pick(self, request: Request, now: float, size: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         self._now = now
@@ -463,6 +468,10 @@
                 self._ask_later()
         return self._out
 
+    def skipped(self, now: float) -> int:
+        """How many listed upstreams are avoided now. Changes nothing."""
+        return self._picker.skipped(now)
+
     def _ask_later(self) -> None:
         """Subscribe after a full-jitter wait: copies that start or lose discovery together spread out."""
         base_ms = max(BASE_FULL_MS, self._settings.ask_within_ms / 2)
--- a/madderwind/program/cli.py
+++ b/madderwind/program/cli.py
@@ -32,7 +32,7 @@
     try:
         if not path:
             raise ConfigurationError("no configuration: give --config or set PROXY_CONFIG")
-        configuration = read_configuration(path)
+        configuration = read_configuration(path, os.environ.get("PROXY_ADMIN_ADDR", ""))
     except ConfigurationError as error:
         print(f"madderwind: {error}", file=sys.stderr)
         return 1
--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -28,6 +28,7 @@
     known: msgspec.Raw
     settings: msgspec.Raw
     limits: Limits = msgspec.field(default_factory=Limits)
+    admin_addr: str = ""
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -35,14 +36,18 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    admin: tuple[str, int] | None
     seed: int
     limits: Limits
     known: Listing
     host: HostSettings
 
 
-def read_configuration(path: str) -> Configuration:
-    """All that one balancer is told. ConfigurationError says in one line what is wrong."""
+def read_configuration(path: str, admin_addr: str = "") -> Configuration:
+    """All that one balancer is told. ConfigurationError says in one line what is wrong.
+
+    `admin_addr` is this process's own, where it was given one; it stands before the file's.
+    """
     try:
         raw = Path(path).read_bytes()
     except OSError as error:
@@ -52,11 +57,13 @@
         known = read_listing(bytes(file.known))
         host = read_host_settings(msgspec.json.decode(bytes(file.settings)))
         seed = int(file.seed, 16)
+        admin_addr = admin_addr or file.admin_addr
         return Configuration(
             path,
             file.name,
             read_address(file.listen, "listen"),
             read_address(file.discovery, "discovery"),
+            read_address(admin_addr, "admin_addr") if admin_addr else None,
             seed,
             file.limits,
             known,
--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import os
 import random
 import resource
 import signal
@@ -12,6 +13,8 @@
 import msgspec
 from aiohttp import web
 
+from madderwind.admin.desk import Desk
+from madderwind.admin.listener import MOST_CALLS, SPARES, AdminListener
 from madderwind.clock import Clock
 from madderwind.program.configuration import Configuration, ConfigurationError, read_configuration
 from madderwind.program.log import JsonLog, LibraryLog
@@ -35,7 +38,7 @@
 MOST_ANSWERS = 1 / 3
 # What of a new configuration needs a restart. The seed is new with each start and the list known is for the
 # start alone, so changes of those are nothing to speak of.
-FOR_THE_START = ("name", "listen", "limits", "host")
+FOR_THE_START = ("name", "listen", "admin", "limits", "host")
 # Descriptors for all but connections: streams, loop, listener, the watch and its successor, and a margin.
 OWN_DESCRIPTORS = 20
 
@@ -49,18 +52,24 @@
         host = configuration.host
         # A request takes two descriptors, its caller's connection and an upstream's: half for each side.
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        most = max(2, (min(configuration.limits.sockets, allowed) - OWN_DESCRIPTORS) // 2)
+        own = OWN_DESCRIPTORS + (MOST_CALLS + SPARES + 1 if configuration.admin else 0)
+        most = max(2, (min(configuration.limits.sockets, allowed) - own) // 2)
         self._upstreams = Upstreams(host.settings.connect_timeout_ms, host.idle_ms, most)
         self.copy = Copy(host, configuration.seed, Clock(), self._upstreams, log)
         self._chance = random.Random(configuration.seed)
         self._follower = Follower(self.copy, configuration.discovery, self._chance)
         self._following: asyncio.Task[None] | None = None
         self._listener = Listener(self._answer, LONGEST_BODY, most, log)
+        desk = Desk(self.copy, self._is_ready)
+        self._admin = AdminListener(desk.answer, log, self.copy.clock.now_ms)
+        self.admin_port = 0
+
+    def _is_ready(self) -> bool:
+        return self.ready.is_set() and not self._ending.is_set()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request._message.path == READY and request.method == "GET":
-            status = 200 if self.ready.is_set() and not self._ending.is_set() else 500
-            return web.Response(status=status)
+            return web.Response(status=200 if self._is_ready() else 500)
         return await serve(self.copy, request)
 
     def end(self) -> None:
@@ -74,10 +83,12 @@
         """
         before = self._configuration
         try:
-            new = read_configuration(before.path)
+            new = read_configuration(before.path, os.environ.get("PROXY_ADMIN_ADDR", ""))
         except ConfigurationError as error:
+            self.copy.tally.load_errors += 1
             self._log("configuration_unreadable", error=str(error))  # the one in force stays
             return
+        self.copy.tally.loads += 1
         needs_restart = [what for what in FOR_THE_START if getattr(new, what) != getattr(before, what)]
         self._log("configuration_read", discovery=list(new.discovery), needs_restart=needs_restart)
         # What needs a restart is compared with what runs, not with what an earlier reading found.
@@ -105,6 +116,8 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)  # before readiness: until then it would kill
         configuration = self._configuration
         self.copy.listed(configuration.known, cached=True)
+        if configuration.admin is not None:
+            self.admin_port = await self._admin.start(*configuration.admin)
         self.port = await self._listener.start(*configuration.listen)
         self._following = loop.create_task(self._follower.run())
         if not configuration.host.settings.must_ask:  # else the module asks in its own time
@@ -118,6 +131,7 @@
         self._log("ready", listen=list(configuration.listen), tier=configuration.host.settings.tier)
         await self._ending.wait()
         await self._finish()
+        self._admin.close()
         self._following.cancel()
         await self._upstreams.close()
         self._log("ended", invariants_broken=dict(self.copy.invariants.broken))
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -16,6 +16,7 @@
 from madderwind.protocol.listing import Listing
 from madderwind.protocol.requests import RequestReader
 from madderwind.routing.directory import Directory
+from madderwind.routing.tally import Tally
 from madderwind.settings import HostSettings
 from madderwind.transport.upstreams import Answer, Letter, Upstreams
 
@@ -37,6 +38,7 @@
         self.invariants = Invariants(log)
         self.reader = RequestReader(host)
         self.directory = Directory(host.zone_names, host.kind_names)
+        self.tally = Tally(host.class_names)
         self.open: dict[int, Exchange] = {}
         self.open_ids: set[str] = set()
         self.watch_asked_for = asyncio.Event()
@@ -65,6 +67,31 @@
                 self.upstreams.close_idle(entry.upstream)
         self.happened(event)
 
+    def suspend(self, name: str) -> bool:
+        """Nothing more to this upstream from this moment on; whether it was ever listed."""
+        event = self.directory.suspend(name)
+        if event is not None:
+            self.log("suspended", upstream=name)
+            self._by_hand(event)
+        return event is not None
+
+    def restore(self, name: str) -> bool:
+        """This upstream may be used again, as one that has just started; whether it was ever listed."""
+        event = self.directory.restore(name, self.clock.now_ms())
+        if event is not None:
+            self.log("restored", upstream=name)
+            self._by_hand(event)
+        return event is not None
+
+    def _by_hand(self, event: api.FleetListed) -> None:
+        for entry in event.entries:
+            self.upstreams.close_idle(entry.upstream)  # nothing new for it, or it has restarted meanwhile
+        self.happened(event)
+
+    def skipped(self) -> int:
+        """How many listed upstreams the module avoids now."""
+        return self._balancer.skipped(self.clock.now_ms())
+
     def happened(self, event: api.Event) -> None:
         """An event that no request's task waits for."""
         try:
--- a/madderwind/routing/directory.py
+++ b/madderwind/routing/directory.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import NamedTuple
+from collections.abc import Container
+from typing import NamedTuple, TypeVar
+
+import msgspec
 
 from madderwind.policy.api import FleetListed, ListKind, UpstreamEntry, UpstreamState
 from madderwind.protocol.listing import STATES, Listing, Member
 
 # So many ends (drains and goings) are remembered, the latest: a list that comes late is not older than that.
 ENDS_KEPT = 1024
+# So many ids that were ever listed are remembered, and so many starts after a call back, the latest.
+NAMES_KEPT, RESTORES_KEPT = 16384, 1024
+
+T = TypeVar("T")
 
 
 class End(NamedTuple):
@@ -37,37 +44,73 @@
         self._ids: dict[int, str] = {}
         self._out: Counter[int] = Counter()  # attempts and probes
         self._addresses: dict[int, tuple[str, int]] = {}
-        self._states: dict[int, UpstreamState] = {}
+        self._told: dict[int, UpstreamEntry] = {}  # what discovery says, whatever was done by hand
         self._ends: dict[str, End] = {}
+        self._ever: dict[str, None] = {}  # ids that were listed, the latest last
+        self.suspended: set[str] = set()  # by hand, whatever discovery says
+        self._restored_ms: dict[str, float] = {}
         self.revision = 0
 
     def take(self, listing: Listing, cached: bool = False) -> FleetListed:
         """The listing as the module's event, after the directory has learned from it."""
-        before = set(self._states)
+        before = set(self._told)
         entries = tuple(self._entry(member, listing.revision) for member in listing.members)
         if listing.complete:
-            self._states = {}  # what a whole list leaves out is gone
+            self._told = {}  # what a whole list leaves out is gone
         for member, entry in zip(listing.members, entries, strict=True):
             self._addresses[entry.upstream] = member.address
-            self._states[entry.upstream] = entry.state
+            self._told[entry.upstream] = entry
         told_gone = {entry.upstream for entry in entries if entry.state is UpstreamState.GONE}
-        left_out = before - set(self._states)
+        left_out = before - set(self._told)
         for number in left_out:  # nothing says when it started: only a revision as late brings it back
             self._remember(self._ids[number], End(listing.revision, UpstreamState.GONE, float("inf")))
+        in_force = tuple(self._in_force(entry) for entry in entries)
         for number in left_out | told_gone:
-            self._states[number] = UpstreamState.GONE
+            self._told.pop(number, None)
             self._forget(number)
         self.revision = listing.revision
         kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
-        return FleetListed(ListKind.CACHED if cached else kind, listing.revision, entries)
+        return FleetListed(ListKind.CACHED if cached else kind, listing.revision, in_force)
+
+    def suspend(self, name: str) -> FleetListed | None:
+        """Nothing more to it, whatever discovery says, until it is restored. None: never listed."""
+        if name not in self._ever:
+            return None
+        self.suspended.add(name)
+        return self._changed(name)
+
+    def restore(self, name: str, now_ms: float) -> FleetListed | None:
+        """One word ends the ban, however many began it. None: never listed.
+
+        Guards against a flood on an upstream that was restarted under the ban while the list is late to say
+        so: it counts as started now.
+        """
+        if name not in self._ever:
+            return None
+        if name in self.suspended:
+            self.suspended.discard(name)
+            _keep(self._restored_ms, name, now_ms, RESTORES_KEPT)
+        return self._changed(name)
+
+    def _changed(self, name: str) -> FleetListed:
+        """The module's event of a change by hand; empty where discovery does not list the upstream now."""
+        entry = self._told.get(self._numbers.get(name, -1))
+        entries = (self._in_force(entry),) if entry is not None else ()
+        return FleetListed(ListKind.CHANGES, self.revision, entries)
+
+    def _in_force(self, entry: UpstreamEntry) -> UpstreamEntry:
+        """What discovery says of an upstream, with what was done by hand."""
+        name = self._ids[entry.upstream]
+        if name in self.suspended and entry.state is not UpstreamState.GONE:
+            entry = msgspec.structs.replace(entry, state=UpstreamState.SUSPENDED)
+        started_ms = max(entry.started_ms, self._restored_ms.get(name, 0.0))
+        return msgspec.structs.replace(entry, started_ms=started_ms)
 
     def _remember(self, name: str, end: End) -> None:
         """Remember an end; of two, the later revision and start count."""
         known = self._ends.pop(name, end)
         latest = End(max(known.revision, end.revision), end.state, max(known.up_since_ms, end.up_since_ms))
-        self._ends[name] = latest
-        if len(self._ends) > ENDS_KEPT:
-            del self._ends[next(iter(self._ends))]
+        _keep(self._ends, name, latest, ENDS_KEPT)
 
     def _state(self, member: Member, revision: int) -> UpstreamState:
         """The state that is told, or the one told before if that is fresher."""
@@ -85,6 +128,7 @@
         if number == self._next_number:
             self._next_number += 1
             self._ids[number] = member.id
+        _keep(self._ever, member.id, None, NAMES_KEPT, beside=self.suspended)
         return UpstreamEntry(
             number,
             self._zones.setdefault(member.locality, len(self._zones)),
@@ -107,8 +151,8 @@
         """One that is gone, once nothing is out there."""
         if self._out[number] <= 0:
             del self._out[number]
-            if self._states.get(number) is UpstreamState.GONE:
-                del self._numbers[self._ids.pop(number)], self._addresses[number], self._states[number]
+            if number in self._ids and number not in self._told:
+                del self._numbers[self._ids.pop(number)], self._addresses[number]
 
     def name(self, upstream: int) -> str:
         return self._ids.get(upstream, "")
@@ -117,5 +161,19 @@
         return self._addresses.get(upstream)
 
     def takes_new(self, upstream: int) -> bool:
-        """Whether the list in force lets it have anything new."""
-        return self._states.get(upstream) is UpstreamState.READY
+        """Whether the list in force, and what was done by hand, let it have anything new."""
+        entry = self._told.get(upstream)
+        ready = entry is not None and entry.state is UpstreamState.READY
+        return ready and self._ids[upstream] not in self.suspended
+
+    def listed_count(self) -> int:
+        """How many upstreams the list in force holds."""
+        return len(self._told)
+
+
+def _keep(table: dict[str, T], name: str, value: T, most: int, beside: Container[str] = ()) -> None:
+    """Keep it as the latest, and no more than `most`: the oldest goes, but for those named `beside`."""
+    table.pop(name, None)
+    table[name] = value
+    if len(table) > most:
+        del table[next(name for name in table if name not in beside)]
--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -149,6 +149,7 @@
             self.body,
             lambda: self._may_write(upstream, until_ms),
             copy.settings.classes[self.asked.class_index].effect is not Effect.UNSAFE,
+            copy.tally.tried,
         )
         answer = await copy.upstreams.ask(upstream, address, letter, copy.clock.loop_time_s(until_ms))
         if isinstance(answer, Outcome):
@@ -193,6 +194,7 @@
     exchange = Exchange(
         copy, copy.next_number(), asked, (request.method, target, request.headers, body), now_ms
     )
+    copy.tally.taken += 1
     copy.open[exchange.number] = exchange
     copy.open_ids.add(asked.trace_id)
     last_word = asyncio.get_running_loop().call_at(
@@ -239,6 +241,10 @@
             exchange.final = Final(BROKEN, b"failed\n")
             copy.happened(api.ClientLeft(exchange.number))
     finally:
+        if exchange.final is not None:
+            copy.tally.answered(copy.host.class_names[asked.class_index], exchange.final.status)
+        else:
+            copy.tally.client_gone += 1
         last_word.cancel()
         del copy.open[exchange.number]
         copy.open_ids.remove(asked.trace_id)
--- /dev/null
+++ b/madderwind/routing/tally.py
@@ -0,0 +1,47 @@
+"""What this process has done since its start, for whoever asks."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+
+from madderwind.protocol.answers import REFUSED
+
+PASSED, DROPPED, BAD_GATEWAY = "passed", "dropped", "bad_gateway"
+OUTCOMES = (PASSED, DROPPED, BAD_GATEWAY)
+
+
+class Tally:
+    """Every request that was taken ends once: in one of the outcomes, or because its client had gone."""
+
+    def __init__(self, categories: Iterable[str]) -> None:
+        self._handled: dict[str, Counter[str]] = {}
+        self.taken, self.client_gone = 0, 0
+        self.tries = 0  # attempts whose last byte was written to an upstream
+        self.loads, self.load_errors = 0, 0
+        self.know(categories)
+
+    def know(self, categories: Iterable[str]) -> None:
+        """Classes that are in use from now on. Those that were keep their counts."""
+        for category in categories:
+            self._handled.setdefault(category, Counter())
+
+    @property
+    def ended(self) -> int:
+        return self.client_gone + sum(counts.total() for counts in self._handled.values())
+
+    @property
+    def in_progress(self) -> int:
+        return self.taken - self.ended
+
+    def tried(self) -> None:
+        self.tries += 1
+
+    def answered(self, category: str, status: int) -> None:
+        outcome = PASSED if status == 200 else DROPPED if status in (429, REFUSED) else BAD_GATEWAY
+        self._handled[category][outcome] += 1
+
+    def handled(self) -> Iterator[tuple[str, str, int]]:
+        for category, counts in self._handled.items():
+            for outcome in OUTCOMES:
+                yield category, outcome, counts[outcome]
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp.abc import AbstractStreamWriter
 from aiohttp.client_reqrep import ClientRequest, ClientResponse, ConnectionKey
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
@@ -50,6 +51,7 @@
         "may_repeat",
         "may_write",
         "method",
+        "on_whole",
         "target",
         "upstream",
         "written",
@@ -63,10 +65,12 @@
         body: bytes,
         may_write: Callable[[], bool],
         may_repeat: bool = True,
+        on_whole: Callable[[], None] = lambda: None,
     ) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_write = may_write
         self.may_repeat = may_repeat  # whether a second copy of it would do no harm
+        self.on_whole = on_whole  # called when its last byte has been written
         self.written = False
         self.upstream = -1  # the number of the upstream asked
         self.connection: OneAnswer | None = None  # that it is written to
@@ -110,7 +114,17 @@
         letter.connection = connection
         letter.written = True
         self.url = _Target(letter.target)  # type: ignore[assignment]
-        return await super().send(conn)
+        response = await super().send(conn)
+        if self._writer is None and not self._body:
+            letter.on_whole()
+        return response
+
+    async def write_bytes(
+        self, writer: AbstractStreamWriter, conn: Connection, content_length: int | None = None
+    ) -> None:
+        await super().write_bytes(writer, conn, content_length)
+        if conn.protocol is not None and conn.protocol.exception() is None:
+            _letter.get().on_whole()
 
 
 class _Trust:
--- /dev/null
+++ b/tests/admin/test_figures.py
@@ -0,0 +1,55 @@
+"""The figures' form, and the law that they keep."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from madderwind.admin.figures import Fleet, figures
+from madderwind.routing.tally import Tally
+
+
+def test_the_form_that_operators_asked_for() -> None:
+    tally = Tally(("lookup", 'odd "one"'))
+    tally.taken = 5
+    for status in (200, 200, 503, 504):
+        tally.answered("lookup", status)
+    tally.tried()
+    assert figures(tally, Fleet(9, 2)).decode().splitlines() == [
+        'svc_handled_total{category="lookup",outcome="passed"} 2',
+        'svc_handled_total{category="lookup",outcome="dropped"} 1',
+        'svc_handled_total{category="lookup",outcome="bad_gateway"} 1',
+        'svc_handled_total{category="odd \\"one\\"",outcome="passed"} 0',
+        'svc_handled_total{category="odd \\"one\\"",outcome="dropped"} 0',
+        'svc_handled_total{category="odd \\"one\\"",outcome="bad_gateway"} 0',
+        "svc_in_progress 1",
+        "svc_upstream_tries_total 1",
+        "svc_known_upstreams 9",
+        "svc_skipped_upstreams 2",
+        "svc_loads_total 0",
+        "svc_load_errors_total 0",
+        "--",
+    ]
+
+
+@given(st.lists(st.sampled_from([200, 429, 503, 502, 504, 500, 400, 0])))
+def test_every_request_ends_in_one_way(ends: list[int]) -> None:
+    """0 stands for a client that had gone."""
+    tally = Tally(("a",))
+    for at, status in enumerate(ends):
+        tally.taken += 2
+        if status:
+            tally.answered("a", status)
+        else:
+            tally.client_gone += 1
+        assert tally.ended == at + 1
+        assert tally.in_progress == at + 1
+    assert sum(count for _, _, count in tally.handled()) + tally.client_gone == len(ends)
+
+
+def test_a_class_that_comes_again_keeps_its_counts() -> None:
+    tally = Tally(("a",))
+    tally.answered("a", 200)
+    tally.know(("b", "a"))
+    assert ("a", "passed", 1) in set(tally.handled())
+    assert ("b", "passed", 0) in set(tally.handled())
--- a/tests/examples.py
+++ b/tests/examples.py
@@ -64,6 +64,7 @@
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "known": known,
+            "admin_addr": f"{HOST}:0",
             "settings": {**settings(**ceilings), "Discovery": discovery},
         }
     ).encode()
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -10,7 +10,7 @@
 import pytest
 
 from madderwind.policy import api, balancer
-from madderwind.policy.api import ListKind, Outcome
+from madderwind.policy.api import ListKind, Outcome, UpstreamState
 from tests.policy.scripts import Script, entry, sends
 
 COPIES = 40
@@ -154,3 +154,20 @@
             script.serve()
         per_pick[size] = looked[0] / 20
     assert per_pick[60] == per_pick[600] <= 12  # the nearest, which are as many at both sizes
+
+
+def test_forty_copies_that_restore_one_upstream_together_do_not_push_it_over() -> None:
+    """Rule 4 after maintenance: it was restarted, and all copies hear of its return at once."""
+    others = range(12)
+    fleet = Fleet([entry(n) for n in range(13)], fall_multiple=2.5, fall_ms=FALL_MS)
+    fleet.runs(50_000.0, 2000.0, 240.0)
+    fleet.listed(52_000.0, [entry(12, state=UpstreamState.SUSPENDED)])
+    fleet.runs(52_000.0, 2000.0, 240.0)
+    assert not [to for at_ms, to in fleet.sent if to == 12 and at_ms >= 52_000.0]
+    assert [copy.balancer.skipped(copy.now) for copy in fleet.copies] == [1] * COPIES
+    fleet.listed(54_000.0, [entry(12, started_ms=54_000.0)])
+    fleet.runs(54_000.0, 6000.0, 240.0)
+    load = Counter(to for at_ms, to in fleet.sent if at_ms >= 54_000.0)
+    a_warm_one = sum(load[n] for n in others) / len(others) / 6000.0 * FALL_MS
+    most, at_ms = fleet.most_in_a_window(12, 54_000.0)
+    assert 0 < most <= 2.5 * a_warm_one * (0.2 + 0.8 * (at_ms - 54_000.0) / 20_000.0) + 3
--- a/tests/program/harness.py
+++ b/tests/program/harness.py
@@ -28,6 +28,17 @@
         return [fields for name, fields in self.events if name == event]
 
 
+async def call(port: int, raw: bytes) -> str:
+    """What the second address says to these bytes, until it closes."""
+    reader, writer = await asyncio.open_connection(examples.HOST, port)
+    try:
+        writer.write(raw)
+        said: bytes = await within(reader.read())
+        return said.decode()
+    finally:
+        writer.close()
+
+
 class Running:
     """A service that runs among these upstreams, numbered in order, and follows an agent."""
 
@@ -54,6 +65,15 @@
     def port(self) -> int:
         return self.service.port
 
+    async def call(self, line: str) -> str:
+        """An operator's call at the second address, and all that it answers."""
+        return await call(self.service.admin_port, line.encode() + b"\n")
+
+    async def figure(self, name: str) -> int:
+        """One of the figures at the second address; -1 where it is not among them."""
+        lines = (line.rpartition(" ") for line in (await self.call("METRICS")).splitlines())
+        return next((int(value) for said, _, value in lines if said == f"svc_{name}"), -1)
+
     @property
     def broken(self) -> dict[str, int]:
         return dict(self.service.copy.invariants.broken)
--- a/tests/program/test_discovery.py
+++ b/tests/program/test_discovery.py
@@ -229,7 +229,7 @@
             await until(lambda: running.service.copy.directory.revision == 50)
             assert len(running.log.named("odd_list_line")) == 1
             assert running.service.copy.directory.name(4999) == "s-4999"
-            assert running.service.copy.directory._states[4999] is UpstreamState.READY
+            assert running.service.copy.directory._told[4999].state is UpstreamState.READY
 
     run(test())
 
--- a/tests/program/test_end.py
+++ b/tests/program/test_end.py
@@ -235,7 +235,9 @@
                 port = with_port.port  # free again once this stand-in is gone
             raw = examples.configuration(examples.listing(examples.member("s-1", upstream.port)), agent.port)
             path = tmp_path / "config.json"
-            path.write_bytes(raw.replace(f"{examples.HOST}:0".encode(), f"{examples.HOST}:{port}".encode()))
+            path.write_bytes(
+                raw.replace(f"{examples.HOST}:0".encode(), f"{examples.HOST}:{port}".encode(), 1)
+            )
             process = await asyncio.create_subprocess_exec(
                 *(sys.executable, *optimised, "-m", "madderwind", "serve", "--config", str(path)),
                 stdout=asyncio.subprocess.PIPE,
--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from madderwind.policy.api import UpstreamState
 from madderwind.protocol.listing import read_listing
-from madderwind.routing.directory import ENDS_KEPT, Directory
+from madderwind.routing.directory import ENDS_KEPT, NAMES_KEPT, Directory
 from tests import examples
 
 
@@ -20,7 +21,7 @@
 
 
 def kept(directory: Directory) -> list[int]:
-    tables = (directory._numbers, directory._ids, directory._addresses, directory._states, directory._out)
+    tables = (directory._numbers, directory._ids, directory._addresses, directory._told, directory._out)
     return [len(table) for table in tables]
 
 
@@ -95,3 +96,53 @@
     for n in range(ENDS_KEPT + 50):
         told(directory, examples.member(f"s-{n}", 5000, phase="Gone"))
     assert len(directory._ends) == ENDS_KEPT
+
+
+def test_a_ban_goes_by_id_and_one_word_ends_it() -> None:
+    """Guards against a ban that a listing, a restart, or a going and coming back would end."""
+    directory = Directory((), ())
+    (number,) = told(directory, examples.member("s-1", 5000))
+    for _ in range(3):
+        event = directory.suspend("s-1")
+        assert event is not None and event.entries[0].state is UpstreamState.SUSPENDED
+    for phase in ("Ready", "Terminating"):
+        told(directory, examples.member("s-1", 5000, phase=phase, up_since_ms=900.0), revision=42)
+        assert not directory.takes_new(number)
+    told(directory, examples.member("s-1", 5000, phase="Gone"), revision=43)
+    assert directory.suspend("s-1") is not None  # listed once, and gone since
+    (again,) = told(directory, examples.member("s-1", 5000, up_since_ms=950.0), revision=44)
+    assert again != number and not directory.takes_new(again)
+    event = directory.restore("s-1", 1000.0)
+    assert event is not None and directory.takes_new(again)
+    # it was restarted under the ban, whether the list says so by now or not
+    assert event.entries[0].started_ms == 1000.0
+    listing = read_listing(json.dumps(examples.listing(examples.member("s-1", 5000), revision=45)).encode())
+    assert directory.take(listing).entries[0].started_ms == 1000.0
+
+
+def test_a_ban_holds_for_what_is_not_listed_at_the_moment() -> None:
+    directory = Directory((), ())
+    told(directory, examples.member("s-1", 5000), complete=True)
+    told(directory, complete=True, revision=42)
+    event = directory.suspend("s-1")
+    assert event is not None and event.entries == ()
+    (number,) = told(directory, examples.member("s-1", 5000), complete=True, revision=43)
+    assert not directory.takes_new(number)
+
+
+def test_an_id_never_listed_is_no_id() -> None:
+    directory = Directory((), ())
+    assert directory.suspend("s-1") is None and directory.restore("s-1", 1.0) is None
+    told(directory, examples.member("s-1", 5000))
+    assert directory.restore("s-1", 1.0) is not None
+
+
+def test_ids_are_remembered_within_bounds_and_bans_for_good() -> None:
+    directory = Directory((), ())
+    told(directory, examples.member("s-banned", 5000))
+    directory.suspend("s-banned")
+    for n in range(NAMES_KEPT + 50):
+        told(directory, examples.member(f"s-{n}", 5000, phase="Gone"))
+    assert len(directory._ever) == NAMES_KEPT
+    assert directory.restore("s-0", 1.0) is None
+    assert directory.restore("s-banned", 1.0) is not None
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,7 +17,8 @@
     "transport": {"policy", "settings", "clock", "eventlog"},
     "protocol": {"policy", "settings", "clock", "eventlog", "transport"},
     "routing": {"policy", "settings", "clock", "eventlog", "transport", "protocol"},
-    "program": {"policy", "settings", "clock", "eventlog", "transport", "protocol", "routing"},
+    "admin": {"policy", "settings", "clock", "eventlog", "transport", "protocol", "routing"},
+    "program": {"policy", "settings", "clock", "eventlog", "transport", "protocol", "routing", "admin"},
 }
 
 
