New settings act at SIGHUP, judged whole, with classes and tenants kept by name

Cause: what a reload changed besides discovery waited for a restart. Ruled out: late signals, the watch itself.

Change: settings.retuned merges by name, read_successor judges the file against the one in force, Copy.retune tells the module by one event (Retuned). What it learned, the quota and the room stay. A vanished class is served one deadline more.

--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -146,6 +146,12 @@
     entries: tuple[UpstreamEntry, ...]
 
 
+class Retuned(Event, frozen=True):
+    """New settings, in force from now on. Classes and tenants keep their numbers; new ones come behind."""
+
+    settings: Settings
+
+
 class ListFailed(Event, frozen=True):
     """A call to discovery failed or a subscription broke; the list held stays in force."""
 
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -186,7 +186,7 @@
     """The design's idle-first pick, within the rules on drains and cold upstreams."""
 
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self._settings, self._rng = settings, rng
+        self._rng = rng
         self.fleet: dict[int, Upstream] = {}
         self.typical = Mean(SLOW_GAIN)  # answer times of all classes
         self._now = 0.0
@@ -195,13 +195,18 @@
         self._places: dict[int, tuple[float, float]] = {}  # on a circle, with the rating that took each
         self._cold: list[Upstream] = []  # those that the last pick met, and the warm ones' size in all
         self._warm = 0.0
+        self._usable, self._usable_ms = 0.0, float("-inf")
+        self._usual_held, self.held = Mean(SLOW_GAIN), float("inf")  # what an upstream reports to hold
+        self.tune(settings)
+
+    def tune(self, settings: api.Settings) -> None:
+        self._settings = settings
         # Where sizes are told: the middle, by ratio, of the least that a cold one can do and where it falls.
         tells = settings.ratings_tell_size
         self._cold_part = math.sqrt(max(1.0, settings.fall_multiple)) if tells else COLD_CAUTION
-        self._usable, self._usable_ms = 0.0, float("-inf")
         columns = settings.report_columns
         self._column = columns.index(HELD_COLUMN) if HELD_COLUMN in columns else len(columns)
-        self._usual_held, self.held = Mean(SLOW_GAIN), float("inf")  # what an upstream reports to hold
+        self._reorder()
 
     def reported(self, u: Upstream, report: tuple[float, ...], now: float) -> None:
         """A load report: what the upstream holds of all copies' requests. An unreadable one tells nothing."""
@@ -377,15 +382,17 @@
     """
 
     def __init__(self, settings: api.Settings) -> None:
-        self._settings = settings
+        self.tune(settings)
         self.room = ROOM_START  # an upstream in use, over all copies, so that it goes with those lost
         self._pressure = Mean()
         self._shrunk_ms, self._grown_ms = float("-inf"), 0.0
         self._allowance: dict[int, tuple[float, float]] = {}
-        self._copies = max(1, settings.copies)
         # The credit, and the most that may be open at a moment: for traffic within shares, and beyond.
         self.left, self.most_open, self._settled_ms = [1.0, 1.0], [0.0, 0.0], 0.0
 
+    def tune(self, settings: api.Settings) -> None:
+        self._settings, self._copies = settings, max(1, settings.copies)
+
     def settle(self, open_requests: int, usable: float, typical_ms: float, now: float) -> None:
         """Both credits up to now, from 1 (nothing used) to -1: earned at this copy's part of the room and
         spent by each open request, over a usual answer time, measured in what chance may bring."""
@@ -429,21 +436,27 @@
     """One copy. Ties the events to the decisions above; `_answer` is the only way to a final answer."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self._settings = settings
         self._rng = random.Random(seed)
         self._quota = RetryQuota(self._rng)
         self._picker = Picker(settings, self._rng)
         self._admission = Admission(settings)
-        self._is_front = settings.tier == 0
         self._requests: dict[int, Request] = {}
-        self._usual = [Mean(SLOW_GAIN) for _ in settings.classes]  # answer times by class
-        self._hints = [Mean(SLOW_GAIN) for _ in settings.classes]  # work that requests announce, by class
+        self._usual: list[Mean] = []  # answer times by class
+        self._hints: list[Mean] = []  # work that requests announce, by class
+        self._tune(settings)
         self._timers: dict[int, tuple[str, int, int]] = {}
         self._next_token, self._first_ms = 0, float("inf")
         self._asks = 0
         self._following = False
         self._out: list[api.Action] = []
 
+    def _tune(self, settings: api.Settings) -> None:
+        """New settings, for what comes from now on. What was learned and spent stays; a request under way
+        keeps its class, so that a looser one cannot give it a second effect."""
+        self._settings, self._is_front = settings, settings.tier == 0
+        for means in (self._usual, self._hints):
+            means += [Mean(SLOW_GAIN) for _ in settings.classes[len(means) :]]
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self._out = []
         match event:
@@ -463,6 +476,10 @@
                     self._following, self._asks = self._settings.must_ask, 0
                 elif self._settings.must_ask:
                     self._ask_later()
+            case api.Retuned(settings):
+                self._tune(settings)
+                self._picker.tune(settings)
+                self._admission.tune(settings)
             case api.ListFailed():
                 self._following = False  # also a subscription that broke: it has to be asked for anew
                 self._ask_later()
--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -41,6 +41,7 @@
     limits: Limits
     known: Listing
     host: HostSettings
+    parts: frozenset[str]  # what the file holds: its own keys and those of its settings
 
 
 def read_configuration(path: str, admin_addr: str = "") -> Configuration:
@@ -55,7 +56,8 @@
     try:
         file = msgspec.json.decode(raw, type=_File)
         known = read_listing(bytes(file.known))
-        host = read_host_settings(msgspec.json.decode(bytes(file.settings)))
+        settings = msgspec.json.decode(bytes(file.settings))
+        host = read_host_settings(settings)
         seed = int(file.seed, 16)
         admin_addr = admin_addr or file.admin_addr
         return Configuration(
@@ -68,6 +70,18 @@
             file.limits,
             known,
             host,
+            frozenset(msgspec.json.decode(raw)) | {f"settings.{name}" for name in settings},
         )
     except (*UNREADABLE, ListingError, SettingsError) as error:
         raise ConfigurationError(f"{path}: {' '.join(str(error).split())}") from None
+
+
+def read_successor(before: Configuration, admin_addr: str = "") -> Configuration:
+    """The file of a running balancer once more, judged whole before any of it acts.
+
+    Guards against a file that was cut off at a place where it still reads as one.
+    """
+    new = read_configuration(before.path, admin_addr)
+    if lost := sorted(before.parts - new.parts):
+        raise ConfigurationError(f"{before.path}: lacks {', '.join(lost)}, which the one in force has")
+    return new
--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -16,12 +16,13 @@
 from madderwind.admin.desk import Desk
 from madderwind.admin.listener import MOST_CALLS, SPARES, AdminListener
 from madderwind.clock import Clock
-from madderwind.program.configuration import Configuration, ConfigurationError, read_configuration
+from madderwind.program.configuration import Configuration, ConfigurationError, read_successor
 from madderwind.program.log import JsonLog, LibraryLog
 from madderwind.protocol.requests import LONGEST_BODY
 from madderwind.routing.copy import Copy
 from madderwind.routing.discovery import Follower
 from madderwind.routing.exchange import LastWord, serve
+from madderwind.settings import moved, retuned
 from madderwind.transport.listening import Listener
 from madderwind.transport.upstreams import Upstreams
 
@@ -38,7 +39,7 @@
 MOST_ANSWERS = 1 / 3
 # What of a new configuration needs a restart. The seed is new with each start and the list known is for the
 # start alone, so changes of those are nothing to speak of.
-FOR_THE_START = ("name", "listen", "admin", "limits", "host")
+FOR_THE_START = ("name", "listen", "admin", "limits")
 # Descriptors for all but connections: streams, loop, listener, the watch and its successor, and a margin.
 OWN_DESCRIPTORS = 20
 
@@ -77,22 +78,28 @@
         self._ending.set()
 
     def reload(self) -> None:
-        """SIGHUP: read the configuration again; a new address of discovery is followed at once.
+        """SIGHUP: read the configuration again; new settings and a new address of discovery act at once.
 
         Guards against the signal's default, which ends the program with all that it has taken.
         """
         before = self._configuration
         try:
-            new = read_configuration(before.path, os.environ.get("PROXY_ADMIN_ADDR", ""))
+            new = read_successor(before, os.environ.get("PROXY_ADMIN_ADDR", ""))
         except ConfigurationError as error:
             self.copy.tally.load_errors += 1
             self._log("configuration_unreadable", error=str(error))  # the one in force stays
             return
         self.copy.tally.loads += 1
         needs_restart = [what for what in FOR_THE_START if getattr(new, what) != getattr(before, what)]
+        needs_restart += moved(before.host, new.host)
         self._log("configuration_read", discovery=list(new.discovery), needs_restart=needs_restart)
         # What needs a restart is compared with what runs, not with what an earlier reading found.
-        self._configuration = msgspec.structs.replace(before, discovery=new.discovery)
+        host = retuned(before.host, new.host)
+        self._configuration = msgspec.structs.replace(
+            before, discovery=new.discovery, host=host, parts=new.parts
+        )
+        if host != before.host:
+            self.copy.retune(host)
         if new.discovery != before.discovery:
             self._follower = Follower(self.copy, new.discovery, self._chance)
             if self._following is not None:  # else the start is still to come, and follows this one
--- a/madderwind/protocol/requests.py
+++ b/madderwind/protocol/requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 from multidict import CIMultiDict, CIMultiDictProxy
 
@@ -34,6 +36,7 @@
     )
 )
 METHODS = {Effect.SAFE: "GET", Effect.KEYED: "POST", Effect.UNSAFE: "POST"}
+NOTHING: Mapping[str, float] = {}
 
 
 class BadRequest(ValueError):
@@ -55,14 +58,21 @@
 
 
 class RequestReader:
-    """Reads requests by the names in the settings."""
+    """Reads requests by the names in the settings.
+
+    `served_until_ms`: until when a class that vanished is still served, by name. Tiers hear of new settings
+    at different moments, and a request that was taken before may still ask further in.
+    """
 
-    def __init__(self, host: HostSettings) -> None:
+    def __init__(self, host: HostSettings, served_until_ms: Mapping[str, float] = NOTHING) -> None:
         self._classes = {name: number for number, name in enumerate(host.class_names)}
         self._effects = [c.effect for c in host.settings.classes]
-        self._tenants = {name: number for number, name in enumerate(host.tenant_names)}
+        tenants = {name: number for number, name in enumerate(host.tenant_names)}
+        self._tenants = {name: tenants[name] for name in tenants if name not in host.retired_tenants}
+        self._served_until_ms = served_until_ms
 
-    def read(self, method: str, target: str, headers: CIMultiDictProxy[str]) -> Asked:
+    def read(self, method: str, target: str, headers: CIMultiDictProxy[str], now_ms: float = 0.0) -> Asked:
+        """The request's fields; BadRequest where this protocol does not allow it."""
         _must_be_text(target, headers)
         trace_id = headers.get(TRACE_ID, "")
         if not trace_id:
@@ -71,7 +81,7 @@
             raise BadRequest(f"{TRACE_ID} of {len(trace_id)} characters")
         name = target.partition("?")[0].removeprefix("/").partition("/")[0]
         class_index = self._classes.get(name)
-        if class_index is None:
+        if class_index is None or now_ms > self._served_until_ms.get(name, now_ms):
             raise BadRequest(f"unknown class {name[:60]!r}")
         effect = self._effects[class_index]
         if method != METHODS[effect]:
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -37,6 +37,7 @@
         self.log_sparingly = Sparing(log, clock.now_ms)
         self.invariants = Invariants(log)
         self.reader = RequestReader(host)
+        self._served_until_ms: dict[str, float] = {}  # classes that vanished
         self.directory = Directory(host.zone_names, host.kind_names)
         self.tally = Tally(host.class_names)
         self.open: dict[int, Exchange] = {}
@@ -67,6 +68,22 @@
                 self.upstreams.close_idle(entry.upstream)
         self.happened(event)
 
+    def retune(self, host: HostSettings) -> None:
+        """New settings, in which classes and tenants have the numbers of the old. The module keeps what it
+        knows. A class that vanished is served for one deadline more."""
+        now_ms = self.clock.now_ms()
+        deadlines_ms = dict(
+            zip(host.class_names, (c.deadline_ms for c in host.settings.classes), strict=True)
+        )
+        self._served_until_ms = {
+            name: self._served_until_ms.get(name, now_ms + deadlines_ms[name]) for name in host.retired
+        }
+        self.host, self.settings = host, host.settings
+        self.reader = RequestReader(host, self._served_until_ms)
+        self.tally.know(host.class_names)
+        self.upstreams.retune(host.settings.connect_timeout_ms, host.idle_ms)
+        self.happened(api.Retuned(host.settings))
+
     def suspend(self, name: str) -> bool:
         """Nothing more to this upstream from this moment on; whether it was ever listed."""
         event = self.directory.suspend(name)
--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -63,6 +63,9 @@
         self.copy, self.number, self.asked = copy, number, asked
         self.method, self.target, self.headers, self.body = letter
         self.deadline_ms = now_ms + asked.wait_ms
+        self.category = copy.host.class_names[asked.class_index]
+        # Its class as it came: new settings do not loosen what is under way.
+        self.klass = copy.settings.classes[asked.class_index]
         self.inbox: asyncio.Queue[api.Event | LastWord] = asyncio.Queue()
         self.attempts: list[asyncio.Task[None]] = []
         self.withdrawn: set[int] = set()
@@ -148,7 +151,7 @@
             headers_onward(self.headers, until_ms - sent_ms),
             self.body,
             lambda: self._may_write(upstream, until_ms),
-            copy.settings.classes[self.asked.class_index].effect is not Effect.UNSAFE,
+            self.klass.effect is not Effect.UNSAFE,
             copy.tally.tried,
         )
         answer = await copy.upstreams.ask(upstream, address, letter, copy.clock.loop_time_s(until_ms))
@@ -178,7 +181,7 @@
         body = await whole_body(request, READ_S)
         now_ms = copy.clock.now_ms()  # its time counts from its last byte
         target = request._message.path
-        asked = copy.reader.read(request.method, target, request.headers)
+        asked = copy.reader.read(request.method, target, request.headers, now_ms)
         if asked.trace_id in copy.open_ids:
             raise BadRequest(f"{TRACE_ID} of a request that is open")  # it would be a second copy of that one
     except (BadBody, BadRequest) as error:
@@ -242,7 +245,7 @@
             copy.happened(api.ClientLeft(exchange.number))
     finally:
         if exchange.final is not None:
-            copy.tally.answered(copy.host.class_names[asked.class_index], exchange.final.status)
+            copy.tally.answered(exchange.category, exchange.final.status)
         else:
             copy.tally.client_gone += 1
         last_word.cancel()
--- a/madderwind/settings.py
+++ b/madderwind/settings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -42,10 +42,21 @@
     return value
 
 
+def _count(text: str) -> int:
+    """A whole number of at least 1, also where it is written as 3.0."""
+    value = _number(text)
+    if value < 1 or value != int(value):
+        raise ValueError(text)
+    return int(value)
+
+
 def _words(text: str) -> tuple[str, ...]:
     return tuple(text.split(",")) if text else ()
 
 
+# What has to be a number above 0 in each class, and what of the settings says where a balancer stands.
+ABOVE_ZERO = ("DeadlineMs", "GoalTimeMs")
+PLACE = ("tier", "tiers", "me", "zone", "zones")
 NO_WORDS: tuple[str, ...] = ()
 ONE_WORD: tuple[str, ...] = ("",)
 # Where the settings do not say for how long a connection may stand idle.
@@ -62,6 +73,9 @@
     kind_names: tuple[str, ...]
     report_names: tuple[str, ...]
     idle_ms: float
+    # What an earlier configuration had and this one has not; their names keep their numbers.
+    retired: frozenset[str] = frozenset()
+    retired_tenants: frozenset[str] = frozenset()
 
 
 def values_of_lines(raw: bytes) -> dict[str, str]:
@@ -155,10 +169,14 @@
 def read_host_settings(tree: object) -> HostSettings:
     """The settings of one copy and its host's, of nested JSON. SettingsError names the key at fault."""
     values = _Values(values_of_object(tree))
+    _check_numbers(tree)
     settings = _settings(values)
+    class_names = tuple(values.get(f"Profiles.{n}.Name", str) for n in range(len(settings.classes)))
+    if len(set(class_names)) < len(class_names):
+        raise SettingsError("two Profiles have one Name")
     return HostSettings(
         settings=settings,
-        class_names=tuple(values.get(f"Profiles.{n}.Name", str) for n in range(len(settings.classes))),
+        class_names=class_names,
         tenant_names=tuple(values.get(f"Customers.{n}.Name", str) for n in range(len(settings.tenants))),
         zone_names=values.get("Zones", _words, NO_WORDS),
         kind_names=values.get("Kinds", _words, NO_WORDS),
@@ -167,6 +185,63 @@
     )
 
 
+def _check_numbers(tree: Any) -> None:
+    """Guards against text, booleans and the like where lines would read a number all the same."""
+    profiles = tree.get("Profiles")
+    for number, profile in enumerate(profiles if isinstance(profiles, list) else ()):
+        for name in ABOVE_ZERO:
+            if name in profile:
+                _must_be_above_zero(f"Profiles.{number}.{name}", profile[name])
+    ceilings = tree.get("Ceilings")
+    if isinstance(ceilings, dict) and "MaxAttempts" in ceilings:
+        _must_be_above_zero("Ceilings.MaxAttempts", ceilings["MaxAttempts"])
+
+
+def _must_be_above_zero(path: str, value: object) -> None:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not 0 < float(str(value)) < float("inf"):
+        raise SettingsError(f"setting {path} is no number above 0: {str(value)[:60]!r}")
+
+
+def retuned(old: HostSettings, new: HostSettings) -> HostSettings:
+    """The new settings with the numbers that classes and tenants have in the old, and where it stands kept.
+
+    What a class or tenant was stays under its number when it vanishes, for the requests that came with it.
+    """
+    class_names, classes = _numbered(
+        (old.class_names, old.settings.classes), (new.class_names, new.settings.classes)
+    )
+    tenant_names, tenants = _numbered(
+        (old.tenant_names, old.settings.tenants), (new.tenant_names, new.settings.tenants)
+    )
+    kept = {name: getattr(old.settings, name) for name in PLACE}
+    return msgspec.structs.replace(
+        new,
+        settings=msgspec.structs.replace(new.settings, classes=classes, tenants=tenants, **kept),
+        class_names=class_names,
+        tenant_names=tenant_names,
+        zone_names=old.zone_names,
+        kind_names=old.kind_names,
+        retired=frozenset(class_names) - frozenset(new.class_names),
+        retired_tenants=frozenset(tenant_names) - frozenset(new.tenant_names),
+    )
+
+
+def moved(old: HostSettings, new: HostSettings) -> list[str]:
+    """What of where a balancer stands differs: it needs a restart."""
+    places = [name for name in PLACE if getattr(old.settings, name) != getattr(new.settings, name)]
+    names = ("zone_names", "kind_names")
+    return places + [name for name in names if getattr(old, name) != getattr(new, name)]
+
+
+def _numbered(
+    old: tuple[tuple[str, ...], tuple[T, ...]], new: tuple[tuple[str, ...], tuple[T, ...]]
+) -> tuple[tuple[str, ...], tuple[T, ...]]:
+    """Names and values, the old ones in their places, those that are new behind."""
+    merged = {**dict(zip(*old, strict=True)), **dict(zip(*new, strict=True))}
+    return tuple(merged), tuple(merged.values())
+
+
 def _settings(values: _Values) -> Settings:
     classes = tuple(_request_class(values, f"Profiles.{n}") for n in range(values.get("Profiles.count", int)))
     tenants = tuple(
@@ -189,7 +264,7 @@
         copies=values.get("NInstances", int),
         zone=values.get("Zone", int, 0),
         zones=len(values.get("Zones", _words, ONE_WORD)),
-        max_attempts=values.get("Ceilings.MaxAttempts", int),
+        max_attempts=values.get("Ceilings.MaxAttempts", _count),
         max_open=values.get("Ceilings.MaxOpen", int, 0),
         second_copies=values.get("Ceilings.SecondCopies", _flag),
         may_cancel=values.get("Ceilings.Cancel", _flag),
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -162,10 +162,13 @@
     be lost. An idle connection makes way for a new one; where none is idle the attempt is not written.
     """
 
-    def __init__(self, most: int, idle_s: float, stall_s: float) -> None:
-        super().__init__(limit=0, keepalive_timeout=idle_s, use_dns_cache=False)
+    def __init__(self, most: int) -> None:
+        super().__init__(limit=0, use_dns_cache=False)
         self._most = most
         self.trust = _Trust()
+
+    def tune(self, idle_s: float, stall_s: float) -> None:
+        self._keepalive_timeout = idle_s
         self._factory = functools.partial(OneAnswer, asyncio.get_running_loop(), stall_s)  # type: ignore[assignment]
 
     async def connect(
@@ -210,8 +213,8 @@
     """The pool of connections to all upstreams of one balancer."""
 
     def __init__(self, connect_timeout_ms: float, idle_ms: float, most: int) -> None:
-        # An answer that has begun goes on within the time in which a connection comes up.
-        self._connector = _BoundedConnector(most, idle_ms * IDLE_PART / 1000, connect_timeout_ms / 1000)
+        self._connector = _BoundedConnector(most)
+        self.retune(connect_timeout_ms, idle_ms)
         self._session = aiohttp.ClientSession(
             connector=self._connector,
             request_class=_GatedRequest,
@@ -219,11 +222,16 @@
             auto_decompress=False,
             trust_env=False,
             skip_auto_headers=AUTO_HEADERS,
-            timeout=aiohttp.ClientTimeout(total=None, connect=(connect_timeout_ms / 1000) or None),
         )
         # Guards against a second copy: the client resends a GET by itself when a kept connection breaks.
         self._session._retry_connection = False
 
+    def retune(self, connect_timeout_ms: float, idle_ms: float) -> None:
+        """New times, for connections from now on."""
+        self._timeout = aiohttp.ClientTimeout(total=None, connect=(connect_timeout_ms / 1000) or None)
+        # An answer that has begun goes on within the time in which a connection comes up.
+        self._connector.tune(idle_ms * IDLE_PART / 1000, connect_timeout_ms / 1000)
+
     async def ask(
         self, upstream: int, address: tuple[str, int], letter: Letter, until_s: float
     ) -> Answer | Outcome:
@@ -240,6 +248,7 @@
                     headers=letter.headers,
                     data=letter.body or None,
                     allow_redirects=False,
+                    timeout=self._timeout,
                 ) as response,
             ):
                 body = b""
