A new process takes the listening socket and what is known over from the one that serves

Ruled out: slow start (0.4 s), SIGTERM's own bounds.

Change: madderwind/handover (message pure, file of bans, link over a Unix socket in TMPDIR with SCM_RIGHTS). One accept queue; the old one closes connections with their next answer once the new one serves, and accepts again if that one dies. Half of the quota and of the descriptors for the overlap. SO_REUSEPORT stays as the way in where nobody hands over.

--- a/madderwind/admin/desk.py
+++ b/madderwind/admin/desk.py
@@ -12,8 +12,15 @@
 class Desk:
     """Answers one line with one answer, at once; nothing here waits."""
 
-    def __init__(self, copy: Copy, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        copy: Copy,
+        is_ready: Callable[[], bool],
+        suspend: Callable[[str], bool],
+        restore: Callable[[str], bool],
+    ) -> None:
         self._copy, self._is_ready = copy, is_ready
+        self._suspend, self._restore = suspend, restore
 
     def answer(self, line: bytes) -> bytes:
         try:
@@ -27,8 +34,8 @@
             case "METRICS":
                 fleet = Fleet(self._copy.directory.listed_count(), self._copy.skipped())
                 return figures(self._copy.tally, fleet)
-            case "SUSPEND" if self._copy.suspend(call.upstream):
+            case "SUSPEND" if self._suspend(call.upstream):
                 return yes(f"{call.upstream} gets nothing more")
-            case "RESTORE" if self._copy.restore(call.upstream):
+            case "RESTORE" if self._restore(call.upstream):
                 return yes(f"{call.upstream} is used again")
         return no(f"{call.upstream} was never listed")
--- /dev/null
+++ b/madderwind/handover/message.py
@@ -0,0 +1,49 @@
+"""What one process tells its successor, as bytes. No input or output."""
+
+from __future__ import annotations
+
+import msgspec
+
+from madderwind.policy.api import Known
+from madderwind.protocol.listing import Listing
+from madderwind.routing.directory import Memory
+
+VERSION = 1
+# A list of five thousand upstreams takes about a megabyte.
+LONGEST_MESSAGE = 8 * 1024 * 1024
+
+
+class Message(msgspec.Struct, frozen=True):
+    """Upstreams go by discovery's ids, since each process numbers them itself."""
+
+    listing: Listing
+    directory: Memory
+    quota: float
+    room: float
+    upstreams: dict[str, Known]
+    version: int = VERSION
+
+
+class _Version(msgspec.Struct):
+    version: int
+
+
+class MessageError(ValueError):
+    """The message is damaged or of another version; the text says which."""
+
+
+def write_message(message: Message) -> bytes:
+    return msgspec.msgpack.encode(message)
+
+
+def read_message(raw: bytes) -> Message:
+    """The message; of another version not even the rest is looked at."""
+    try:
+        version = msgspec.msgpack.decode(raw, type=_Version).version
+        if version != VERSION:
+            raise MessageError(f"version {version}, not {VERSION}")
+        return msgspec.msgpack.decode(raw, type=Message)
+    except MessageError:
+        raise
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise MessageError(f"damaged: {error}") from None
--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -134,6 +134,24 @@
     started_ms: float
 
 
+class Known(msgspec.Struct, frozen=True):
+    """What a copy has learned of one upstream."""
+
+    started_ms: float
+    slowness: float
+    failures: int
+    refused: int
+    aside_until_ms: float
+
+
+class Memory(msgspec.Struct, frozen=True):
+    """What a process that takes over goes on from, upstreams by their numbers."""
+
+    quota: float
+    room: float
+    upstreams: dict[int, Known]
+
+
 class Event(msgspec.Struct, frozen=True, gc=False):
     """Something that happened to this copy."""
 
@@ -152,6 +170,12 @@
     settings: Settings
 
 
+class Recalled(Event, frozen=True):
+    """What the process before this one knew, right after the list that it followed."""
+
+    memory: Memory
+
+
 class ListFailed(Event, frozen=True):
     """A call to discovery failed or a subscription broke; the list held stays in force."""
 
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -480,6 +480,8 @@
                 self._tune(settings)
                 self._picker.tune(settings)
                 self._admission.tune(settings)
+            case api.Recalled(memory):
+                self._recall(memory)
             case api.ListFailed():
                 self._following = False  # also a subscription that broke: it has to be asked for anew
                 self._ask_later()
@@ -489,6 +491,24 @@
         """How many listed upstreams are avoided now. Changes nothing."""
         return self._picker.skipped(now)
 
+    def hand_over(self) -> api.Memory:
+        """What a successor goes on from. Half of the quota goes with it: both spend no more than one."""
+        self._quota.tokens /= 2
+        known = {
+            number: api.Known(u.started_ms, u.slowness, u.failures, u.refused, u.aside_until_ms)
+            for number, u in self._picker.fleet.items()
+        }
+        return api.Memory(self._quota.tokens, self._admission.room, known)
+
+    def _recall(self, memory: api.Memory) -> None:
+        self._quota.tokens = min(self._quota.tokens, memory.quota)
+        self._admission.room = max(ROOM_LEAST, memory.room)
+        for number, known in memory.upstreams.items():
+            if (u := self._picker.fleet.get(number)) is not None:
+                u.started_ms = max(u.started_ms, known.started_ms)
+                u.slowness, u.failures = known.slowness, known.failures
+                u.refused, u.aside_until_ms = known.refused, known.aside_until_ms
+
     def _ask_later(self) -> None:
         """Subscribe after a full-jitter wait: copies that start or lose discovery together spread out."""
         base_ms = max(BASE_FULL_MS, self._settings.ask_within_ms / 2)
--- a/madderwind/program/cli.py
+++ b/madderwind/program/cli.py
@@ -56,7 +56,7 @@
     from madderwind.program.service import Service
 
     async def run() -> None:
-        await Service(configuration, log).run()
+        await Service(configuration, log, os.environ.get("TMPDIR")).run()
 
     os.set_blocking(sys.stdout.fileno(), False)
     log = JsonLog(configuration.name)
--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -41,13 +41,14 @@
     limits: Limits
     known: Listing
     host: HostSettings
+    admin_given: str  # by the environment, before the file's
     parts: frozenset[str]  # what the file holds: its own keys and those of its settings
 
 
-def read_configuration(path: str, admin_addr: str = "") -> Configuration:
+def read_configuration(path: str, admin_given: str = "") -> Configuration:
     """All that one balancer is told. ConfigurationError says in one line what is wrong.
 
-    `admin_addr` is this process's own, where it was given one; it stands before the file's.
+    `admin_given` is this process's own second address, where it was given one; it stands before the file's.
     """
     try:
         raw = Path(path).read_bytes()
@@ -59,7 +60,7 @@
         settings = msgspec.json.decode(bytes(file.settings))
         host = read_host_settings(settings)
         seed = int(file.seed, 16)
-        admin_addr = admin_addr or file.admin_addr
+        admin_addr = admin_given or file.admin_addr
         return Configuration(
             path,
             file.name,
@@ -70,18 +71,19 @@
             file.limits,
             known,
             host,
+            admin_given,
             frozenset(msgspec.json.decode(raw)) | {f"settings.{name}" for name in settings},
         )
     except (*UNREADABLE, ListingError, SettingsError) as error:
         raise ConfigurationError(f"{path}: {' '.join(str(error).split())}") from None
 
 
-def read_successor(before: Configuration, admin_addr: str = "") -> Configuration:
+def read_successor(before: Configuration) -> Configuration:
     """The file of a running balancer once more, judged whole before any of it acts.
 
     Guards against a file that was cut off at a place where it still reads as one.
     """
-    new = read_configuration(before.path, admin_addr)
+    new = read_configuration(before.path, before.admin_given)
     if lost := sorted(before.parts - new.parts):
         raise ConfigurationError(f"{before.path}: lacks {', '.join(lost)}, which the one in force has")
     return new
--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -5,10 +5,10 @@
 import asyncio
 import gc
 import logging
-import os
 import random
 import resource
 import signal
+from pathlib import Path
 
 import msgspec
 from aiohttp import web
@@ -16,6 +16,7 @@
 from madderwind.admin.desk import Desk
 from madderwind.admin.listener import MOST_CALLS, SPARES, AdminListener
 from madderwind.clock import Clock
+from madderwind.handover.handover import Handover
 from madderwind.program.configuration import Configuration, ConfigurationError, read_successor
 from madderwind.program.log import JsonLog, LibraryLog
 from madderwind.protocol.requests import LONGEST_BODY
@@ -45,7 +46,8 @@
 
 
 class Service:
-    def __init__(self, configuration: Configuration, log: JsonLog) -> None:
+    def __init__(self, configuration: Configuration, log: JsonLog, folder: str | None = None) -> None:
+        """`folder`: where another process of this balancer finds this one; without it none does."""
         self._configuration, self._log = configuration, log
         self.ready = asyncio.Event()
         self._ending = asyncio.Event()
@@ -54,23 +56,48 @@
         # A request takes two descriptors, its caller's connection and an upstream's: half for each side.
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         own = OWN_DESCRIPTORS + (MOST_CALLS + SPARES + 1 if configuration.admin else 0)
-        most = max(2, (min(configuration.limits.sockets, allowed) - own) // 2)
-        self._upstreams = Upstreams(host.settings.connect_timeout_ms, host.idle_ms, most)
+        self._most = max(4, min(configuration.limits.sockets, allowed) - own) // 2
+        self._upstreams = Upstreams(host.settings.connect_timeout_ms, host.idle_ms, self._most)
         self.copy = Copy(host, configuration.seed, Clock(), self._upstreams, log)
         self._chance = random.Random(configuration.seed)
         self._follower = Follower(self.copy, configuration.discovery, self._chance)
         self._following: asyncio.Task[None] | None = None
-        self._listener = Listener(self._answer, LONGEST_BODY, most, log)
-        desk = Desk(self.copy, self._is_ready)
+        self._listener = Listener(self._answer, LONGEST_BODY, self._most, log)
+        # An upgrade is for operators, who ask at the second address whether the new process serves.
+        self._handover: Handover | None = None
+        if configuration.admin is not None and folder:
+            self._handover = Handover(
+                Path(folder),
+                configuration.name,
+                self.copy,
+                lambda: self._listener.listening,
+                self._processes_changed,
+                log,
+            )
+        by_hand = self._handover or self.copy
+        desk = Desk(self.copy, self._is_ready, by_hand.suspend, by_hand.restore)
         self._admin = AdminListener(desk.answer, log, self.copy.clock.now_ms)
         self.admin_port = 0
 
     def _is_ready(self) -> bool:
         return self.ready.is_set() and not self._ending.is_set()
 
+    @property
+    def _handed_on(self) -> bool:
+        return self._handover is not None and self._handover.successor_serves
+
+    def _processes_changed(self) -> None:
+        """Another process of this balancer came or went: both are one to callers, and to the limits."""
+        assert self._handover is not None
+        most = self._most if self._handover.alone else self._most // 2
+        self._upstreams.share(most)
+        self._listener.share(most)
+        self._listener.hand_on(self._handed_on)
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request._message.path == READY and request.method == "GET":
-            return web.Response(status=200 if self._is_ready() else 500)
+            # With a successor that serves, the balancer is ready, whichever process is asked.
+            return web.Response(status=200 if self._is_ready() or self._handed_on else 500)
         return await serve(self.copy, request)
 
     def end(self) -> None:
@@ -84,7 +111,7 @@
         """
         before = self._configuration
         try:
-            new = read_successor(before, os.environ.get("PROXY_ADMIN_ADDR", ""))
+            new = read_successor(before)
         except ConfigurationError as error:
             self.copy.tally.load_errors += 1
             self._log("configuration_unreadable", error=str(error))  # the one in force stays
@@ -125,7 +152,9 @@
         self.copy.listed(configuration.known, cached=True)
         if configuration.admin is not None:
             self.admin_port = await self._admin.start(*configuration.admin)
-        self.port = await self._listener.start(*configuration.listen)
+        listening = await self._handover.take_over() if self._handover is not None else None
+        reuse_port = self._handover is not None  # the way in where no process hands its socket over
+        self.port = await self._listener.start(*configuration.listen, listening, reuse_port)
         self._following = loop.create_task(self._follower.run())
         if not configuration.host.settings.must_ask:  # else the module asks in its own time
             try:
@@ -135,10 +164,16 @@
         gc.collect()
         gc.freeze()  # what lives from here on is small; the rest need not be looked through again
         self.ready.set()
+        if self._handover is not None:
+            self._handover.serving()
         self._log("ready", listen=list(configuration.listen), tier=configuration.host.settings.tier)
         await self._ending.wait()
+        if self._handover is not None:
+            self._handover.end()
         await self._finish()
         self._admin.close()
+        if self._handover is not None:
+            self._handover.close()
         self._following.cancel()
         await self._upstreams.close()
         self._log("ended", invariants_broken=dict(self.copy.invariants.broken))
@@ -149,7 +184,8 @@
         loop = asyncio.get_running_loop()
         classes = self._configuration.host.settings.classes
         end_s = loop.time() + min(max(c.deadline_ms for c in classes) / 1000, MOST_DEADLINE_S) + LAST_WORD_S
-        await asyncio.sleep(TAKE_ON_S)
+        if not self._handed_on:  # else the successor takes what is new
+            await asyncio.sleep(TAKE_ON_S)
         # Callers go on using the connections that they have, and another balancer may be down as well: what
         # comes on them is taken while it still has the time that most answers take.
         await self._listener.serve_on(end_s - min(c.aim_ms for c in classes) * MOST_ANSWERS / 1000)
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -84,9 +84,24 @@
         self.upstreams.retune(host.settings.connect_timeout_ms, host.idle_ms)
         self.happened(api.Retuned(host.settings))
 
-    def suspend(self, name: str) -> bool:
-        """Nothing more to this upstream from this moment on; whether it was ever listed."""
-        event = self.directory.suspend(name)
+    def hand_over(self) -> tuple[float, float, dict[str, api.Known]]:
+        """What the module knows, for a successor: quota, room, and upstreams by discovery's ids."""
+        memory = self._balancer.hand_over()
+        names = ((self.directory.name(number), known) for number, known in memory.upstreams.items())
+        return memory.quota, memory.room, {name: known for name, known in names if name}
+
+    def recall(self, quota: float, room: float, upstreams: dict[str, api.Known]) -> None:
+        """What the process before this one knew; after the list that it followed."""
+        numbers = ((self.directory.number(name), known) for name, known in upstreams.items())
+        by_number = {number: known for number, known in numbers if number is not None}
+        self.happened(api.Recalled(api.Memory(quota, room, by_number)))
+
+    def suspend(self, name: str, heard: bool = False) -> bool:
+        """Nothing more to this upstream from this moment on; whether it was ever listed.
+
+        `heard`: of the other process of an upgrade, which knows it.
+        """
+        event = self.directory.suspend(name, heard)
         if event is not None:
             self.log("suspended", upstream=name)
             self._by_hand(event)
--- a/madderwind/routing/directory.py
+++ b/madderwind/routing/directory.py
@@ -27,6 +27,15 @@
     up_since_ms: float
 
 
+class Memory(NamedTuple):
+    """What a directory knows beside the list in force. Upstreams go by discovery's ids."""
+
+    ends: dict[str, End]
+    listed_before: list[str]
+    suspended: list[str]
+    restored_ms: dict[str, float]
+
+
 class Directory:
     """Gives every id a number, and keeps where each is and whether it may get anything new.
 
@@ -44,6 +53,7 @@
         self._ids: dict[int, str] = {}
         self._out: Counter[int] = Counter()  # attempts and probes
         self._addresses: dict[int, tuple[str, int]] = {}
+        self._members: dict[int, Member] = {}  # as discovery wrote them
         self._told: dict[int, UpstreamEntry] = {}  # what discovery says, whatever was done by hand
         self._ends: dict[str, End] = {}
         self._ever: dict[str, None] = {}  # ids that were listed, the latest last
@@ -58,7 +68,7 @@
         if listing.complete:
             self._told = {}  # what a whole list leaves out is gone
         for member, entry in zip(listing.members, entries, strict=True):
-            self._addresses[entry.upstream] = member.address
+            self._addresses[entry.upstream], self._members[entry.upstream] = member.address, member
             self._told[entry.upstream] = entry
         told_gone = {entry.upstream for entry in entries if entry.state is UpstreamState.GONE}
         left_out = before - set(self._told)
@@ -72,8 +82,31 @@
         kind = ListKind.WHOLE if listing.complete else ListKind.CHANGES
         return FleetListed(ListKind.CACHED if cached else kind, listing.revision, in_force)
 
-    def suspend(self, name: str) -> FleetListed | None:
-        """Nothing more to it, whatever discovery says, until it is restored. None: never listed."""
+    def listing(self) -> Listing:
+        """The list in force, with what drains."""
+        return Listing(self.revision, True, tuple(self._members[number] for number in self._told))
+
+    def memory(self) -> Memory:
+        """What was told and done that the list in force does not say."""
+        return Memory(dict(self._ends), list(self._ever), sorted(self.suspended), dict(self._restored_ms))
+
+    def recall(self, memory: Memory) -> None:
+        """What the process before this one was told and did; before the list that it followed is taken."""
+        for name in (*memory.listed_before, *memory.suspended):
+            _keep(self._ever, name, None, NAMES_KEPT, beside=self.suspended)
+        self.suspended |= set(memory.suspended)
+        for name, at_ms in memory.restored_ms.items():
+            _keep(self._restored_ms, name, at_ms, RESTORES_KEPT)
+        for name, end in memory.ends.items():
+            self._remember(name, end)
+
+    def suspend(self, name: str, heard: bool = False) -> FleetListed | None:
+        """Nothing more to it, whatever discovery says, until it is restored. None: never listed.
+
+        `heard`: of a process that knows it.
+        """
+        if heard:
+            _keep(self._ever, name, None, NAMES_KEPT, beside=self.suspended)
         if name not in self._ever:
             return None
         self.suspended.add(name)
@@ -152,7 +185,10 @@
         if self._out[number] <= 0:
             del self._out[number]
             if number in self._ids and number not in self._told:
-                del self._numbers[self._ids.pop(number)], self._addresses[number]
+                del self._numbers[self._ids.pop(number)], self._addresses[number], self._members[number]
+
+    def number(self, name: str) -> int | None:
+        return self._numbers.get(name)
 
     def name(self, upstream: int) -> str:
         return self._ids.get(upstream, "")
--- a/madderwind/settings.py
+++ b/madderwind/settings.py
@@ -190,7 +190,7 @@
     profiles = tree.get("Profiles")
     for number, profile in enumerate(profiles if isinstance(profiles, list) else ()):
         for name in ABOVE_ZERO:
-            if name in profile:
+            if isinstance(profile, dict) and name in profile:
                 _must_be_above_zero(f"Profiles.{number}.{name}", profile[name])
     ceilings = tree.get("Ceilings")
     if isinstance(ceilings, dict) and "MaxAttempts" in ceilings:
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -114,6 +114,7 @@
         self._taking_in: set[asyncio.Task[None]] = set()
         self._open = 0
         self._ending = False
+        self._handed_on = False
         self._round: asyncio.TimerHandle | None = None
         self._web = _Connections(
             self._handle,
@@ -132,16 +133,40 @@
             message, payload, protocol, writer, task, loop, client_max_size=self._longest_body
         )
 
-    async def start(self, host: str, port: int) -> int:
-        """The port that is listened on: the one asked for, or a free one for 0."""
-        self._socket = socket.create_server((host, port), backlog=BACKLOG)
+    async def start(
+        self, host: str, port: int, listening: socket.socket | None = None, reuse_port: bool = False
+    ) -> int:
+        """The port that is listened on: the one asked for, or a free one for 0.
+
+        `listening`: a socket that another process listens on, in place of one of its own.
+        """
+        if listening is None:
+            listening = socket.create_server((host, port), backlog=BACKLOG, reuse_port=reuse_port)
+        self._socket = listening
         self._socket.setblocking(False)
         self._listen()
         self._look_round()
         return int(self._socket.getsockname()[1])
 
+    @property
+    def listening(self) -> socket.socket | None:
+        return self._socket
+
+    def hand_on(self, handed_on: bool) -> None:
+        """Whether another process accepts from the same queue in place of this one. Callers are sent there by
+        the close of their connection after its next answer; without that process this one accepts again."""
+        self._handed_on = handed_on
+        if handed_on and self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+        else:
+            self._listen()
+
+    def share(self, most_connections: int) -> None:
+        """How many connections it may hold from now on."""
+        self._web.most = most_connections
+
     def _listen(self) -> None:
-        if self._socket is not None:
+        if self._socket is not None and not self._handed_on:
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
     def _look_round(self) -> None:
@@ -193,7 +218,7 @@
             response = await self._handler(request)
         finally:
             self._open -= 1
-        if self._ending or self._web.over() > 0:
+        if self._ending or self._handed_on or self._web.over() > 0:
             response.force_close()
         return response
 
@@ -204,7 +229,8 @@
         """
         loop = asyncio.get_running_loop()
         if self._socket is not None:
-            self._accept()  # what waits by now is taken, not reset
+            if not self._handed_on:
+                self._accept()  # what waits by now is taken, not reset
             loop.remove_reader(self._socket)
             self._socket.close()
             self._socket = None
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -164,7 +164,7 @@
 
     def __init__(self, most: int) -> None:
         super().__init__(limit=0, use_dns_cache=False)
-        self._most = most
+        self.most = most
         self.trust = _Trust()
 
     def tune(self, idle_s: float, stall_s: float) -> None:
@@ -175,7 +175,7 @@
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
         self._drop_unclean(req.connection_key)
-        if not self._conns.get(req.connection_key) and self._held() >= self._most and not self._drop_idle():
+        if not self._conns.get(req.connection_key) and self._held() >= self.most and not self._drop_idle():
             raise _NotWritten
         return await super().connect(req, traces, timeout)
 
@@ -226,6 +226,10 @@
         # Guards against a second copy: the client resends a GET by itself when a kept connection breaks.
         self._session._retry_connection = False
 
+    def share(self, most: int) -> None:
+        """How many connections it may hold from now on."""
+        self._connector.most = most
+
     def retune(self, connect_timeout_ms: float, idle_ms: float) -> None:
         """New times, for connections from now on."""
         self._timeout = aiohttp.ClientTimeout(total=None, connect=(connect_timeout_ms / 1000) or None)
--- a/tests/program/harness.py
+++ b/tests/program/harness.py
@@ -44,6 +44,7 @@
 
     def __init__(self, folder: Path, *upstreams: Upstream, **ceilings: Any) -> None:
         self._folder, self._upstreams, self._ceilings = folder, upstreams, ceilings
+        self._old: list[asyncio.Task[None]] = []
         self.agent = Agent()
         self.log = KeptLog()
 
@@ -56,11 +57,24 @@
         path.write_bytes(
             examples.configuration(examples.listing(*members), self.agent.port, **self._ceilings)
         )
-        self.service = Service(read_configuration(str(path)), self.log)
-        self.task = asyncio.create_task(self.service.run())
+        self.service, self.task = self.new()
         await within(self.service.ready.wait())
         return self
 
+    def new(self) -> tuple[Service, asyncio.Task[None]]:
+        """One more process of this balancer."""
+        configuration = read_configuration(str(self._folder / "config.json"))
+        service = Service(configuration, self.log, str(self._folder))
+        return service, asyncio.create_task(service.run())
+
+    async def upgrade(self) -> Service:
+        """One more process of this balancer, which serves, in the place of the one before; that one."""
+        old = self.service
+        self._old.append(self.task)
+        self.service, self.task = self.new()
+        await within(self.service.ready.wait())
+        return old
+
     @property
     def port(self) -> int:
         return self.service.port
@@ -84,7 +98,9 @@
             await asyncio.sleep(0)
 
     async def __aexit__(self, *_: object) -> None:
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
+        tasks = [self.task, *self._old]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         for listener in (self.agent, *self._upstreams):
             await listener.__aexit__()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,7 +18,18 @@
     "protocol": {"policy", "settings", "clock", "eventlog", "transport"},
     "routing": {"policy", "settings", "clock", "eventlog", "transport", "protocol"},
     "admin": {"policy", "settings", "clock", "eventlog", "transport", "protocol", "routing"},
-    "program": {"policy", "settings", "clock", "eventlog", "transport", "protocol", "routing", "admin"},
+    "handover": {"policy", "settings", "clock", "eventlog", "transport", "protocol", "routing"},
+    "program": {
+        "policy",
+        "settings",
+        "clock",
+        "eventlog",
+        "transport",
+        "protocol",
+        "routing",
+        "admin",
+        "handover",
+    },
 }
 
 
