Long bodies and answers pass on in pieces within one budget of bytes

Ruled out: stalls (none logged), memory (46 of 80 MB).

Change: transport/bodies.py, transport/budget.py, passing in transport/upstreams.py and routing/exchange.py; the module hears BodyPassing and AnswerBegan, sends neither again, and counts neither as open work. Time runs from the last byte of a long body and to the first of a long answer. Absolute targets; four requests may wait behind one.

--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -191,8 +191,18 @@
     is_write: bool
 
 
+class BodyPassing(Event, frozen=True, gc=False):
+    """A long body goes to the upstream as it comes: its beginning is let go, so it is not sent again.
+
+    Told when that begins, with an endless deadline, and when its last byte is written, with the real one.
+    """
+
+    request_id: int
+    deadline_ms: float
+
+
 class AnswerBegan(Event, frozen=True, gc=False):
-    """A streamed answer has begun to reach the client."""
+    """A long answer has begun to reach the client."""
 
     request_id: int
     attempt: int
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -150,7 +150,17 @@
         self.attempts: list[Attempt] = []
         self.size = 1.0  # its work over its class's usual, where a hint tells
         self.waiting_cost: float | None = None  # set while a retry's wait runs
-        self.streaming = False
+        self.streaming, self.let_go = False, False  # its answer has begun; its body's beginning is let go
+        self.passing = False  # body or answer goes on in pieces: it takes nobody's time meanwhile
+
+    @property
+    def once_only(self) -> bool:
+        return self.streaming or self.let_go
+
+    def body_passes(self, now: float, deadline_ms: float) -> None:
+        """Its time counts from its last byte, and so does silence after it."""
+        self.let_go, self.passing = True, math.isinf(deadline_ms)
+        self.deadline_ms, self.attempts[-1].sent_ms = deadline_ms, now
 
     def open_attempts(self) -> int:
         return sum(a.outcome is None for a in self.attempts)
@@ -158,7 +168,7 @@
 
 def may_be_resent(request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings) -> bool:
     """Whether another attempt at this upstream can have no second effect. The only such test."""
-    if request.streaming or len(request.attempts) >= settings.max_attempts:
+    if request.once_only or len(request.attempts) >= settings.max_attempts:
         return False
     if request.open_attempts() and not settings.second_copies:
         return False
@@ -469,7 +479,10 @@
             case api.ClientLeft():
                 self._requests.pop(event.request_id, None)
             case api.AnswerBegan() if event.request_id in self._requests:
-                self._requests[event.request_id].streaming = True
+                request = self._requests[event.request_id]
+                request.streaming = request.passing = True
+            case api.BodyPassing(request_id, deadline_ms) if request_id in self._requests:
+                self._requests[request_id].body_passes(now, deadline_ms)
             case api.FleetListed():
                 self._picker.listed(event.kind, event.entries)
                 if event.kind is not ListKind.CACHED:
@@ -529,11 +542,15 @@
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = True
         if self._is_front:
-            self._settle(now, len(self._requests) - 1)
-            room = self._admission.admits(len(self._requests) - 1, event.tenant_index, now)
+            self._settle(now, self._open() - 1)
+            room = self._admission.admits(self._open() - 1, event.tenant_index, now)
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
 
+    def _open(self) -> int:
+        """Requests that upstreams have work with. Guards against long messages that crowd out the others."""
+        return sum(not request.passing for request in self._requests.values())
+
     def _settle(self, now: float, open_requests: int) -> None:
         """Before any answer, the shortest time that clients want stands for the usual."""
         typical_ms = self._picker.typical.mean or min(c.aim_ms for c in self._settings.classes)
@@ -601,7 +618,7 @@
             if upstream is not None and usual.mean > 0:
                 upstream.slowness += GAIN * (elapsed_ms / usual.mean - upstream.slowness)
             if outcome is Outcome.OK and self._is_front:
-                self._settle(now, len(self._requests))
+                self._settle(now, self._open())
                 self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, self._picker.held, now)
 
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
@@ -633,7 +650,7 @@
             if now >= request.deadline_ms or not self._send(now, request, cost):
                 self._quota.refund(cost)
                 self._answer(request)
-        elif what == "overdue" and request.attempts[number].outcome is None and not request.streaming:
+        elif what == "overdue" and request.attempts[number].outcome is None and not request.once_only:
             self._overdue(now, request, request.attempts[number])
 
     def _overdue(self, now: float, request: Request, attempt: Attempt) -> None:
--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -19,11 +19,11 @@
 from madderwind.handover.handover import Handover
 from madderwind.program.configuration import Configuration, ConfigurationError, read_successor
 from madderwind.program.log import JsonLog, LibraryLog
-from madderwind.protocol.requests import LONGEST_BODY
 from madderwind.routing.copy import Copy
 from madderwind.routing.discovery import Follower
 from madderwind.routing.exchange import LastWord, serve
 from madderwind.settings import moved, retuned
+from madderwind.transport.budget import Budgets
 from madderwind.transport.listening import Listener
 from madderwind.transport.upstreams import Upstreams
 
@@ -58,11 +58,12 @@
         own = OWN_DESCRIPTORS + (MOST_CALLS + SPARES + 1 if configuration.admin else 0)
         self._most = max(4, min(configuration.limits.sockets, allowed) - own) // 2
         self._upstreams = Upstreams(host.settings.connect_timeout_ms, host.idle_ms, self._most)
-        self.copy = Copy(host, configuration.seed, Clock(), self._upstreams, log)
+        self._budgets = Budgets(configuration.limits.memory_mb)
+        self.copy = Copy(host, configuration.seed, Clock(), self._upstreams, self._budgets, log)
         self._chance = random.Random(configuration.seed)
         self._follower = Follower(self.copy, configuration.discovery, self._chance)
         self._following: asyncio.Task[None] | None = None
-        self._listener = Listener(self._answer, LONGEST_BODY, self._most, log)
+        self._listener = Listener(self._answer, self._most, log)
         # An upgrade is for operators, who ask at the second address whether the new process serves.
         self._handover: Handover | None = None
         if configuration.admin is not None and folder:
@@ -89,9 +90,10 @@
     def _processes_changed(self) -> None:
         """Another process of this balancer came or went: both are one to callers, and to the limits."""
         assert self._handover is not None
-        most = self._most if self._handover.alone else self._most // 2
-        self._upstreams.share(most)
-        self._listener.share(most)
+        processes = 1 if self._handover.alone else 2
+        self._upstreams.share(self._most // processes)
+        self._listener.share(self._most // processes)
+        self._budgets.share(processes)
         self._listener.hand_on(self._handed_on)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -195,4 +197,6 @@
             self._log("answered_at_the_end", count=left)
             self.copy.end_all(LastWord.ENDING)
             left = await self._listener.finish(LAST_WRITE_S)
+            while self.copy.passes_answers():  # what upstreams still give is not cut off
+                left = await self._listener.finish(LAST_WRITE_S)
             self.copy.invariants.must(not left, "nothing_unanswered_at_the_end", count=left)
--- a/madderwind/protocol/requests.py
+++ b/madderwind/protocol/requests.py
@@ -15,7 +15,6 @@
 # The work that a client announces, in whole microseconds, where it can tell. Seen on requests of deployments
 # with hints; the protocol's page speaks of the figure, not of the header.
 HINT = "X-Size-Hint"
-LONGEST_BODY = 64 * 1024
 # Ids stand in several lines of the log: guards against lines as long as a caller likes.
 LONGEST_ID = 200
 # Longer waits than a day are no wait that a client means.
@@ -113,6 +112,16 @@
         )
 
 
+def origin_form(target: str) -> str:
+    """A target as upstreams expect it: an absolute one without its scheme and host, others to the letter."""
+    if target[:7].lower() != "http://":
+        return target
+    rest = target[7:]
+    ends = [at for at in (rest.find("/"), rest.find("?")) if at >= 0]
+    path = rest[min(ends) :] if ends else ""
+    return path if path.startswith("/") else f"/{path}"
+
+
 def _must_be_text(target: str, headers: CIMultiDictProxy[str]) -> None:
     """Guards against bytes that are no UTF-8: the client leaves them out, and an id would go on changed."""
     for text in (target, *headers.values()):
@@ -156,10 +165,17 @@
     return hint_ms, key, is_write, odd
 
 
-def headers_onward(headers: CIMultiDictProxy[str], left_ms: float) -> CIMultiDict[str]:
-    """The request's headers for an upstream: without those of one connection, with the time that is left."""
+def headers_onward(
+    headers: CIMultiDictProxy[str], left_ms: float, length: int | None = None
+) -> CIMultiDict[str]:
+    """The request's headers for an upstream: without those of one connection, with the time that is left.
+
+    `length`: of a body that passes on in pieces, where it is told.
+    """
     onward: CIMultiDict[str] = CIMultiDict(
         (name, value) for name, value in headers.items() if name.lower() not in HOP_BY_HOP
     )
     onward[EXPIRES] = str(max(0, int(left_ms)))
+    if length is not None:
+        onward["Content-Length"] = str(length)
     return onward
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -18,6 +18,7 @@
 from madderwind.routing.directory import Directory
 from madderwind.routing.tally import Tally
 from madderwind.settings import HostSettings
+from madderwind.transport.budget import Budgets
 from madderwind.transport.upstreams import Answer, Letter, Upstreams
 
 if TYPE_CHECKING:
@@ -30,10 +31,16 @@
     """Feeds the module its events, one by one on one clock, and hands out its actions. Decides nothing."""
 
     def __init__(
-        self, host: HostSettings, seed: int, clock: Clock, upstreams: Upstreams, log: EventLog
+        self,
+        host: HostSettings,
+        seed: int,
+        clock: Clock,
+        upstreams: Upstreams,
+        budgets: Budgets,
+        log: EventLog,
     ) -> None:
         self.host, self.settings = host, host.settings
-        self.clock, self.upstreams, self.log = clock, upstreams, log
+        self.clock, self.upstreams, self.budgets, self.log = clock, upstreams, budgets, log
         self.log_sparingly = Sparing(log, clock.now_ms)
         self.invariants = Invariants(log)
         self.reader = RequestReader(host)
@@ -52,6 +59,10 @@
         self._last_number = (self._last_number + 1) % 2**32
         return self._last_number
 
+    def passes_answers(self) -> bool:
+        """Whether a long answer is on its way to a caller."""
+        return any(exchange.passing is not None for exchange in self.open.values())
+
     def end_all(self, word: LastWord) -> None:
         """Every open request gets the host's last word."""
         for exchange in self.open.values():
--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Awaitable, Mapping
 from enum import Enum
 
 import msgspec
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDictProxy
 
 from madderwind.policy import api
@@ -22,16 +22,18 @@
     outcome_of,
     refusal_headers,
 )
-from madderwind.protocol.requests import TRACE_ID, Asked, BadRequest, headers_onward
+from madderwind.protocol.requests import TRACE_ID, Asked, BadRequest, headers_onward, origin_form
 from madderwind.routing.copy import Copy
-from madderwind.transport.listening import BadBody, whole_body
-from madderwind.transport.upstreams import Answer, Letter
+from madderwind.transport.bodies import PASSING, READ_S, BadBody, Body
+from madderwind.transport.listening import CallersRequest
+from madderwind.transport.upstreams import Answer, Letter, Upload
 
 # The host's own last word comes this long after the deadline, if the module has said none by then: the rules
 # leave it 50 ms and the settings' slack, and a loop that is late must not overtake the module's answer.
 LAST_WORD_MS = 35.0
-# A caller has this long for a body: it sends at once, and is owed an error within 3 s of connecting.
-READ_S = 2.0
+# A long body may take so long from its beginning to its last byte, and a caller of a long answer so long to
+# make room for its next piece: either side may be slow, for seconds.
+MOST_UPLOAD_MS, SLOWEST_READER_S = 120_000.0, 30.0
 
 
 class LastWord(Enum):
@@ -49,6 +51,10 @@
     headers: Mapping[str, str] = {}
 
 
+class CallerGone(Exception):
+    """The caller of a long answer has left, or takes nothing more."""
+
+
 class Exchange:
     """One request that was taken: its happenings come through `inbox`, in order, to its own task."""
 
@@ -57,12 +63,13 @@
         copy: Copy,
         number: int,
         asked: Asked,
-        letter: tuple[str, str, CIMultiDictProxy[str], bytes],
+        request: web.BaseRequest,
+        target: str,
+        body: Body,
         now_ms: float,
     ) -> None:
         self.copy, self.number, self.asked = copy, number, asked
-        self.method, self.target, self.headers, self.body = letter
-        self.deadline_ms = now_ms + asked.wait_ms
+        self.request, self.target, self.body = request, target, body
         self.category = copy.host.class_names[asked.class_index]
         # Its class as it came: new settings do not loosen what is under way.
         self.klass = copy.settings.classes[asked.class_index]
@@ -71,13 +78,45 @@
         self.withdrawn: set[int] = set()
         self.trail: list[tuple[str, str, float]] = []  # each attempt's upstream, outcome and time
         self.answers: dict[int, Answer] = {}
-        self.turned_away: set[int] = set()
+        self.turned_away: dict[int, Final] = {}  # attempts that say that the request itself is at fault
         self.final: Final | None = None
         self.left = False
+        self.taken_ms: float | None = None  # when its last byte came
+        self.let_go = False  # the beginning of its body: it cannot be sent again
+        self.written_ms: dict[int, float] = {}  # when each attempt's last byte was written
+        self.passing: int | None = None  # the attempt whose answer passes on in pieces
+        self.passing_ms = 0.0  # since when
+        self.response: web.StreamResponse | None = None  # that answer
+        self._last_word: asyncio.TimerHandle | None = None
+        if body.whole:
+            self.taken(now_ms)
+        else:
+            self.bind(now_ms + asked.wait_ms + MOST_UPLOAD_MS)
 
     @property
     def over(self) -> bool:
-        return self.final is not None or self.left
+        """Whether nothing more may be sent for it."""
+        return self.final is not None or self.left or self.passing is not None
+
+    def taken(self, now_ms: float) -> None:
+        """Its last byte has come: its time counts from here."""
+        self.taken_ms = now_ms
+        self.copy.tally.taken += 1
+        self.bind(now_ms + self.asked.wait_ms)
+
+    def bind(self, deadline_ms: float) -> None:
+        """Its deadline, and the host's own last word if the module has said none by then."""
+        self.deadline_ms = deadline_ms
+        self.unbind()
+        self._last_word = asyncio.get_running_loop().call_at(
+            self.copy.clock.loop_time_s(deadline_ms + LAST_WORD_MS),
+            self.inbox.put_nowait,
+            LastWord.DEADLINE,
+        )
+
+    def unbind(self) -> None:
+        if self._last_word is not None:
+            self._last_word.cancel()
 
     # --- what the module asks for ---
 
@@ -92,13 +131,26 @@
                 timed_out = bool(self.trail) and self.trail[-1][1] == Outcome.TIMEOUT.value
                 self.settle(Final(TIMED_OUT if timed_out else FAILED, b"failed\n"))
             case api.Cancel(_, attempt) if attempt < len(self.attempts):
-                self.withdrawn.add(attempt)
-                self.attempts[attempt].cancel()
+                self.withdraw(attempt)
 
     def settle(self, final: Final) -> None:
         if self.copy.invariants.must(not self.over, "one_final_answer", trace_id=self.asked.trace_id):
             self.final = final
 
+    def withdraw(self, attempt: int) -> None:
+        self.withdrawn.add(attempt)
+        self.attempts[attempt].cancel()
+
+    def withdraw_all(self) -> None:
+        for number, task in enumerate(self.attempts):
+            if not task.done():
+                self.withdraw(number)
+
+    async def ended(self) -> None:
+        """Until no attempt is out any more, after all were withdrawn."""
+        if self.attempts:
+            await asyncio.wait(self.attempts)
+
     def _send(self, send: api.Send) -> None:
         number = len(self.attempts)
         self.copy.invariants.must(
@@ -120,20 +172,26 @@
         self.copy.directory.began(upstream)
         try:
             outcome, report = await self._ask(number, upstream, until_ms, sent_ms)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerGone) as error:
             outcome = Outcome.CANCELLED
-            if number not in self.withdrawn:
+            if isinstance(error, asyncio.CancelledError) and number not in self.withdrawn:
                 raise
         except Exception as error:  # unsure how far it came, so it may have run
             self.copy.log("attempt_broke", trace_id=self.asked.trace_id, error=repr(error))
             outcome = Outcome.ERROR
         finally:
             self.copy.directory.ended(upstream)
-        elapsed_ms = self.copy.clock.now_ms() - sent_ms
+        began_ms = self.written_ms.get(number, sent_ms) if self.body.is_long else sent_ms
+        ended_ms = self.passing_ms if self.passing == number else self.copy.clock.now_ms()
+        elapsed_ms = max(0.0, ended_ms - began_ms)  # from the last byte, and to the first, of what is long
         self.trail.append((name, outcome.value, round(elapsed_ms, 1)))
-        over = self.over or outcome is Outcome.OK or number in self.turned_away
-        ended = api.AttemptEnded(self.number, over, number, outcome, upstream, elapsed_ms, report)
-        if self.over:
+        done = self.final is not None or self.left
+        beside = self.passing is not None and self.passing != number  # the other one's answer is the caller's
+        over = done or self.passing == number or outcome is Outcome.OK or number in self.turned_away
+        ended = api.AttemptEnded(
+            self.number, over and not beside, number, outcome, upstream, elapsed_ms, report
+        )
+        if done or beside:
             self.copy.happened(ended)
         else:
             self.inbox.put_nowait(ended)
@@ -141,25 +199,40 @@
     async def _ask(
         self, number: int, upstream: int, until_ms: float, sent_ms: float
     ) -> tuple[Outcome, tuple[float, ...]]:
-        copy = self.copy
+        copy, body = self.copy, self.body
         address = copy.directory.address(upstream)
         if address is None or number >= copy.settings.max_attempts or not self._may_write(upstream, until_ms):
             return Outcome.NOT_SENT, ()
+        passage = _Passage(self, number, upstream)
+        upload = None if body.whole and not self.let_go else Upload(self._pieces(), body.length)
+        left_ms = until_ms - sent_ms if upload is None else self.asked.wait_ms
         letter = Letter(
-            self.method,
+            self.request.method,
             self.target,
-            headers_onward(self.headers, until_ms - sent_ms),
-            self.body,
+            headers_onward(self.request.headers, left_ms, upload.length if upload is not None else None),
+            body.held if upload is None else b"",
             lambda: self._may_write(upstream, until_ms),
             self.klass.effect is not Effect.UNSAFE,
-            copy.tally.tried,
+            lambda: self._written(number, letter),
+            upload,
+            passage,
         )
-        answer = await copy.upstreams.ask(upstream, address, letter, copy.clock.loop_time_s(until_ms))
+        if upload is not None:
+            await copy.budgets.passing.wait_for(PASSING)
+        try:
+            answer = await copy.upstreams.ask(upstream, address, letter, copy.clock.loop_time_s(until_ms))
+        finally:
+            if upload is not None:
+                copy.budgets.passing.give_back(PASSING)
+            passage.end()
+        if body.broken is not None:
+            self.turned_away[number] = Final(body.broken.status, f"{body.broken}\n".encode())
+            return Outcome.NOT_SENT, ()
         if isinstance(answer, Outcome):
             return answer, ()
         if answer.status == BAD:
             # The request is at fault, and would be anywhere: no other attempt, and no mark on the upstream.
-            self.turned_away.add(number)
+            self.turned_away[number] = Final(BAD, b"an upstream cannot use it\n")
             return Outcome.CANCELLED, ()
         outcome = outcome_of(answer.status, answer.headers)
         if outcome is Outcome.OK:
@@ -171,16 +244,100 @@
     def _may_write(self, upstream: int, until_ms: float) -> bool:
         """Whether the attempt may still be written: asked again when its connection is up."""
         return (
-            not self.over and self.copy.clock.now_ms() < until_ms and self.copy.directory.takes_new(upstream)
+            not self.over
+            and not self.let_go
+            and self.copy.clock.now_ms() < until_ms
+            and self.copy.directory.takes_new(upstream)
         )
 
+    # --- long messages ---
+
+    async def _pieces(self) -> AsyncIterator[bytes]:
+        """The body as it comes, for the one attempt that gets it."""
+        if self.let_go:
+            raise RuntimeError("the body's beginning is let go")
+        self.let_go = True
+        self.copy.happened(api.BodyPassing(self.number, float("inf")))
+        async for part in self.body.rest():
+            yield part
+
+    def _written(self, number: int, letter: Letter) -> None:
+        """The attempt's last byte is written."""
+        self.copy.tally.tried()
+        self.written_ms[number] = self.copy.clock.now_ms()
+        if letter.upload is None or self.final is not None or self.left:
+            return
+        self.taken(self.copy.clock.now_ms())
+        self.copy.happened(api.BodyPassing(self.number, self.deadline_ms))
+        if letter.limit is not None and self.passing is None:
+            letter.limit.reschedule(self.copy.clock.loop_time_s(self.deadline_ms))
 
-async def serve(copy: Copy, request: web.BaseRequest) -> web.Response:
+
+class _Passage:
+    """One attempt's long answer on its way to the caller, a piece at a time."""
+
+    def __init__(self, exchange: Exchange, number: int, upstream: int) -> None:
+        self._exchange, self._number, self._upstream = exchange, number, upstream
+        self._began_ms = exchange.copy.clock.now_ms()
+        self._has_room = False
+
+    async def begin(self, headers: CIMultiDictProxy[str], length: int | None) -> bool:
+        exchange, copy = self._exchange, self._exchange.copy
+        if exchange.over:
+            return False
+        first_ms = copy.clock.now_ms()
+        await copy.budgets.passing.wait_for(PASSING)
+        self._has_room = True
+        if exchange.over:
+            return False
+        exchange.passing, exchange.passing_ms = self._number, first_ms
+        exchange.unbind()
+        exchange.body.end()  # it is sent to nobody any more
+        elapsed_ms = first_ms - self._began_ms
+        copy.happened(api.AnswerBegan(exchange.number, self._number, self._upstream, elapsed_ms))
+        response = exchange.response = web.StreamResponse(status=200, headers=_kept(headers))
+        if length is not None:
+            response.content_length = length
+        elif exchange.request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        if isinstance(exchange.request, CallersRequest) and exchange.request.is_last():
+            response.force_close()
+        await self._within_reason(response.prepare(exchange.request))
+        return True
+
+    async def write(self, part: bytes) -> None:
+        response = self._exchange.response
+        assert response is not None
+        await self._within_reason(response.write(part))
+
+    async def _within_reason(self, writing: Awaitable[object]) -> None:
+        """Guards against callers that never take their answer, and against blaming the upstream for them."""
+        try:
+            async with asyncio.timeout(SLOWEST_READER_S):
+                await writing
+        except (ConnectionError, TimeoutError):
+            raise CallerGone from None
+
+    def end(self) -> None:
+        if self._has_room:
+            self._exchange.copy.budgets.passing.give_back(PASSING)
+            self._has_room = False
+
+
+async def serve(copy: Copy, request: web.BaseRequest) -> web.StreamResponse:
     """One request's life, top to bottom."""
+    body = Body(request, copy.budgets.holding, READ_S)
+    try:
+        return await _serve(copy, request, body)
+    finally:
+        body.end()
+
+
+async def _serve(copy: Copy, request: web.BaseRequest, body: Body) -> web.StreamResponse:
     try:
-        body = await whole_body(request, READ_S)
-        now_ms = copy.clock.now_ms()  # its time counts from its last byte
-        target = request._message.path
+        await body.begin()
+        now_ms = copy.clock.now_ms()
+        target = origin_form(request._message.path)
         asked = copy.reader.read(request.method, target, request.headers, now_ms)
         if asked.trace_id in copy.open_ids:
             raise BadRequest(f"{TRACE_ID} of a request that is open")  # it would be a second copy of that one
@@ -194,17 +351,9 @@
         return response
     if asked.odd_props is not None:
         copy.log_sparingly("odd_props", trace_id=asked.trace_id, part=asked.odd_props)
-    exchange = Exchange(
-        copy, copy.next_number(), asked, (request.method, target, request.headers, body), now_ms
-    )
-    copy.tally.taken += 1
+    exchange = Exchange(copy, copy.next_number(), asked, request, target, body, now_ms)
     copy.open[exchange.number] = exchange
     copy.open_ids.add(asked.trace_id)
-    last_word = asyncio.get_running_loop().call_at(
-        copy.clock.loop_time_s(exchange.deadline_ms + LAST_WORD_MS),
-        exchange.inbox.put_nowait,
-        LastWord.DEADLINE,
-    )
     try:
         happening: api.Event | LastWord = api.RequestArrived(
             exchange.number,
@@ -218,17 +367,24 @@
         )
         while True:
             if isinstance(happening, LastWord):
-                in_time = happening is not LastWord.DEADLINE
+                if exchange.passing is not None:  # an answer that has begun is its own last word
+                    happening = await exchange.inbox.get()
+                    continue
+                in_time = happening is not LastWord.DEADLINE or exchange.taken_ms is None
                 copy.invariants.must(in_time, "answered_in_time", trace_id=asked.trace_id)
                 exchange.settle(Final(TIMED_OUT, b"failed\n"))
                 copy.decide(api.ClientLeft(exchange.number))
                 break
-            if isinstance(happening, api.AttemptEnded) and happening.outcome is Outcome.OK:
-                # The first whole answer is the caller's at once; the module is told that the request is over.
-                answer = exchange.answers[happening.attempt]
-                exchange.settle(Final(200, answer.body, _kept(answer)))
-            elif isinstance(happening, api.AttemptEnded) and happening.attempt in exchange.turned_away:
-                exchange.settle(Final(BAD, b"an upstream cannot use it\n"))
+            if isinstance(happening, api.AttemptEnded):
+                if happening.attempt == exchange.passing:
+                    served = happening.outcome is Outcome.OK
+                    exchange.final = Final(200 if served else FAILED)
+                elif happening.outcome is Outcome.OK:
+                    # The first whole answer is the caller's at once; the module is told that it is over.
+                    answer = exchange.answers[happening.attempt]
+                    exchange.settle(Final(200, answer.body, _kept(answer.headers)))
+                elif happening.attempt in exchange.turned_away:
+                    exchange.settle(exchange.turned_away[happening.attempt])
             copy.decide(happening, exchange)
             if exchange.final is not None:
                 break
@@ -244,11 +400,14 @@
             exchange.final = Final(BROKEN, b"failed\n")
             copy.happened(api.ClientLeft(exchange.number))
     finally:
-        if exchange.final is not None:
+        if exchange.left or body.broken is not None:
+            copy.tally.client_gone += exchange.taken_ms is not None
+        elif exchange.final is not None:
+            copy.tally.taken += exchange.taken_ms is None  # refused before its last byte came
             copy.tally.answered(exchange.category, exchange.final.status)
-        else:
-            copy.tally.client_gone += 1
-        last_word.cancel()
+        exchange.unbind()
+        if exchange.let_go or exchange.passing is not None:
+            exchange.withdraw_all()  # half a message is of no use to anybody
         del copy.open[exchange.number]
         copy.open_ids.remove(asked.trace_id)
         while not exchange.inbox.empty():  # what came while the last decision was carried out
@@ -256,6 +415,9 @@
                 copy.happened(late)
     final = exchange.final
     assert final is not None
+    if not body.whole and body.broken is None:
+        await exchange.ended()
+        body.linger()
     copy.log(
         "answered",
         trace_id=asked.trace_id,
@@ -264,9 +426,13 @@
         total_ms=round(copy.clock.now_ms() - now_ms, 1),
         attempts=exchange.trail,
     )
+    if exchange.response is not None:
+        if final.status != 200 and request.transport is not None:
+            request.transport.abort()  # so that the caller can tell that the answer is not whole
+        return exchange.response
     return web.Response(status=final.status, body=final.body, headers=final.headers)
 
 
-def _kept(answer: Answer) -> Mapping[str, str]:
-    kind = answer.headers.get("Content-Type")
+def _kept(headers: CIMultiDictProxy[str]) -> Mapping[str, str]:
+    kind = headers.get("Content-Type")
     return {"Content-Type": kind} if kind else {}
--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -18,8 +18,10 @@
 
 HEAD_END = b"\r\n\r\n"
 NO_BODY = frozenset((204, 304))
-# The protocol's page says 64 KiB; good answers of over 300 KB are seen all the same, and must be served.
-LONGEST_ANSWER = 1024 * 1024
+# Messages hold at most 32 MB; this leaves some room, and keeps out those that are longer by far.
+LONGEST_ANSWER = 40 * 1024 * 1024
+# An answer that passes on has so long for its next byte: its peers may take seconds to write.
+PASSING_STALL_S = 10.0
 
 
 class _Awaits(Enum):
@@ -41,6 +43,7 @@
         self.unreadable = False
         self.asked = 0  # requests written to it
         self.heard = False  # whether a byte of the present answer has come
+        self.passes = False  # whether the present answer passes on in pieces
         self._stall_s = stall_s
         self._stalls: asyncio.TimerHandle | None = None
         self._awaits = _Awaits.NOTHING
@@ -50,7 +53,7 @@
 
     def set_response_params(self, **params: Any) -> None:
         self._awaits = _Awaits.HEAD
-        self.asked, self.heard = self.asked + 1, False
+        self.asked, self.heard, self.passes = self.asked + 1, False, False
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -76,6 +79,7 @@
         """What the upstream sent; nothing where the client goes on with what its parser held back."""
         if not data:
             self._feed(data)
+            self._watch_for_a_stall()
             return
         self.heard = True
         while data and self.transport is not None and not self.unreadable:
@@ -93,9 +97,13 @@
             elif data:
                 self.force_close()  # more came than belongs to the answer: before its end gives it back
             self._feed(part)
+        self._watch_for_a_stall()
+
+    def _watch_for_a_stall(self) -> None:
         self._stop_stall_timer()
         if (self._awaits is _Awaits.BODY or self._begun) and self.transport is not None and self._stall_s:
-            self._stalls = self._loop.call_later(self._stall_s, self._stalled)
+            stall_s = max(PASSING_STALL_S, self._stall_s) if self.passes else self._stall_s
+            self._stalls = self._loop.call_later(stall_s, self._stalled)
 
     def _feed(self, part: bytes) -> None:
         in_body = self._awaits is _Awaits.BODY
@@ -130,6 +138,8 @@
         self._stalls = None
         if self.transport is None or (self._awaits is not _Awaits.BODY and not self._begun):
             return
+        if self._reading_paused:
+            return  # it is its reader who is slow; the timer runs again when that one goes on
         self._spoilt("the answer began and did not go on")
 
     @property
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http_exceptions import BadHttpMessage
 from aiohttp.web_protocol import RequestHandler
 
 from madderwind.eventlog import EventLog
@@ -21,12 +20,17 @@
 # A connection on which no request is open may be closed after 2 s. Callers that ask once and stay take memory
 # and descriptors for good; those that go on asking come back sooner than this.
 IDLE_S = 5.0
-# Callers send as soon as they are connected. One that has said nothing, or half a head, is owed an error or a
-# close within 3 s; where descriptors run short, a part of that tells it from one that is new.
-SILENT_S, FRESH_S = 2.0, 0.5
+# Callers send as soon as they are connected, and may take 2 s for a head. One that has said nothing, or half
+# a head, is owed an error or a close within 3 s; where descriptors run short, a part of that tells it from
+# one that is new.
+SILENT_S, FRESH_S = 2.5, 0.5
 # How often connections are looked through for those two.
 ROUND_S = 0.25
 BACKLOG = 1024
+# Requests that may wait behind another on one connection.
+MOST_BEHIND = 4
+# What is read ahead of a long body: twice this at most.
+READ_BUFFER = 64 * 1024
 # How often it is looked whether connections or descriptors have come free.
 LOOK_S = 0.01
 FIRST_LOOK_S = 0.05
@@ -34,6 +38,12 @@
 ACCEPTS = 64
 
 
+class CallersRequest(web.BaseRequest):
+    """A request, and whether its connection ends with the answer: asked before a long one begins."""
+
+    is_last: Callable[[], bool]
+
+
 class _Caller(RequestHandler):
     """One caller's connection, which knows since when it is open."""
 
@@ -106,9 +116,8 @@
 class Listener:
     """Accepts callers' connections. A client that goes away cancels its handler."""
 
-    def __init__(self, handler: Handler, longest_body: int, most_connections: int, log: EventLog) -> None:
+    def __init__(self, handler: Handler, most_connections: int, log: EventLog) -> None:
         self._handler = handler
-        self._longest_body = longest_body
         self._log = log
         self._socket: socket.socket | None = None
         self._taking_in: set[asyncio.Task[None]] = set()
@@ -123,15 +132,14 @@
             access_log=None,
             auto_decompress=False,
             keepalive_timeout=KEEPALIVE_S,
+            read_bufsize=READ_BUFFER,
             lingering_time=0,  # of a request answered before it was whole, nothing more is read
         )
         self._web.most = most_connections
 
     def _request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
         loop = asyncio.get_running_loop()
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, loop, client_max_size=self._longest_body
-        )
+        return CallersRequest(message, payload, protocol, writer, task, loop)
 
     async def start(
         self, host: str, port: int, listening: socket.socket | None = None, reuse_port: bool = False
@@ -207,21 +215,27 @@
             accepted.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.protocol._messages:
-            # Callers send one request at a time. Guards against hundreds at once, which would take from the
-            # time of all others: the connection gets one error, and ends.
-            crowded = web.Response(status=400, text="one request at a time\n")
+        if len(request.protocol._messages) > MOST_BEHIND:
+            # Guards against hundreds at once, which would take from the time of all others: the connection
+            # gets one error, and ends.
+            crowded = web.Response(status=400, text="too many requests at a time\n")
             crowded.force_close()
             return crowded
         self._open += 1
         try:
+            assert isinstance(request, CallersRequest)
+            request.is_last = self._is_last
             response = await self._handler(request)
         finally:
             self._open -= 1
-        if self._ending or self._handed_on or self._web.over() > 0:
+        if self._is_last():
             response.force_close()
         return response
 
+    def _is_last(self) -> bool:
+        """Whether a connection ends with its next answer."""
+        return self._ending or self._handed_on or self._web.over() > 0
+
     async def serve_on(self, until_s: float) -> None:
         """Accept nothing more, and serve on the connections that are open, while there are any.
 
@@ -266,37 +280,6 @@
             await asyncio.sleep(LOOK_S)
 
 
-class BadBody(ValueError):
-    """A body that is too long, broken, or never whole, with the status that says so."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-async def whole_body(request: web.BaseRequest, within_s: float) -> bytes:
-    """The body as it came. Callers that ask first are told to go on.
-
-    Guards against reading what is too long by its own header: that takes time from all other requests.
-    """
-    if (request.content_length or 0) > request._client_max_size:
-        raise BadBody(413, "the body is too long")
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        request.writer.output_size = 0  # or the answer's own headers would count as sent
-    if not request.body_exists:
-        return b""
-    try:
-        async with asyncio.timeout(within_s):
-            return await request.read()
-    except TimeoutError:
-        raise BadBody(408, "the body never came whole") from None
-    except web.HTTPRequestEntityTooLarge:
-        raise BadBody(413, "the body is too long") from None
-    except (web.RequestPayloadError, BadHttpMessage) as error:
-        raise BadBody(400, f"the body cannot be read: {type(error).__name__}") from None
-
-
 def is_idle(connection: RequestHandler) -> bool:
     """Whether it waits for its next request, with nothing unhandled and nothing to be read."""
     waiter, transport = connection._waiter, connection.transport
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -8,9 +8,9 @@
 
 import asyncio
 import functools
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from contextvars import ContextVar
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import aiohttp
 import msgspec
@@ -27,17 +27,37 @@
 
 # Idle connections are given up this part of the upstream's idle time: one that it may be closing is not used.
 IDLE_PART = 0.8
+# An answer up to this is held whole, so that one which is spoilt can still be tried again; the longest hold
+# of one whose length nothing tells; and what is read ahead: twice this at most.
+HELD_ANSWER, HELD_S, READ_BUFFER = 64 * 1024, 1.0, 64 * 1024
 AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """A whole answer, with the bytes as they came."""
+    """A whole answer, with the bytes as they came; no body where that has passed on in pieces."""
 
     status: int
     headers: CIMultiDictProxy[str]
     body: bytes
 
 
+class Sink(Protocol):
+    """Takes an answer that passes on in pieces."""
+
+    async def begin(self, headers: CIMultiDictProxy[str], length: int | None) -> bool:
+        """Whether the answer is wanted."""
+
+    async def write(self, part: bytes) -> None:
+        """The next bytes; returns when there is room for more."""
+
+
+class Upload(NamedTuple):
+    """A body that passes on in pieces, and its length where that is told."""
+
+    pieces: AsyncIterator[bytes]
+    length: int | None
+
+
 class Letter:
     """One attempt's request, and whether its writing has begun.
 
@@ -48,12 +68,16 @@
         "body",
         "connection",
         "headers",
+        "limit",
         "may_repeat",
         "may_write",
         "method",
         "on_whole",
+        "sink",
         "target",
+        "upload",
         "upstream",
+        "whole",
         "written",
     )
 
@@ -66,12 +90,17 @@
         may_write: Callable[[], bool],
         may_repeat: bool = True,
         on_whole: Callable[[], None] = lambda: None,
+        upload: Upload | None = None,
+        sink: Sink | None = None,
     ) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_write = may_write
         self.may_repeat = may_repeat  # whether a second copy of it would do no harm
         self.on_whole = on_whole  # called when its last byte has been written
-        self.written = False
+        self.upload = upload  # in the place of `body`
+        self.sink = sink  # for an answer that is too long to be held
+        self.written, self.whole = False, False  # its first byte; its last
+        self.limit: asyncio.Timeout | None = None
         self.upstream = -1  # the number of the upstream asked
         self.connection: OneAnswer | None = None  # that it is written to
 
@@ -116,6 +145,7 @@
         self.url = _Target(letter.target)  # type: ignore[assignment]
         response = await super().send(conn)
         if self._writer is None and not self._body:
+            letter.whole = True
             letter.on_whole()
         return response
 
@@ -123,8 +153,10 @@
         self, writer: AbstractStreamWriter, conn: Connection, content_length: int | None = None
     ) -> None:
         await super().write_bytes(writer, conn, content_length)
+        letter = _letter.get()
         if conn.protocol is not None and conn.protocol.exception() is None:
-            _letter.get().on_whole()
+            letter.whole = True
+            letter.on_whole()
 
 
 class _Trust:
@@ -222,6 +254,7 @@
             auto_decompress=False,
             trust_env=False,
             skip_auto_headers=AUTO_HEADERS,
+            read_bufsize=READ_BUFFER,
         )
         # Guards against a second copy: the client resends a GET by itself when a kept connection breaks.
         self._session._retry_connection = False
@@ -245,25 +278,20 @@
         url = URL.build(scheme="http", host=address[0], port=address[1])
         try:
             async with (
-                asyncio.timeout_at(until_s),
+                asyncio.timeout_at(until_s) as letter.limit,
                 self._session.request(
                     letter.method,
                     url,
                     headers=letter.headers,
-                    data=letter.body or None,
+                    data=letter.upload.pieces if letter.upload is not None else letter.body or None,
                     allow_redirects=False,
                     timeout=self._timeout,
                 ) as response,
             ):
-                body = b""
-                while part := await response.content.readany():
-                    body += part
-                    if len(body) > LONGEST_ANSWER:
-                        response.close()
-                        return Outcome.ERROR
+                answer = await self._taken_in(response, letter)
                 if letter.connection is not None and letter.connection.asked > 1:
                     self._connector.trust.went_well()
-                return Answer(response.status, response.headers, body)
+                return answer
         except _NotWritten:
             return Outcome.NOT_SENT
         except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as error:
@@ -275,9 +303,11 @@
             # what this machine lacks says nothing of the upstream
             return Outcome.NOT_SENT if own else Outcome.CONNECT_FAILED
         except TimeoutError:
+            if letter.written and not letter.whole:
+                return Outcome.CONNECT_FAILED  # it does not read, and never had the last byte
             return Outcome.TIMEOUT if letter.written else Outcome.NOT_SENT
         except (aiohttp.ClientError, OSError):
-            if not letter.written:
+            if not letter.whole:  # proof that it never ran
                 return Outcome.CONNECT_FAILED
             # What cannot be read says that the upstream lives; that a connection ends does not.
             if letter.connection is not None and letter.connection.unreadable:
@@ -286,6 +316,49 @@
                 self._connector.trust.was_reset(asyncio.get_running_loop().time())
             return Outcome.RESET
 
+    async def _taken_in(self, response: ClientResponse, letter: Letter) -> Answer | Outcome:
+        """An answer that is short is held whole; of one that is long, what serves a request passes on."""
+        loop = asyncio.get_running_loop()
+        length = response.content_length
+        hold_until_s = loop.time() + HELD_S if length is None else None
+        held, ended = b"", False
+        while not ended and len(held) <= HELD_ANSWER and (length or 0) <= HELD_ANSWER:
+            try:
+                async with asyncio.timeout_at(hold_until_s):
+                    part = await response.content.readany()
+            except TimeoutError:
+                break
+            held, ended = held + part, not part
+        if ended:
+            return Answer(response.status, response.headers, held)
+        if response.status != 200:  # whatever else it says, its status says enough
+            response.close()
+            return Answer(response.status, response.headers, b"")
+        if letter.sink is None:
+            response.close()
+            return Outcome.ERROR
+        return await self._pass_on(response, letter, letter.sink, held)
+
+    async def _pass_on(
+        self, response: ClientResponse, letter: Letter, sink: Sink, held: bytes
+    ) -> Answer | Outcome:
+        """Piece by piece, as fast as both sides allow. No deadline cuts off what the upstream still gives."""
+        if letter.connection is not None:
+            letter.connection.passes = True
+        if not await sink.begin(response.headers, response.content_length):
+            response.close()
+            return Outcome.CANCELLED
+        if letter.limit is not None:
+            letter.limit.reschedule(None)
+        passed = 0
+        while part := held or await response.content.readany():
+            held, passed = b"", passed + len(part)
+            if passed > LONGEST_ANSWER:
+                response.close()
+                return Outcome.ERROR
+            await sink.write(part)
+        return Answer(response.status, response.headers, b"")
+
     def close_idle(self, upstream: int) -> None:
         """Close the idle connections to one upstream."""
         for key in [k for k in self._connector._conns if k.proxy_headers_hash == upstream]:
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -393,3 +393,40 @@
 
     assert play(5) == play(5)
     assert play(5) != play(6)
+
+
+# -- long messages
+
+
+def test_a_body_that_was_let_go_is_not_sent_again_and_may_be_refused() -> None:
+    """A break before the last byte proves that it never ran."""
+    script = Script([entry(1), entry(2)])
+    request, actions = script.arrives(UNSAFE, within_ms=60_000.0)
+    script.event(api.BodyPassing(request, float("inf")))
+    (last,) = script.ends(request, Outcome.CONNECT_FAILED, sends(actions)[0].upstream)
+    assert isinstance(last, api.Refuse)
+
+
+def test_a_body_that_was_let_go_gets_no_second_copy() -> None:
+    script = Script([entry(1), entry(2)])
+    for _ in range(20):
+        script.serve(elapsed_ms=20.0)
+    request, _ = script.arrives(within_ms=60_000.0)
+    script.event(api.BodyPassing(request, float("inf")))
+    assert not sends(script.wait(1000))
+    script.event(api.BodyPassing(request, script.now + 4000))
+    assert not sends(script.wait(1500))
+    assert script.balancer.skipped(script.now) == 0  # nobody is blamed for a caller that is slow
+
+
+def test_long_messages_on_their_way_take_no_room() -> None:
+    """Guards against long messages that crowd out all others: no upstream has work with them."""
+    script = Script([entry(1)])
+    for _ in range(60):
+        request, actions = script.arrives(within_ms=60_000.0)
+        assert sends(actions)
+        script.event(api.BodyPassing(request, float("inf")))
+    for _ in range(60):
+        request, actions = script.arrives()
+        assert sends(actions)
+        script.event(api.AnswerBegan(request, 0, 1, 5.0))
--- a/tests/protocol/test_requests.py
+++ b/tests/protocol/test_requests.py
@@ -5,7 +5,14 @@
 import pytest
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from madderwind.protocol.requests import Asked, BadRequest, RequestReader, headers_onward, read_props
+from madderwind.protocol.requests import (
+    Asked,
+    BadRequest,
+    RequestReader,
+    headers_onward,
+    origin_form,
+    read_props,
+)
 from madderwind.settings import read_host_settings
 from tests import examples
 
@@ -115,3 +122,18 @@
 
 def test_no_time_left_is_never_told_as_less_than_none() -> None:
     assert headers_onward(headers(), -3.0)["X-Expires-In-Ms"] == "0"
+
+
+@pytest.mark.parametrize(
+    ("target", "onward"),
+    [
+        ("/lookup/7?x=%2F", "/lookup/7?x=%2F"),
+        ("http://app.svc/lookup", "/lookup"),
+        ("HTTP://app.svc:80/lookup/7?x=http://y", "/lookup/7?x=http://y"),
+        ("http://app.svc?x=1", "/?x=1"),
+        ("http://app.svc", "/"),
+        ("*", "*"),
+    ],
+)
+def test_absolute_targets(target: str, onward: str) -> None:
+    assert origin_form(target) == onward
