Tests: figures agree with the log and with what is open; lists cut short say nothing

Need: the law taken = ended + in progress under any interleaving, and a release during which discovery cuts answers short.

--- a/tests/program/test_admin.py
+++ b/tests/program/test_admin.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import resource
 import socket
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -13,7 +15,19 @@
 from madderwind.admin.listener import MOST_CALLS
 from tests import examples
 from tests.program.harness import Running, call
-from tests.standins import Caller, Upstream, answer, resets, run, says, silent, tell, within
+from tests.standins import (
+    Caller,
+    Message,
+    Upstream,
+    Writer,
+    answer,
+    resets,
+    run,
+    says,
+    silent,
+    tell,
+    within,
+)
 
 
 def test_status_and_what_is_no_call(tmp_path: Path) -> None:
@@ -66,6 +80,62 @@
     run(test())
 
 
+def test_the_figures_agree_with_the_log_and_with_what_is_open(tmp_path: Path) -> None:
+    """taken = ended + in progress at every moment, while requests end in every way, each with one line."""
+
+    async def test() -> None:
+        ends = [
+            answer(200, b"yes"),
+            answer(500),
+            answer(503, X_Never_Ran="1"),
+            answer(400),
+            b"\x00\r\n\r\n",
+            b"",
+        ]
+        turn = itertools.cycle(ends)
+
+        async def behave(_: Message, writer: Writer) -> None:
+            writer.write(said := next(turn))
+            if not said:
+                writer.transport.abort()
+
+        async with Running(tmp_path, Upstream(behave), Upstream(behave)) as running:
+            copy = running.service.copy
+
+            async def asks(number: int) -> None:
+                caller = await Caller.connect(running.port)
+                for at in range(25):
+                    caller.write("POST /charge" if at % 2 else "GET /lookup", b"x" * (at % 2), wait_ms=900)
+                    if at % 7 == number % 7:
+                        caller.close()
+                    elif (await caller.read()).header("Connection") != "close":
+                        continue
+                    caller = await Caller.connect(running.port)
+
+            crowd = [asyncio.create_task(asks(number)) for number in range(12)]
+            looks = 0
+            while not all(task.done() for task in crowd):
+                taken = sum(exchange.taken_ms is not None for exchange in copy.open.values())
+                assert copy.tally.in_progress == taken
+                looks += 1
+                await asyncio.sleep(0)
+            await within(asyncio.gather(*crowd))
+            await within(running.settled())
+            said = (await running.call("METRICS")).splitlines()
+            logged: Counter[str] = Counter()
+            for line in running.log.named("answered"):
+                outcome = {200: "passed", 503: "dropped"}.get(line["status"], "bad_gateway")
+                logged[f'{("lookup", "charge", "checkout")[line["class_index"]]}",outcome="{outcome}'] += 1
+            for key, count in logged.items():
+                assert f'svc_handled_total{{category="{key}"}} {count}' in said
+            assert len(logged) > 4 and looks > 100
+            gone = len(running.log.named("client_left"))
+            assert copy.tally.taken == logged.total() + gone == copy.tally.ended
+            assert not running.broken
+
+    run(test())
+
+
 def test_silent_callers_keep_nobody_away(tmp_path: Path) -> None:
     """Guards against callers that hold connections by hundreds and say nothing."""
 
--- a/tests/program/test_discovery.py
+++ b/tests/program/test_discovery.py
@@ -350,3 +350,36 @@
             assert len(running.agent.asked) == 1  # the watch was left alone
 
     run(test())
+
+
+@pytest.mark.parametrize("cut", ["half a line", "a chunk that ends early", "a whole list that breaks"])
+def test_an_answer_that_is_cut_short_says_nothing(tmp_path: Path, cut: str) -> None:
+    """It revives nothing that drains, and the watch goes on from the revision that is held."""
+
+    async def test() -> None:
+        upstreams = Upstream(says(answer(200, b"0"))), Upstream(says(answer(200, b"1")))
+        async with Running(tmp_path, *upstreams) as running:
+            watch = await within(running.agent.watches.get())
+            drains = examples.member("s-0", upstreams[0].port, "Terminating")
+            tell(watch, examples.listing(drains, revision=50, complete=False))
+            await until(lambda: running.service.copy.directory.revision == 50)
+            members = [examples.member(f"s-{n}", u.port) for n, u in enumerate(upstreams)]
+            told = examples.listing(*members, revision=60, complete=cut == "a whole list that breaks")
+            line = json.dumps(told).encode() + b"\n"
+            if cut == "a chunk that ends early":
+                watch.write(b"%x\r\n%s" % (len(line), line[:-40]))
+            else:
+                tell_bytes(watch, line[:-40])
+            await watch.drain()
+            watch.close()
+            again = await within(running.agent.watches.get())
+            assert running.agent.asked[-1].start.split(" ")[1].endswith("from=50")
+            caller = await Caller.connect(running.port)
+            for _ in range(5):
+                assert (await caller.ask()).body == b"1"
+            tell(again, examples.listing(*members, revision=60))  # the same, whole
+            await until(lambda: running.service.copy.directory.revision == 60)
+            assert running.service.copy.directory.takes_new(0)
+            assert not running.broken
+
+    run(test())
