An upstream that was called back is owed an attempt within 4.5 s, whatever the traffic

Change: Upstream.owed_ms, set when a suspended one is ready again, drawn by chance so that forty copies do not come together.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -45,11 +45,13 @@
 CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
 OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
-# Cold upstreams get this part of what their least possible capacity would allow, since chance adds to it, and
-# so may their size, where that is not told.
+# The part of their least capacity that cold upstreams get: chance adds to it, and size where it is not told.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
 SHORTEST_MS = 0.1
+# An upstream that was called back is owed its first attempt by chance between half of this and all of it.
+OWED_MS = 4500.0
+READY = UpstreamState.READY
 
 
 class RetryQuota:
@@ -104,6 +106,7 @@
         self.heard_ms = float("-inf")  # its last answer
         self.cold_credit: float | None = None
         self.held, self.held_ms = 0.0, float("-inf")  # requests it reports to hold, of all copies
+        self.owed_ms = float("inf")  # from when on the next attempt is its own, as it was called back
 
     def relist(self, entry: api.UpstreamEntry) -> None:
         if entry.started_ms > self.started_ms:
@@ -236,6 +239,8 @@
             if entry.state is UpstreamState.GONE:
                 self.fleet.pop(upstream, None)
             elif upstream in self.fleet:
+                if self.fleet[upstream].entry.state is UpstreamState.SUSPENDED and entry.state is READY:
+                    self.fleet[upstream].owed_ms = entry.started_ms + OWED_MS * self._rng.uniform(0.5, 1.0)
                 self.fleet[upstream].relist(entry)
             else:
                 self.fleet[upstream] = Upstream(entry, self._first_slowness(entry, ratings))
@@ -250,7 +255,7 @@
     def _reorder(self) -> None:
         """Each copy prefers every so-many-th by rating, from starts spread over the copies: big and small.
         Guards against copies that know nothing of any upstream and hold a connection to each."""
-        ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
+        ready = [u for u in self.fleet.values() if u.entry.state is READY]
         ready.sort(key=lambda u: (u.entry.rating, u.entry.upstream))
         count, copies = len(ready), max(1, self._settings.copies)
         self._near = min(count, max(NEAR, math.ceil(COPIES_EACH * count / copies)))
@@ -291,11 +296,6 @@
             self._usable, self._usable_ms = sum(u.warmth(now, self._settings) for u in in_use), now
         return self._usable
 
-    def skipped(self, now: float) -> int:
-        """How many of the listed get nothing now, by hand or set aside."""
-        by_hand = sum(u.entry.state is UpstreamState.SUSPENDED for u in self.fleet.values())
-        return by_hand + sum(now < u.aside_until_ms for u in self._order)
-
     def pick(self, request: Request, now: float, size: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         self._now = now
@@ -325,7 +325,7 @@
         sound = [u for u in able if u.sound(now)]
         if len(sound) < SOUND_PART * len(able):
             sound = able
-        pool = [u for u in sound if not u.sent_ms]
+        pool = [u for u in sound if now >= u.owed_ms] or [u for u in sound if not u.sent_ms]
         if not pool and sound:
             # Guards against slow upstreams holding as many: in flight counts in the time that it takes there.
             load = [len(u.sent_ms) * self.slowness(u) for u in sound]
@@ -334,6 +334,7 @@
         if not pool:
             return None
         chosen = self._rng.choices(pool, [self._weight(u, request.size) for u in pool])[0]
+        chosen.owed_ms = float("inf")
         if chosen.cold_credit is not None:
             chosen.cold_credit -= size
         self._cold = cold
@@ -359,7 +360,7 @@
 
     def _takes_cold(self, u: Upstream, warm: bool, size: float) -> bool:
         """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
-        if not warm:
+        if not warm or self._now >= u.owed_ms:
             return not u.sent_ms
         if u.cold_credit is None:  # a random start, so that not all copies send their first at once
             u.cold_credit = -self._rng.random() * size
@@ -501,8 +502,9 @@
         return self._out
 
     def skipped(self, now: float) -> int:
-        """How many listed upstreams are avoided now. Changes nothing."""
-        return self._picker.skipped(now)
+        """How many listed upstreams get nothing now, by hand or set aside. Changes nothing."""
+        fleet = [(u.entry.state, now < u.aside_until_ms) for u in self._picker.fleet.values()]
+        return sum(state is UpstreamState.SUSPENDED or (state is READY and aside) for state, aside in fleet)
 
     def hand_over(self) -> api.Memory:
         """What a successor goes on from. Half of the quota goes with it: both spend no more than one."""
--- a/tests/policy/test_pick.py
+++ b/tests/policy/test_pick.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 from typing import Any
 
+import pytest
+
 from madderwind.policy import api
 from madderwind.policy.api import ListKind, Outcome, UpstreamState
 from tests.policy.scripts import SAFE, Script, answers, entry, sends
@@ -269,3 +271,26 @@
     fleet[2].slowness = 2.0
     weight = script.balancer._picker._weight
     assert weight(fleet[1], 2.0) / weight(fleet[2], 2.0) > 4 * weight(fleet[1], 1.0) / weight(fleet[2], 1.0)
+
+
+@pytest.mark.parametrize("every_ms", [400.0, 1500.0])
+def test_what_is_called_back_gets_an_attempt_in_time(every_ms: float) -> None:
+    """Thin traffic earns a cold upstream too little credit, and an idle-first pick may pass it by: it is owed
+    its first attempt, and after that goes on as any cold one."""
+    for seed in range(20):
+        script = Script([entry(n) for n in range(9)], seed)
+        for _ in range(20):
+            script.serve()
+            script.now += every_ms
+        script.listed([entry(8, state=UpstreamState.SUSPENDED)], ListKind.CHANGES)
+        for _ in range(5):
+            assert script.serve() != 8
+        script.now += 10_000
+        back_ms = script.now
+        script.listed([entry(8, started_ms=back_ms)], ListKind.CHANGES)
+        used = []
+        while script.now < back_ms + 5000 - every_ms:
+            script.now += every_ms
+            used.append(script.serve())
+        assert 8 in used
+        assert used.count(8) <= 3
