--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,10 @@
 
 tools: $(TOOLS)/built-from.txt
 
-$(TOOLS)/built-from.txt: requirements.txt requirements-dev.txt
+$(TOOLS)/built-from.txt: requirements.txt requirements-lab.txt requirements-dev.txt
 	python3 -m venv $(TOOLS)
 	$(TOOLS)/bin/pip -q install --disable-pip-version-check -r requirements-dev.txt
-	cat requirements.txt requirements-dev.txt > $@
+	cat $^ > $@
 
 test: tools
 	PATH="$(CURDIR)/$(TOOLS)/bin:$$PATH" sh tests/all.sh
--- /dev/null
+++ b/madderwind/lab/command.py
@@ -0,0 +1,60 @@
+"""`madderwind lab`: play experiments, report on their records, compare two policies or versions."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from madderwind.lab.experiment import ExperimentError, read_experiment
+from madderwind.lab.records import play_all, read_records
+from madderwind.lab.report import FIGURES, breaks, compare, plot, table
+
+
+def lab(said: dict[str, Any]) -> int:
+    """The command that docopt read; its exit code."""
+    try:
+        if said["run"]:
+            return _run(Path(said["FILE"]), said["--out"], int(said["--cores"] or os.cpu_count() or 1))
+        if said["report"]:
+            return _report(Path(said["FOLDER"]), said["--plot"])
+        return _compare(said)
+    except (ExperimentError, ValueError) as error:
+        print(f"madderwind lab: {error}", file=sys.stderr)
+        return 1
+
+
+def _run(path: Path, out: str | None, cores: int) -> int:
+    experiment = read_experiment(path)
+    folder = Path(out or f"{path.stem}-records")
+    for record in play_all(experiment, folder, cores):
+        chosen = "".join(f" {name}={value}" for name, value in record.chosen.items())
+        print(
+            f"{record.policy}{chosen} seed {record.seed}: goodput {record.goodput:.3f}, "
+            f"{record.events} events in {record.took_s:.1f} s, rules broken {len(record.broken)}",
+            flush=True,
+        )
+    return _report(folder, None)
+
+
+def _report(folder: Path, picture: str | None) -> int:
+    records = read_records(folder)
+    print(table(records), end="")
+    print(breaks(records), end="")
+    if picture:
+        plot(records, Path(picture))
+    return 0
+
+
+def _compare(said: dict[str, Any]) -> int:
+    ours = read_records(Path(said["FOLDER"]))
+    theirs = read_records(Path(said["OTHER"])) if said["OTHER"] else ours
+    policy, other = said["--policy"] or "madderwind", said["--against"] or said["--policy"] or "madderwind"
+    if theirs is ours and policy == other:
+        raise ExperimentError("compare: name another folder, or --against another policy")
+    ours = [record for record in ours if record.policy == policy]
+    theirs = [record for record in theirs if record.policy == other]
+    for name in FIGURES:
+        print(compare(ours, theirs, name))
+    return 0
--- /dev/null
+++ b/madderwind/lab/experiment.py
@@ -0,0 +1,185 @@
+"""Experiments as files: what is modelled, what goes wrong, which policies, and what is varied."""
+
+from __future__ import annotations
+
+import copy
+import itertools
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+import yaml
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class ExperimentError(ValueError):
+    """The file cannot be read as an experiment; the text is one plain line."""
+
+
+class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    pass
+
+
+class Tier(_Strict, frozen=True):
+    """Upstreams of one tier. `work_ms` is the mean time that one core needs for a request."""
+
+    upstreams: Count
+    cores: Count = 4
+    work_ms: Positive = 40.0
+    work: Literal["exponential", "fixed"] = "exponential"
+    queue: Annotated[int, msgspec.Meta(ge=0)] = 1_000_000
+    connections: Count = 1_000_000
+    crowd: Count = 1_000_000  # requests held from which on it is slow, until half of them are left
+    crowd_factor: Positive = 1.0
+    error_part: Part = 0.0
+    ratings: tuple[Positive, ...] = (1.0,)
+    zones: Count = 1
+
+
+class Class(_Strict, frozen=True):
+    name: str
+    share: Positive = 1.0
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    aim_ms: Positive = 1500.0
+    deadline_ms: Positive = 3000.0
+
+
+class Load(_Strict, frozen=True):
+    """Requests at random from clients that try again, so many times, after waits that double."""
+
+    per_s: NotNegative
+    classes: Annotated[tuple[Class, ...], msgspec.Meta(min_length=1)] = (Class(name="any"),)
+    tries: Count = 1
+    wait_ms: NotNegative = 200.0
+
+
+class Network(_Strict, frozen=True):
+    trip_ms: NotNegative = 1.0  # one way
+    handshake_ms: NotNegative = 2.0
+    connect_timeout_ms: Positive = 250.0
+
+
+class News(_Strict, frozen=True):
+    """Discovery: how late each copy hears, by chance between two bounds; and reports on answers."""
+
+    least_ms: NotNegative = 50.0
+    most_ms: NotNegative = 500.0
+    silent_from_s: NotNegative = 0.0
+    silent_for_s: NotNegative = 0.0
+    repeats: Part = 0.0  # the part of news that comes a second time, later
+    reports: bool = False
+    report_late_ms: NotNegative = 0.0
+
+
+class Rules(_Strict, frozen=True):
+    max_attempts: Count = 4
+    second_copies: bool = True
+    answer_slack_ms: NotNegative = 50.0
+    drain_grace_ms: NotNegative = 2000.0
+    start_capacity: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.12
+    warm_after_ms: NotNegative = 24_000.0
+    fall_multiple: Positive = 2.5
+    fall_ms: Positive = 1500.0
+
+
+class Trouble(_Strict, frozen=True):
+    """What goes wrong at a part of one tier's upstreams, or at those of one zone.
+
+    `slow` by a factor, `err` at a rate, `silent` (takes work and says nothing), `crash` (connections are
+    refused, back cold), `vanish` (nothing comes up, back as it was), `replace` (drains, new ones come cold),
+    `surge` (the load by a factor).
+    """
+
+    at_s: NotNegative
+    kind: Literal["slow", "err", "silent", "crash", "vanish", "replace", "surge"]
+    tier: Annotated[int, msgspec.Meta(ge=0)] = 0
+    part: Part = 1.0
+    zone: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    for_s: Positive = 10.0
+    factor: Positive = 10.0
+    rate: Part = 1.0
+
+
+class Experiment(_Strict, frozen=True):
+    name: str
+    question: str
+    tiers: Annotated[tuple[Tier, ...], msgspec.Meta(min_length=1)]
+    load: Load
+    copies: Count = 2  # of the first tier; every upstream has a copy of its own for the tier behind it
+    policies: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)] = ("madderwind",)
+    network: Network = Network()
+    news: News = News()
+    rules: Rules = Rules()
+    troubles: tuple[Trouble, ...] = ()
+    for_s: Positive = 30.0
+    seeds: Count = 3
+    vary: dict[str, list[Any]] = {}
+
+
+def read_experiment(path: Path) -> Experiment:
+    """The experiment of a file, with every variant checked. ExperimentError names file and place."""
+    try:
+        tree = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ExperimentError(f"{path}: {error.strerror}") from None
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        raise ExperimentError(f"{path}: {' '.join(str(error).split())}") from None
+    experiment = _checked(path, tree)
+    for _, variant in variants(experiment):
+        _checked(path, variant)
+    return experiment
+
+
+def _checked(path: Path, tree: Any) -> Experiment:
+    from madderwind.lab.policies import POLICIES
+
+    try:
+        experiment = msgspec.convert(tree, Experiment)
+    except msgspec.ValidationError as error:
+        raise ExperimentError(f"{path}: {error}") from None
+    for number, trouble in enumerate(experiment.troubles):
+        at = f"{path}: troubles[{number}]"
+        if trouble.tier >= len(experiment.tiers):
+            raise ExperimentError(f"{at}: there is no tier {trouble.tier}")
+        if trouble.zone is not None and trouble.zone >= experiment.tiers[trouble.tier].zones:
+            raise ExperimentError(f"{at}: there is no zone {trouble.zone} in tier {trouble.tier}")
+    for policy in experiment.policies:
+        if policy not in POLICIES:
+            raise ExperimentError(f"{path}: policies: {policy!r} is none of {', '.join(POLICIES)}")
+    return experiment
+
+
+def variants(experiment: Experiment) -> Iterator[tuple[dict[str, Any], Any]]:
+    """Every choice of what is varied, with the experiment's tree under it."""
+    tree = msgspec.to_builtins(experiment)
+    names = list(experiment.vary)
+    for values in itertools.product(*experiment.vary.values()):
+        variant = copy.deepcopy(tree)
+        for name, value in zip(names, values, strict=True):
+            _put(variant, name, value)
+        yield dict(zip(names, values, strict=True)), variant
+
+
+def variant_of(experiment: Experiment, chosen: dict[str, Any]) -> Experiment:
+    tree = msgspec.to_builtins(experiment)
+    for name, value in chosen.items():
+        _put(tree, name, value)
+    return msgspec.convert(tree, Experiment)
+
+
+def _put(tree: Any, place: str, value: Any) -> None:
+    """Put a value at a place like `tiers.0.upstreams`."""
+    *way, last = place.split(".")
+    try:
+        for step in way:
+            tree = tree[int(step)] if isinstance(tree, list | tuple) else tree[step]
+        if last not in tree:
+            raise KeyError(last)
+        tree[last] = value
+    except (KeyError, IndexError, ValueError, TypeError):
+        raise ExperimentError(f"vary: there is no {place}") from None
--- /dev/null
+++ b/madderwind/lab/world.py
@@ -0,0 +1,534 @@
+"""The fleet: upstreams, copies of a policy, clients and discovery on one timeline.
+
+Assumptions. Trips take a fixed time. An upstream has cores and one queue; its cold start is a lower speed,
+and it falls when more comes in a window than it can bear. What it began goes on whatever its caller does. A
+request that it passes to the tier behind holds its place, and no core, meanwhile. Bytes and the balancers'
+own time cost nothing.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+
+from madderwind.lab.experiment import Experiment, Tier, Trouble
+from madderwind.lab.policies import POLICIES, Policy
+from madderwind.lab.rules import RuleChecker, Window
+from madderwind.lab.timeline import Timeline
+from madderwind.policy import api
+from madderwind.policy.api import Effect, Group, ListKind, Outcome, UpstreamState
+
+Reply = Callable[[Outcome], None]
+LONG_AGO_MS = 0.0
+# The lab's day begins here, so that a start at 0 is long ago.
+DAWN_MS = 1_000_000.0
+
+
+class Job:
+    """A request at an upstream."""
+
+    __slots__ = ("class_index", "deadline_ms", "gone", "reply")
+
+    def __init__(self, class_index: int, deadline_ms: float, reply: Reply) -> None:
+        self.class_index, self.deadline_ms, self.reply = class_index, deadline_ms, reply
+        self.gone = False  # lost with the process
+
+
+class Upstream:
+    """Cores and one queue. Cold, it is slower; crowded, it is slow until half of the crowd is gone."""
+
+    def __init__(
+        self, world: World, tier: int, number: int, rating: float, zone: int, started_ms: float
+    ) -> None:
+        self._world, self.tier, self.number = world, tier, number
+        self.rating, self.zone, self.started_ms = rating, zone, started_ms
+        self._model: Tier = world.experiment.tiers[tier]
+        self._chance = random.Random(f"{world.seed} upstream {tier} {number}")
+        self._rules = world.experiment.rules
+        self._window = Window(self._rules.fall_ms)
+        self._queue: deque[Job] = deque()
+        self._jobs: dict[Job, None] = {}  # all that it holds
+        self._busy = 0
+        self.connections = 0
+        self.slow, self.error_part, self.silent = 1.0, self._model.error_part, False
+        self.down, self.vanished, self._crowded = False, False, False
+        self._held_at: deque[tuple[float, int]] = deque([(0.0, 0)])
+        self.copy: Copy | None = None  # for the tier behind it
+
+    def entry(self, state: UpstreamState) -> api.UpstreamEntry:
+        return api.UpstreamEntry(self.number, self.zone, 0, 0, state, self.rating, self.started_ms)
+
+    def warmth(self) -> float:
+        if self.started_ms <= LONG_AGO_MS:
+            return 1.0
+        age = (self._world.timeline.now_ms - self.started_ms) / self._rules.warm_after_ms
+        return min(1.0, self._rules.start_capacity + (1 - self._rules.start_capacity) * age)
+
+    def arrive(self, job: Job, copy: str, request: int) -> None:
+        """A request's last byte has come."""
+        timeline = self._world.timeline
+        got, warmth = self._window.add(timeline.now_ms), self.warmth()
+        if warmth < 1:
+            can = self._rules.fall_ms * self._model.cores * self.rating * warmth / self._model.work_ms
+            if got > max(3.0, self._rules.fall_multiple * can):
+                self._world.checker.fell(timeline.now_ms, copy, request, self.number, got, can)
+                self.crash()
+                return
+        if len(self._jobs) >= self._model.cores + self._model.queue:
+            job.reply(Outcome.FULL)
+            return
+        self._jobs[job] = None
+        self._note()
+        if len(self._jobs) >= self._model.crowd:
+            self._crowded = True
+        self._queue.append(job)
+        self._start()
+
+    def _start(self) -> None:
+        while self._queue and self._busy < self._model.cores:
+            job = self._queue.popleft()
+            self._busy += 1
+            work_ms = self._model.work_ms
+            if self._model.work == "exponential":
+                work_ms = self._chance.expovariate(1 / work_ms)
+            pace = self.slow * (self._model.crowd_factor if self._crowded else 1.0)
+            took_ms = work_ms * pace / (self.rating * self.warmth())
+            self._world.timeline.after(took_ms, lambda job=job: self._worked(job))  # type: ignore[misc]
+
+    def _worked(self, job: Job) -> None:
+        if job.gone:
+            return
+        self._busy -= 1
+        self._start()
+        if self._chance.random() < self.error_part:
+            self._done(job, Outcome.ERROR)
+        elif self.copy is None:
+            self._done(job, Outcome.OK)
+        else:
+            self.copy.call(job, lambda served: self._done(job, Outcome.OK if served else Outcome.ERROR))
+
+    def _done(self, job: Job, outcome: Outcome) -> None:
+        if job.gone:
+            return
+        del self._jobs[job]
+        self._note()
+        if len(self._jobs) <= self._model.crowd // 2:
+            self._crowded = False
+        if not (self.silent or self.vanished):
+            job.reply(outcome)
+
+    def crash(self) -> None:
+        """The process dies: what it holds is lost, connections break, new ones are refused."""
+        self.down, self._busy, self.connections = True, 0, 0
+        lost, self._jobs = list(self._jobs), {}
+        self._queue.clear()
+        self._note()
+        for job in lost:
+            job.gone = True
+            if not self.vanished:
+                job.reply(Outcome.RESET)
+        self._world.forget_connections(self)
+
+    def restart(self) -> None:
+        self.down, self._crowded = False, False
+        self.started_ms = self._world.timeline.now_ms
+        self._window = Window(self._rules.fall_ms)
+
+    def _note(self) -> None:
+        now_ms = self._world.timeline.now_ms
+        self._held_at.append((now_ms, len(self._jobs)))
+        late_ms = self._world.experiment.news.report_late_ms
+        while len(self._held_at) > 1 and self._held_at[1][0] <= now_ms - late_ms:
+            self._held_at.popleft()
+
+    def report(self) -> tuple[float, ...]:
+        """What it held some time ago, as reports are late."""
+        return (float(self._held_at[0][1]),) if self._world.experiment.news.reports else ()
+
+
+class _Request:
+    __slots__ = ("attempts", "class_index", "deadline_ms", "on_final", "over")
+
+    def __init__(self, class_index: int, deadline_ms: float, on_final: Callable[[str], None]) -> None:
+        self.class_index, self.deadline_ms, self.on_final = class_index, deadline_ms, on_final
+        self.attempts: list[Attempt] = []
+        self.over = False
+
+
+class Attempt:
+    __slots__ = ("ended", "kept", "sent_ms", "upstream")
+
+    def __init__(self, upstream: Upstream, sent_ms: float) -> None:
+        self.upstream, self.sent_ms = upstream, sent_ms
+        self.kept = False  # whether its connection is up and may be kept
+        self.ended = False
+
+
+class Copy:
+    """A host for one copy of the policy: carries out its actions as the program on sockets does."""
+
+    def __init__(self, world: World, name: str, tier: int, me: int, copies: int) -> None:
+        self._world, self.name, self.tier = world, name, tier
+        seed = random.Random(f"{world.seed} copy {name}").randrange(1 << 48)
+        self._policy: Policy = POLICIES[world.policy](world.settings(tier, me, copies), seed)
+        self._requests: dict[int, _Request] = {}
+        self._idle: Counter[int] = Counter()  # kept connections
+        self._ready: set[int] = set()
+        self._revisions: dict[int, int] = {}
+        self._news_chance = random.Random(f"{world.seed} news {name}")
+
+    # --- what it is told ---
+
+    def listed(self, kind: ListKind, entries: tuple[api.UpstreamEntry, ...], revision: int = 0) -> None:
+        """News. What is older than what it knows of an upstream is passed over, as the program does."""
+        fresh = tuple(e for e in entries if self._revisions.get(e.upstream, -1) <= revision)
+        for entry in fresh:
+            ready = entry.state is UpstreamState.READY
+            self._revisions[entry.upstream] = revision
+            self._ready.add(entry.upstream) if ready else self._ready.discard(entry.upstream)
+            self._world.checker.told(self._world.timeline.now_ms, self.name, entry.upstream, ready)
+        if fresh:
+            self.decide(api.FleetListed(kind, revision, fresh))
+
+    def hear(self, entries: tuple[api.UpstreamEntry, ...], revision: int) -> None:
+        """A change at discovery, which comes late, after a silence, or twice."""
+        news, timeline = self._world.experiment.news, self._world.timeline
+        at_ms = timeline.now_ms + self._news_chance.uniform(news.least_ms, news.most_ms)
+        silent_ms = DAWN_MS + news.silent_from_s * 1000
+        if silent_ms <= at_ms < silent_ms + news.silent_for_s * 1000:
+            at_ms = silent_ms + news.silent_for_s * 1000 + self._news_chance.uniform(0, news.most_ms)
+        timeline.at(at_ms, lambda: self.listed(ListKind.CHANGES, entries, revision))
+        if self._news_chance.random() < news.repeats:
+            timeline.at(at_ms + 2000, lambda: self.listed(ListKind.CHANGES, entries, revision))
+
+    # --- requests ---
+
+    def arrives(self, class_index: int, deadline_ms: float, on_final: Callable[[str], None]) -> None:
+        world = self._world
+        number = world.next_request()
+        self._requests[number] = _Request(class_index, deadline_ms, on_final)
+        effect = world.experiment.load.classes[class_index].effect
+        world.checker.took(self.name, number, effect, deadline_ms)
+        self.decide(api.RequestArrived(number, class_index, 0, 0, deadline_ms, None, False, False))
+
+    def call(self, job: Job, on_end: Callable[[bool], None]) -> None:
+        """A call of this copy's own upstream to the tier behind."""
+        self.arrives(job.class_index, job.deadline_ms, lambda how: on_end(how == "served"))
+
+    def decide(self, event: api.Event) -> None:
+        timeline = self._world.timeline
+        for action in self._policy.handle(timeline.now_ms, event):
+            match action:
+                case api.Send():
+                    self._send(action)
+                case api.Refuse(number):
+                    self._answer(number, "refused")
+                case api.Fail(number):
+                    self._answer(number, "failed")
+                case api.SetTimer(after_ms, token):
+                    timeline.after(after_ms, lambda token=token: self.decide(api.TimerFired(token)))  # type: ignore[misc]
+
+    def _answer(self, number: int, how: str) -> None:
+        request = self._requests[number]
+        self._world.checker.answer(self._world.timeline.now_ms, self.name, number, how == "refused")
+        request.over = True
+        request.on_final(how)
+
+    def _send(self, send: api.Send) -> None:
+        world, now_ms = self._world, self._world.timeline.now_ms
+        request, upstream = self._requests[send.request_id], world.upstreams[send.upstream]
+        world.checker.sent(now_ms, self.name, send.request_id, send.upstream)
+        world.tries += 1
+        attempt, index = Attempt(upstream, now_ms), len(request.attempts)
+        request.attempts.append(attempt)
+
+        def end(outcome: Outcome) -> None:
+            self._end(send.request_id, request, index, outcome)
+
+        network = world.experiment.network
+        up_ms = 0.0
+        if self._idle[upstream.number]:
+            self._idle[upstream.number] -= 1
+        elif upstream.vanished:
+            world.timeline.after(network.connect_timeout_ms, lambda: end(Outcome.CONNECT_FAILED))
+            return
+        elif upstream.down:
+            world.timeline.after(2 * network.trip_ms, lambda: end(Outcome.CONNECT_FAILED))
+            return
+        elif upstream.connections >= world.experiment.tiers[upstream.tier].connections:
+            world.timeline.after(2 * network.trip_ms, lambda: end(Outcome.FULL))
+            return
+        else:
+            upstream.connections += 1
+            world.handshakes += 1
+            up_ms = network.handshake_ms
+
+        def write() -> None:
+            now_ms = world.timeline.now_ms
+            attempt.kept = True
+            if request.over or now_ms >= request.deadline_ms or not self._takes_new(upstream.number):
+                end(Outcome.NOT_SENT)
+                return
+            world.checker.written(now_ms, self.name, send.request_id, upstream.number)
+            job = Job(request.class_index, request.deadline_ms, reply)
+            world.timeline.after(network.trip_ms, lambda: reaches(job))
+
+        def reaches(job: Job) -> None:
+            if upstream.down:
+                reply(Outcome.RESET)
+            elif not upstream.vanished:
+                upstream.arrive(job, self.name, send.request_id)
+
+        def reply(outcome: Outcome) -> None:
+            world.timeline.after(network.trip_ms, lambda: end(outcome))
+
+        if up_ms:
+            world.timeline.after(up_ms, write)
+        else:
+            write()
+        world.timeline.at(request.deadline_ms, lambda: end(Outcome.TIMEOUT))
+
+    def _end(self, number: int, request: _Request, index: int, outcome: Outcome) -> None:
+        attempt = request.attempts[index]
+        if attempt.ended:
+            return
+        attempt.ended = True
+        world, upstream = self._world, attempt.upstream
+        if attempt.kept and outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.NOT_SENT):
+            self._idle[upstream.number] += 1
+        elif attempt.kept and not upstream.down:
+            upstream.connections = max(0, upstream.connections - 1)
+        world.checker.ended(number, index, outcome)
+        served = outcome is Outcome.OK and not request.over
+        over = request.over or served
+        if served:
+            self._answer(number, "served")
+        elapsed_ms = world.timeline.now_ms - attempt.sent_ms
+        report = upstream.report() if outcome in (Outcome.OK, Outcome.ERROR) else ()
+        self.decide(api.AttemptEnded(number, over, index, outcome, upstream.number, elapsed_ms, report))
+        if request.over and all(a.ended for a in request.attempts):
+            del self._requests[number]
+
+    def _takes_new(self, upstream: int) -> bool:
+        """The host's gate between connection and first byte."""
+        return upstream in self._ready
+
+    def forget(self, upstream: int) -> None:
+        self._idle.pop(upstream, None)
+
+
+class Second:
+    """What became of the wishes that were first asked in one second."""
+
+    def __init__(self) -> None:
+        self.asked = self.in_time = self.late = self.refused = self.failed = 0
+        self.times_ms: list[float] = []
+
+
+class World:
+    """One run of an experiment under one policy and seed."""
+
+    def __init__(self, experiment: Experiment, policy: str, seed: int) -> None:
+        self.experiment, self.policy, self.seed = experiment, policy, seed
+        self.timeline = Timeline()
+        self.timeline.now_ms = DAWN_MS
+        rules = experiment.rules
+        self.checker = RuleChecker(DAWN_MS, rules.answer_slack_ms, rules.drain_grace_ms, rules.max_attempts)
+        self.upstreams: dict[int, Upstream] = {}
+        self.copies: dict[int, list[Copy]] = {tier: [] for tier in range(len(experiment.tiers))}
+        self.seconds = [Second() for _ in range(int(experiment.for_s) + 1)]
+        self.wishes = self.requests = self.tries = self.handshakes = 0
+        self._last_request = self._revision = 0
+        self._clients = random.Random(f"{seed} clients")
+        self._again = random.Random(f"{seed} again")
+        self._troubles = random.Random(f"{seed} troubles")
+        self._load_factor = 1.0
+        for tier, model in enumerate(experiment.tiers):
+            for _ in range(model.upstreams):
+                self._new_upstream(tier, LONG_AGO_MS)
+        for me in range(experiment.copies):
+            self.copies[0].append(Copy(self, f"0.{me}", 0, me, experiment.copies))
+        for tier in range(len(experiment.tiers) - 1):
+            for upstream in self._of(tier):
+                self._give_copy(upstream)
+        for tier, copies in self.copies.items():
+            entries = tuple(u.entry(UpstreamState.READY) for u in self._of(tier))
+            for copy in copies:
+                copy.listed(ListKind.CACHED, entries)
+
+    # --- making the fleet ---
+
+    def _of(self, tier: int) -> list[Upstream]:
+        return [u for u in self.upstreams.values() if u.tier == tier]
+
+    def _new_upstream(self, tier: int, started_ms: float) -> Upstream:
+        model, number = self.experiment.tiers[tier], len(self.upstreams)
+        place = sum(u.tier == tier for u in self.upstreams.values())
+        rating = model.ratings[place % len(model.ratings)]
+        upstream = Upstream(self, tier, number, rating, place % model.zones, started_ms)
+        self.upstreams[number] = upstream
+        return upstream
+
+    def _give_copy(self, upstream: Upstream) -> Copy:
+        behind, of_tier = upstream.tier + 1, self.experiment.tiers[upstream.tier].upstreams
+        copy = Copy(self, f"{behind}.{upstream.number}", behind, upstream.number % of_tier, of_tier)
+        upstream.copy = copy
+        self.copies[behind].append(copy)
+        return copy
+
+    def settings(self, tier: int, me: int, copies: int) -> api.Settings:
+        rules, news = self.experiment.rules, self.experiment.news
+        return api.Settings(
+            classes=tuple(
+                api.RequestClass(
+                    Effect(c.effect), Group.ALL, 10_000.0, c.aim_ms, c.deadline_ms, 1.0, 0.0, False
+                )
+                for c in self.experiment.load.classes
+            ),
+            tier=tier,
+            tiers=len(self.experiment.tiers),
+            copies=copies,
+            me=me,
+            zones=self.experiment.tiers[tier].zones,
+            max_attempts=rules.max_attempts,
+            second_copies=rules.second_copies,
+            retry_after=True,
+            max_retry_after_ms=2000.0,
+            answer_slack_ms=rules.answer_slack_ms,
+            drain_grace_ms=rules.drain_grace_ms,
+            start_capacity=rules.start_capacity,
+            warm_after_ms=rules.warm_after_ms,
+            fall_multiple=rules.fall_multiple,
+            fall_ms=rules.fall_ms,
+            report_columns=("in_flight",) if news.reports else (),
+            reports_on_answers=news.reports,
+            ratings_tell_size=len(set(self.experiment.tiers[tier].ratings)) > 1,
+        )
+
+    def next_request(self) -> int:
+        self._last_request += 1
+        self.requests += 1
+        return self._last_request
+
+    def forget_connections(self, upstream: Upstream) -> None:
+        for copy in self.copies[upstream.tier]:
+            copy.forget(upstream.number)
+
+    # --- clients ---
+
+    def _next_wish(self) -> None:
+        load, timeline = self.experiment.load, self.timeline
+        if load.per_s <= 0:
+            return
+        gap_ms = self._clients.expovariate(load.per_s * self._load_factor / 1000)
+        if timeline.now_ms + gap_ms < DAWN_MS + self.experiment.for_s * 1000:
+            timeline.after(gap_ms, self._wish)
+
+    def _wish(self) -> None:
+        load = self.experiment.load
+        shares = [c.share for c in load.classes]
+        index = self._clients.choices(range(len(shares)), shares)[0]
+        second = self.seconds[int((self.timeline.now_ms - DAWN_MS) / 1000)]
+        second.asked += 1
+        self.wishes += 1
+        self._ask(index, 1, self.timeline.now_ms, second, self._clients.random())
+        self._next_wish()
+
+    def _ask(self, index: int, tries: int, since_ms: float, second: Second, place: float) -> None:
+        klass, timeline = self.experiment.load.classes[index], self.timeline
+        asked_ms = timeline.now_ms
+
+        def final(how: str) -> None:
+            took_ms = timeline.now_ms - asked_ms
+            if how == "served":
+                second.times_ms.append(timeline.now_ms - since_ms)
+                second.in_time += took_ms <= klass.aim_ms
+                second.late += took_ms > klass.aim_ms
+            elif tries < self.experiment.load.tries and (how == "refused" or klass.effect != "unsafe"):
+                wait_ms = self._again.random() * self.experiment.load.wait_ms * 2.0**tries
+                timeline.after(
+                    wait_ms, lambda: self._ask(index, tries + 1, since_ms, second, self._again.random())
+                )
+            elif how == "refused":
+                second.refused += 1
+            else:
+                second.failed += 1
+
+        copies = self.copies[0]
+        copies[int(place * len(copies))].arrives(index, asked_ms + klass.deadline_ms, final)
+
+    # --- troubles ---
+
+    def _tell(self, tier: int, *entries: api.UpstreamEntry) -> None:
+        self._revision += 1
+        for copy in self.copies[tier]:
+            copy.hear(entries, self._revision)
+
+    def _trouble(self, trouble: Trouble) -> None:
+        timeline = self.timeline
+        if trouble.kind == "surge":
+            self._load_factor *= trouble.factor
+            timeline.after(trouble.for_s * 1000, lambda: self._surge_ends(trouble.factor))
+            return
+        able = [u for u in self._of(trouble.tier) if not u.down]
+        if trouble.zone is not None:
+            struck = [u for u in able if u.zone == trouble.zone]
+        else:
+            struck = self._troubles.sample(able, round(trouble.part * len(able)))
+        for upstream in struck:
+            self._strike(upstream, trouble)
+
+    def _surge_ends(self, factor: float) -> None:
+        self._load_factor /= factor
+
+    def _strike(self, upstream: Upstream, trouble: Trouble) -> None:
+        after_ms, timeline = trouble.for_s * 1000, self.timeline
+        match trouble.kind:
+            case "slow":
+                upstream.slow = trouble.factor
+                timeline.after(after_ms, lambda: setattr(upstream, "slow", 1.0))
+            case "err":
+                upstream.error_part = trouble.rate
+                timeline.after(after_ms, lambda: setattr(upstream, "error_part", 0.0))
+            case "silent":
+                upstream.silent = True
+                timeline.after(after_ms, lambda: setattr(upstream, "silent", False))
+            case "vanish":
+                upstream.vanished = True
+                timeline.after(after_ms, lambda: setattr(upstream, "vanished", False))
+            case "crash":
+                upstream.crash()
+                self._tell(upstream.tier, upstream.entry(UpstreamState.GONE))
+                timeline.after(after_ms, lambda: self._comes_back(upstream))
+            case "replace":
+                self._tell(upstream.tier, upstream.entry(UpstreamState.DRAINING))
+                timeline.after(after_ms, lambda: self._goes(upstream))
+                new = self._new_upstream(upstream.tier, timeline.now_ms)
+                if upstream.copy is not None:
+                    entries = tuple(
+                        u.entry(UpstreamState.READY) for u in self._of(upstream.tier + 1) if not u.down
+                    )
+                    self._give_copy(new).listed(ListKind.CACHED, entries)
+                self._tell(new.tier, new.entry(UpstreamState.READY))
+
+    def _comes_back(self, upstream: Upstream) -> None:
+        upstream.restart()
+        self._tell(upstream.tier, upstream.entry(UpstreamState.READY))
+
+    def _goes(self, upstream: Upstream) -> None:
+        self._tell(upstream.tier, upstream.entry(UpstreamState.GONE))
+        upstream.crash()
+
+    # --- the run ---
+
+    def run(self) -> None:
+        for trouble in self.experiment.troubles:
+            self.timeline.at(DAWN_MS + trouble.at_s * 1000, lambda trouble=trouble: self._trouble(trouble))  # type: ignore[misc]
+        self._next_wish()
+        longest_ms = max(c.deadline_ms for c in self.experiment.load.classes)
+        load = self.experiment.load
+        waits_ms = sum(load.wait_ms * 2.0**n for n in range(1, load.tries))
+        end_ms = DAWN_MS + self.experiment.for_s * 1000 + load.tries * (longest_ms + 100) + waits_ms + 1000
+        self.timeline.run(end_ms)
+        self.checker.finish(end_ms)
--- a/madderwind/program/cli.py
+++ b/madderwind/program/cli.py
@@ -3,11 +3,19 @@
 Usage:
   madderwind serve [--config=FILE]
   madderwind check-config [--config=FILE]
+  madderwind lab run FILE [--out=FOLDER] [--cores=N]
+  madderwind lab report FOLDER [--plot=PICTURE]
+  madderwind lab compare FOLDER [OTHER] [--policy=NAME] [--against=NAME]
   madderwind version
   madderwind (-h | --help)
 
 Options:
   --config=FILE  The balancer's configuration; $PROXY_CONFIG names it where this does not.
+  --out=FOLDER   Where the records of an experiment go; beside it by default.
+  --cores=N      How many runs at a time; one a core by default.
+  --plot=PICTURE  Also a picture of what was served in time, by second.
+  --policy=NAME  The policy whose runs are compared; madderwind by default.
+  --against=NAME  The policy to compare with, in the same folder or in OTHER.
   -h --help      Show this.
 """
 
@@ -16,6 +24,7 @@
 import asyncio
 import os
 import sys
+from typing import Any
 
 from docopt import docopt
 
@@ -28,6 +37,8 @@
     if said["version"]:
         print(__version__)
         return 0
+    if said["lab"]:
+        return _lab(said)
     path = said["--config"] or os.environ.get("PROXY_CONFIG")
     try:
         if not path:
@@ -42,6 +53,15 @@
     return _serve(configuration)
 
 
+def _lab(said: dict[str, Any]) -> int:
+    try:
+        from madderwind.lab.command import lab
+    except ModuleNotFoundError as error:
+        print(f"madderwind lab: needs {error.name}: pip install -r requirements-lab.txt", file=sys.stderr)
+        return 1
+    return lab(said)
+
+
 def _summary(configuration: Configuration) -> str:
     settings = configuration.host.settings
     return (
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,6 +14,7 @@
     "clock": set(),
     "eventlog": set(),
     "simhost": {"policy", "settings"},
+    "lab": {"policy"},
     "transport": {"policy", "settings", "clock", "eventlog"},
     "protocol": {"policy", "settings", "clock", "eventlog", "transport"},
     "routing": {"policy", "settings", "clock", "eventlog", "transport", "protocol"},
@@ -29,6 +30,7 @@
         "routing",
         "admin",
         "handover",
+        "lab",
     },
 }
 
