--- a/madderwind/admin/listener.py
+++ b/madderwind/admin/listener.py
@@ -9,6 +9,7 @@
 
 from madderwind.admin.commands import LONGEST_CALL
 from madderwind.eventlog import EventLog, Sparing
+from madderwind.transport.accepting import Acceptor
 from madderwind.transport.limits import OWN_LIMITS
 
 Answerer = Callable[[bytes], bytes]
@@ -16,9 +17,8 @@
 MOST_CALLS = 64
 # Who has made no whole call, or not taken its answer, by then is no longer waited for.
 CALL_S = 10.0
-# Descriptors held back for this address, and how long it waits when not even those are left.
+# Descriptors held back for this address.
 SPARES = 4
-LOOK_S = 0.01
 BACKLOG = 256
 
 
@@ -59,24 +59,19 @@
 
     def __init__(self, answerer: Answerer, log: EventLog, now_ms: Callable[[], float]) -> None:
         self._answerer, self._log_sparingly = answerer, Sparing(log, now_ms)
-        self._socket: socket.socket | None = None
+        self._acceptor = Acceptor(lambda: _Call(self), self._no_descriptor)
         self._calls: dict[_Call, None] = {}  # open ones, the oldest first
-        self._taking_in: set[asyncio.Task[None]] = set()
         self._spares: list[int] = []
 
     async def start(self, host: str, port: int) -> int:
         """The port that is listened on: the one asked for, or a free one for 0."""
-        self._socket = socket.create_server((host, port), backlog=BACKLOG)
-        self._socket.setblocking(False)
+        listening = socket.create_server((host, port), backlog=BACKLOG)
         self._hold_back()
-        self._listen()
-        return int(self._socket.getsockname()[1])
+        self._acceptor.open(listening)
+        return int(listening.getsockname()[1])
 
     def close(self) -> None:
-        if self._socket is not None:
-            asyncio.get_running_loop().remove_reader(self._socket)
-            self._socket.close()
-            self._socket = None
+        self._acceptor.close()
         for call in list(self._calls):
             if call.transport is not None:
                 call.transport.abort()
@@ -93,7 +88,7 @@
 
     def closed(self, call: _Call) -> None:
         self._calls.pop(call, None)
-        if self._socket is not None:
+        if self._acceptor.listening is not None:
             self._hold_back()
 
     def _end_oldest(self) -> None:
@@ -111,38 +106,12 @@
             if error.errno not in OWN_LIMITS:
                 raise
 
-    def _listen(self) -> None:
-        if self._socket is not None:
-            asyncio.get_running_loop().add_reader(self._socket, self._accept)
-
-    def _accept(self) -> None:
-        """Take the calls that wait; the loop's own server would wait for a second without a descriptor."""
-        assert self._socket is not None
-        loop = asyncio.get_running_loop()
-        for _ in range(MOST_CALLS):
-            try:
-                accepted, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                if error.errno not in OWN_LIMITS:
-                    raise
-                if self._spares:
-                    os.close(self._spares.pop())
-                    continue
-                if self._calls:
-                    self._end_oldest()
-                self._log_sparingly("no_descriptor_for_the_second_address")
-                loop.remove_reader(self._socket)
-                loop.call_later(LOOK_S, self._listen)
-                return
-            accepted.setblocking(False)
-            task = loop.create_task(self._take_in(accepted))
-            self._taking_in.add(task)
-            task.add_done_callback(self._taking_in.discard)
-
-    async def _take_in(self, accepted: socket.socket) -> None:
-        try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: _Call(self), accepted)
-        except OSError:  # it ended while it was taken in
-            accepted.close()
+    def _no_descriptor(self) -> bool:
+        """One of those held back, if any is left; else the oldest call makes way."""
+        if self._spares:
+            os.close(self._spares.pop())
+            return True
+        if self._calls:
+            self._end_oldest()
+        self._log_sparingly("no_descriptor_for_the_second_address")
+        return False
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -30,7 +30,7 @@
 ROOM_SHRINK, ROOM_GROWTH = 0.9, 0.04
 MOST_PRESSURE = 2.0  # that one answer tells, where 1 is the mark: as far above it as calm is below
 # Open requests an upstream, over all copies: where the room starts, and the least that keeps all at work.
-ROOM_START, ROOM_LEAST = 8.0, 4.0
+ROOM_START, ROOM_LEAST = 8.0, 3.0
 # Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
 NEAR, COPIES_EACH = 3, 8
 # The power of slowness in the tie-break, and what another zone counts there if crossing is priced.
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -11,7 +11,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from madderwind.eventlog import EventLog
-from madderwind.transport.limits import OWN_LIMITS
+from madderwind.transport.accepting import LOOK_S, Acceptor
 from madderwind.transport.unread import has_unread
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -31,11 +31,7 @@
 MOST_BEHIND = 4
 # What is read ahead of a long body: twice this at most.
 READ_BUFFER = 64 * 1024
-# How often it is looked whether connections or descriptors have come free.
-LOOK_S = 0.01
 FIRST_LOOK_S = 0.05
-# Connections taken in one go, before others have their turn.
-ACCEPTS = 64
 
 
 class CallersRequest(web.BaseRequest):
@@ -119,8 +115,6 @@
     def __init__(self, handler: Handler, most_connections: int, log: EventLog) -> None:
         self._handler = handler
         self._log = log
-        self._socket: socket.socket | None = None
-        self._taking_in: set[asyncio.Task[None]] = set()
         self._open = 0
         self._ending = False
         self._handed_on = False
@@ -136,6 +130,7 @@
             lingering_time=0,  # of a request answered before it was whole, nothing more is read
         )
         self._web.most = most_connections
+        self._acceptor = Acceptor(self._web, self._no_descriptor)
 
     def _request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
         loop = asyncio.get_running_loop()
@@ -150,69 +145,37 @@
         """
         if listening is None:
             listening = socket.create_server((host, port), backlog=BACKLOG, reuse_port=reuse_port)
-        self._socket = listening
-        self._socket.setblocking(False)
-        self._listen()
+        self._acceptor.open(listening)
         self._look_round()
-        return int(self._socket.getsockname()[1])
+        return int(listening.getsockname()[1])
 
     @property
     def listening(self) -> socket.socket | None:
-        return self._socket
+        return self._acceptor.listening
 
     def hand_on(self, handed_on: bool) -> None:
         """Whether another process accepts from the same queue in place of this one. Callers are sent there by
         the close of their connection after its next answer; without that process this one accepts again."""
         self._handed_on = handed_on
-        if handed_on and self._socket is not None:
-            asyncio.get_running_loop().remove_reader(self._socket)
+        if handed_on:
+            self._acceptor.pause()
         else:
-            self._listen()
+            self._acceptor.resume()
 
     def share(self, most_connections: int) -> None:
         """How many connections it may hold from now on."""
         self._web.most = most_connections
 
-    def _listen(self) -> None:
-        if self._socket is not None and not self._handed_on:
-            asyncio.get_running_loop().add_reader(self._socket, self._accept)
-
     def _look_round(self) -> None:
         if silent := self._web.close_quiet():
             self._log("silent_callers_closed", count=silent)
         self._round = asyncio.get_running_loop().call_later(ROUND_S, self._look_round)
 
-    def _accept(self) -> None:
-        """Take the connections that wait.
-
-        Guards against the loop's own server, which for want of a descriptor tries once for each place in its
-        queue and then accepts nothing for a second, while requests on waiting connections run out of time.
-        """
-        assert self._socket is not None
-        loop = asyncio.get_running_loop()
-        for _ in range(ACCEPTS):
-            try:
-                accepted, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                if error.errno not in OWN_LIMITS:
-                    raise
-                loop.remove_reader(self._socket)
-                loop.call_later(LOOK_S, self._listen)
-                self._log("no_descriptor_to_accept_with", connections=len(self._web.connections))
-                self._web.make_room(1)
-                return
-            accepted.setblocking(False)
-            task = loop.create_task(self._take_in(accepted))
-            self._taking_in.add(task)
-            task.add_done_callback(self._taking_in.discard)
-
-    async def _take_in(self, accepted: socket.socket) -> None:
-        try:
-            await asyncio.get_running_loop().connect_accepted_socket(self._web, accepted)
-        except OSError:  # it ended while it was taken in
-            accepted.close()
+    def _no_descriptor(self) -> bool:
+        """An idle connection makes way; it takes a moment until its descriptor is free."""
+        self._log("no_descriptor_to_accept_with", connections=len(self._web.connections))
+        self._web.make_room(1)
+        return False
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if len(request.protocol._messages) > MOST_BEHIND:
@@ -242,12 +205,8 @@
         `until_s`: the loop's clock. Guards against sending callers away while another balancer is down too.
         """
         loop = asyncio.get_running_loop()
-        if self._socket is not None:
-            if not self._handed_on:
-                self._accept()  # what waits by now is taken, not reset
-            loop.remove_reader(self._socket)
-            self._socket.close()
-            self._socket = None
+        if self._acceptor.listening is not None:
+            self._acceptor.close(take_what_waits=True)
             await asyncio.sleep(FIRST_LOOK_S)  # what was just taken has time for its first request
         while self._web.connections and loop.time() < until_s:
             await asyncio.sleep(LOOK_S)
--- a/tests/program/test_end.py
+++ b/tests/program/test_end.py
@@ -84,7 +84,7 @@
             caller = await Caller.connect(running.port)
             assert (await caller.ask()).status == 200
             running.service.end()
-            while running.service._listener._socket is not None:
+            while running.service._listener.listening is not None:
                 await asyncio.sleep(0)
             with pytest.raises(ConnectionRefusedError):
                 await Caller.connect(running.port)
