--- a/madderwind/program/cli.py
+++ b/madderwind/program/cli.py
@@ -3,12 +3,16 @@
 Usage:
   madderwind serve [--config=FILE]
   madderwind check-config [--config=FILE]
+  madderwind call ADDRESS WORD [ID]
   madderwind lab run FILE [--out=FOLDER] [--cores=N]
   madderwind lab report FOLDER [--plot=PICTURE]
   madderwind lab compare FOLDER [OTHER] [--policy=NAME] [--against=NAME]
   madderwind version
   madderwind (-h | --help)
 
+`call` asks a balancer at its second address, such as 127.0.0.1:5900: STATUS, METRICS, SUSPEND ID, RESTORE ID.
+Its exit code is 1 where the answer is no.
+
 Options:
   --config=FILE  The balancer's configuration; $PROXY_CONFIG names it where this does not.
   --out=FOLDER   Where the records of an experiment go; beside it by default.
@@ -29,7 +33,9 @@
 from docopt import docopt
 
 from madderwind import __version__
+from madderwind.admin.calling import call
 from madderwind.program.configuration import Configuration, ConfigurationError, read_configuration
+from madderwind.protocol.listing import read_address
 
 
 def main(words: list[str] | None = None) -> int:
@@ -37,6 +43,8 @@
     if said["version"]:
         print(__version__)
         return 0
+    if said["call"]:
+        return _call(said["ADDRESS"], " ".join(filter(None, (said["WORD"], said["ID"]))))
     if said["lab"]:
         return _lab(said)
     path = said["--config"] or os.environ.get("PROXY_CONFIG")
@@ -53,6 +61,16 @@
     return _serve(configuration)
 
 
+def _call(address: str, line: str) -> int:
+    try:
+        answer = call(read_address(address, "ADDRESS"), line)
+    except (OSError, ValueError) as error:
+        print(f"madderwind: {address}: {error}", file=sys.stderr)
+        return 1
+    print(answer, end="")
+    return int(not answer or answer.startswith("NAK"))
+
+
 def _lab(said: dict[str, Any]) -> int:
     try:
         from madderwind.lab.command import lab
--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -142,6 +142,9 @@
         try:
             await self._run()
         finally:
+            self._admin.close()
+            if self._handover is not None:
+                self._handover.close()
             logging.getLogger().removeHandler(library_log)
             self._log.flush()
 
@@ -173,9 +176,6 @@
         if self._handover is not None:
             self._handover.end()
         await self._finish()
-        self._admin.close()
-        if self._handover is not None:
-            self._handover.close()
         self._following.cancel()
         await self._upstreams.close()
         self._log("ended", invariants_broken=dict(self.copy.invariants.broken))
--- a/tests/program/test_admin.py
+++ b/tests/program/test_admin.py
@@ -13,6 +13,7 @@
 import pytest
 
 from madderwind.admin.listener import MOST_CALLS
+from madderwind.program.cli import main
 from tests import examples
 from tests.program.harness import Running, call
 from tests.standins import (
@@ -48,6 +49,24 @@
     run(test())
 
 
+def test_the_command_line_asks_too(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def test() -> None:
+        async with Running(tmp_path, Upstream(says(answer()))) as running:
+            address = f"{examples.HOST}:{running.service.admin_port}"
+            for words, code, says_so in (
+                (["STATUS"], 0, "ACK ready"),
+                (["METRICS"], 0, "svc_in_progress 0"),
+                (["SUSPEND", "s-0"], 0, "ACK s-0"),
+                (["RESTORE", "nobody"], 1, "NAK nobody was never listed"),
+            ):
+                assert await asyncio.to_thread(main, ["call", address, *words]) == code
+                assert says_so in capsys.readouterr().out
+        assert await asyncio.to_thread(main, ["call", address, "STATUS"]) == 1
+        assert len(capsys.readouterr().err.splitlines()) == 1
+
+    run(test())
+
+
 def test_figures_follow_requests(tmp_path: Path) -> None:
     """Served, failed, refused, and open; attempts count when they are written, with a body or without."""
 
