State and loops that stood twice: the pause of accepting, the end of writing, what is varied

Read over once more, behaviour unchanged. Listener kept a flag beside the acceptor's own pause; two places marked an attempt as written whole; an experiment's variants put their values in by two loops, over a copy of what was fresh; an arrival counted the open requests twice.

--- a/madderwind/lab/experiment.py
+++ b/madderwind/lab/experiment.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import copy
 import itertools
 from collections.abc import Iterator
 from pathlib import Path
@@ -156,20 +155,20 @@
 
 def variants(experiment: Experiment) -> Iterator[tuple[dict[str, Any], Any]]:
     """Every choice of what is varied, with the experiment's tree under it."""
-    tree = msgspec.to_builtins(experiment)
-    names = list(experiment.vary)
     for values in itertools.product(*experiment.vary.values()):
-        variant = copy.deepcopy(tree)
-        for name, value in zip(names, values, strict=True):
-            _put(variant, name, value)
-        yield dict(zip(names, values, strict=True)), variant
+        chosen = dict(zip(experiment.vary, values, strict=True))
+        yield chosen, _tree_of(experiment, chosen)
 
 
 def variant_of(experiment: Experiment, chosen: dict[str, Any]) -> Experiment:
+    return msgspec.convert(_tree_of(experiment, chosen), Experiment)
+
+
+def _tree_of(experiment: Experiment, chosen: dict[str, Any]) -> Any:
     tree = msgspec.to_builtins(experiment)
     for name, value in chosen.items():
         _put(tree, name, value)
-    return msgspec.convert(tree, Experiment)
+    return tree
 
 
 def _put(tree: Any, place: str, value: Any) -> None:
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -544,8 +544,8 @@
         # Only the front turns work away for want of room: further in, a refusal wastes work already done.
         room = True
         if self._is_front:
-            self._settle(now, self._open() - 1)
-            room = self._admission.admits(self._open() - 1, event.tenant_index, now)
+            self._settle(now, others := self._open() - 1)
+            room = self._admission.admits(others, event.tenant_index, now)
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
 
--- a/madderwind/transport/accepting.py
+++ b/madderwind/transport/accepting.py
@@ -28,7 +28,7 @@
     ) -> None:
         self._protocol, self._no_descriptor = protocol, no_descriptor
         self.listening: socket.socket | None = None
-        self._paused = False
+        self.paused = False
         self._taking_in: set[asyncio.Task[None]] = set()
 
     def open(self, listening: socket.socket) -> None:
@@ -38,26 +38,26 @@
 
     def pause(self) -> None:
         """Leave what waits to another process, which accepts from the same queue."""
-        self._paused = True
+        self.paused = True
         if self.listening is not None:
             asyncio.get_running_loop().remove_reader(self.listening)
 
     def resume(self) -> None:
-        self._paused = False
+        self.paused = False
         self._listen()
 
     def close(self, take_what_waits: bool = False) -> None:
         """Listen no more; what waits by now may be taken, and is not reset."""
         if self.listening is None:
             return
-        if take_what_waits and not self._paused:
+        if take_what_waits and not self.paused:
             self._accept()
         asyncio.get_running_loop().remove_reader(self.listening)
         self.listening.close()
         self.listening = None
 
     def _listen(self) -> None:
-        if self.listening is not None and not self._paused:
+        if self.listening is not None and not self.paused:
             asyncio.get_running_loop().add_reader(self.listening, self._accept)
 
     def _accept(self) -> None:
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -117,7 +117,6 @@
         self._log = log
         self._open = 0
         self._ending = False
-        self._handed_on = False
         self._round: asyncio.TimerHandle | None = None
         self._web = _Connections(
             self._handle,
@@ -156,7 +155,6 @@
     def hand_on(self, handed_on: bool) -> None:
         """Whether another process accepts from the same queue in place of this one. Callers are sent there by
         the close of their connection after its next answer; without that process this one accepts again."""
-        self._handed_on = handed_on
         if handed_on:
             self._acceptor.pause()
         else:
@@ -197,7 +195,7 @@
 
     def _is_last(self) -> bool:
         """Whether a connection ends with its next answer."""
-        return self._ending or self._handed_on or self._web.over() > 0
+        return self._ending or self._acceptor.paused or self._web.over() > 0
 
     async def serve_on(self, until_s: float) -> None:
         """Accept nothing more, and serve on the connections that are open, while there are any.
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -104,6 +104,11 @@
         self.upstream = -1  # the number of the upstream asked
         self.connection: OneAnswer | None = None  # that it is written to
 
+    def was_written(self) -> None:
+        """To its last byte."""
+        self.whole = True
+        self.on_whole()
+
 
 class _NotWritten(Exception):
     """The connection came up too late for this attempt."""
@@ -145,18 +150,15 @@
         self.url = _Target(letter.target)  # type: ignore[assignment]
         response = await super().send(conn)
         if self._writer is None and not self._body:
-            letter.whole = True
-            letter.on_whole()
+            letter.was_written()
         return response
 
     async def write_bytes(
         self, writer: AbstractStreamWriter, conn: Connection, content_length: int | None = None
     ) -> None:
         await super().write_bytes(writer, conn, content_length)
-        letter = _letter.get()
         if conn.protocol is not None and conn.protocol.exception() is None:
-            letter.whole = True
-            letter.on_whole()
+            _letter.get().was_written()
 
 
 class _Trust:
