An attempt has room for passing on once, for its long body and its long answer

Found on reading over: room for the body was held to the attempt's end, and a long answer asked for room of its own beside it. When bodies held all of it, each waited for the others until its deadline, against what the budget says of itself. One room an attempt, taken by whichever comes first, also leaves one place that gives it back. A condition on a body that is let go could not hold where it stood, and is gone.

Test: one room, two long bodies with long answers; it fails without the change.

--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -204,7 +204,7 @@
         if address is None or number >= copy.settings.max_attempts or not self._may_write(upstream, until_ms):
             return Outcome.NOT_SENT, ()
         passage = _Passage(self, number, upstream)
-        upload = None if body.whole and not self.let_go else Upload(self._pieces(), body.length)
+        upload = None if body.whole else Upload(self._pieces(), body.length)
         left_ms = until_ms - sent_ms if upload is None else self.asked.wait_ms
         letter = Letter(
             self.request.method,
@@ -217,13 +217,11 @@
             upload,
             passage,
         )
-        if upload is not None:
-            await copy.budgets.passing.wait_for(PASSING)
         try:
+            if upload is not None:
+                await passage.take_room()
             answer = await copy.upstreams.ask(upstream, address, letter, copy.clock.loop_time_s(until_ms))
         finally:
-            if upload is not None:
-                copy.budgets.passing.give_back(PASSING)
             passage.end()
         if body.broken is not None:
             self.turned_away[number] = Final(body.broken.status, f"{body.broken}\n".encode())
@@ -274,20 +272,28 @@
 
 
 class _Passage:
-    """One attempt's long answer on its way to the caller, a piece at a time."""
+    """One attempt's long answer on its way to the caller, a piece at a time.
+
+    An attempt has room for passing messages on once: the same for its body and its answer.
+    """
 
     def __init__(self, exchange: Exchange, number: int, upstream: int) -> None:
         self._exchange, self._number, self._upstream = exchange, number, upstream
         self._began_ms = exchange.copy.clock.now_ms()
         self._has_room = False
 
+    async def take_room(self) -> None:
+        """Guards against a standstill: who has room for the body does not wait for more with the answer."""
+        if not self._has_room:
+            await self._exchange.copy.budgets.passing.wait_for(PASSING)
+            self._has_room = True
+
     async def begin(self, headers: CIMultiDictProxy[str], length: int | None) -> bool:
         exchange, copy = self._exchange, self._exchange.copy
         if exchange.over:
             return False
         first_ms = copy.clock.now_ms()
-        await copy.budgets.passing.wait_for(PASSING)
-        self._has_room = True
+        await self.take_room()
         if exchange.over:
             return False
         exchange.passing, exchange.passing_ms = self._number, first_ms
--- a/tests/program/test_long.py
+++ b/tests/program/test_long.py
@@ -244,6 +244,25 @@
     run(test())
 
 
+def test_long_bodies_with_long_answers_do_not_wait_for_each_other(tmp_path: Path) -> None:
+    """There is room for one message on its way: who passes a body on has it for the answer too."""
+
+    async def test() -> None:
+        async with Running(tmp_path, Upstream(says(answer(200, LONG)))) as running:
+            running.service.copy.budgets.passing.resize(PASSING)
+
+            async def asks() -> bytes:
+                caller = await Caller.connect(running.port)
+                await upload(caller, LONG[:2_000_000], wait_ms=1500)
+                return (await caller.read()).body
+
+            bodies_back = await within(asyncio.gather(asks(), asks()))
+            assert bodies_back == [LONG, LONG]
+            assert unspent(running) and not running.broken
+
+    run(test())
+
+
 def test_slow_callers(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """A body that keeps its pace is waited for, one that stands still is not."""
     monkeypatch.setattr(routing, "READ_S", 0.2)
