Copies tell one another their rates; the room and the shares go by them

Cause: Admission.settle and _within_share give each copy 1/copies of the room and of a tenant's quota, but each client process has a copy of its own and most carry little.

--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -97,6 +97,7 @@
     second_copies: bool = False
     may_cancel: bool = False
     may_probe: bool = False
+    may_tell: bool = False
     retry_after: bool = False
     max_retry_after_ms: float = 0.0
     clients_mark_repeats: bool = False
@@ -238,7 +239,7 @@
 
 
 class PeerSpoke(Event, frozen=True):
-    """Words of another copy. The policy shares nothing and passes over them."""
+    """Words of another copy, where the settings allow them. No rule rests on them."""
 
     peer: int
     message: bytes
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -51,6 +51,9 @@
 SHORTEST_MS = 0.1
 # An upstream that was called back is owed its first attempt by chance between half of this and all of it.
 OWED_MS = 4500.0
+# How often copies tell one another their rates, over how long those are smoothed, and who counts as silent.
+TELL_MS, RATE_MS, SILENT_MS = 1000.0, 4000.0, 4500.0
+RATE_BYTES, RATE_UNITS = 3, 100  # a rate on the wire: hundredths of a request a second
 READY = UpstreamState.READY
 
 
@@ -383,6 +386,48 @@
                     other.cold_credit = min(other.cold_credit + earned, max(other.cold_credit, 0.0))
 
 
+class Traffic:
+    """How much of the tier's traffic comes to this copy: copies tell one another their rates.
+
+    Guards against even parts where each caller has a copy of its own: most carry little, some far more.
+    """
+
+    def __init__(self, copies: int) -> None:
+        self.copies = copies
+        self._count, self._counted_ms, self._first_ms = 0.0, 0.0, float("inf")
+        self._heard: dict[int, tuple[float, float]] = {}  # rates, and when they were heard
+        self._others = 0.0
+
+    def arrived(self, now: float) -> None:
+        self._count = self._count * math.exp((self._counted_ms - now) / RATE_MS) + 1
+        self._counted_ms, self._first_ms = now, min(self._first_ms, now)
+
+    def rate(self, now: float) -> float:
+        """Requests a second, smoothed; early on, over the time since the first."""
+        gone = 1 - math.exp(-max(TELL_MS / 2, now - self._first_ms) / RATE_MS)
+        return self._count * math.exp((self._counted_ms - now) / RATE_MS) / gone * 1000 / RATE_MS
+
+    def heard(self, peer: int, message: bytes, now: float) -> None:
+        if len(message) == RATE_BYTES and 0 <= peer < self.copies:
+            self._heard[peer] = int.from_bytes(message, "little") / RATE_UNITS, now
+            self._sum(now)
+
+    def tell(self, now: float) -> bytes:
+        self._sum(now)
+        return min(256**RATE_BYTES - 1, round(self.rate(now) * RATE_UNITS)).to_bytes(RATE_BYTES, "little")
+
+    def _sum(self, now: float) -> None:
+        """Silent copies carry nothing; one never heard counts as the mean of the heard."""
+        heard = sum(rate for rate, at in self._heard.values() if now - at < SILENT_MS)
+        self._others = heard * max(1.0, (self.copies - 1) / max(1, len(self._heard)))
+
+    def part(self, now: float) -> float:
+        if not self._heard:
+            return 1 / self.copies
+        rate = self.rate(now)
+        return rate / max(rate + self._others, 1e-9)
+
+
 class Admission:
     """How many requests may be open. The room grows while answers show no queues to speak of, else shrinks.
 
@@ -392,7 +437,8 @@
     copy with room for less than one may have several open; all together keep the room.
     """
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: api.Settings, traffic: Traffic) -> None:
+        self._traffic = traffic
         self.tune(settings)
         self.room = ROOM_START  # an upstream in use, over all copies, so that it goes with those lost
         self._pressure = Mean()
@@ -402,14 +448,14 @@
         self.left, self.most_open, self._settled_ms = [1.0, 1.0], [0.0, 0.0], 0.0
 
     def tune(self, settings: api.Settings) -> None:
-        self._settings, self._copies = settings, max(1, settings.copies)
+        self._settings = settings
 
     def settle(self, open_requests: int, usable: float, typical_ms: float, now: float) -> None:
         """Both credits up to now, from 1 (nothing used) to -1: earned at this copy's part of the room and
         spent by each open request, over a usual answer time, measured in what chance may bring."""
         spent, self._settled_ms = (now - self._settled_ms) / typical_ms, now
         for over, room_part in enumerate((1.0, OVER_SHARE_ROOM)):
-            part = room_part * self.room * max(1.0, usable) / self._copies
+            part = room_part * self.room * max(1.0, usable) * self._traffic.part(now)
             chance = CHANCE * math.sqrt(part)
             self.left[over] = max(-1.0, min(1.0, self.left[over] + (part - open_requests) * spent / chance))
             self.most_open[over] = part + chance
@@ -422,7 +468,7 @@
         """This copy's even part of the tenant's quota, as a bucket for what chance may bring in a second."""
         if tenant_index >= len(self._settings.tenants):
             return True
-        rate = max(0.0, self._settings.tenants[tenant_index].quota_per_s) / self._copies
+        rate = max(0.0, self._settings.tenants[tenant_index].quota_per_s) * self._traffic.part(now)
         most = rate + CHANCE * math.sqrt(rate)
         tokens, since = self._allowance.get(tenant_index, (most, now))
         tokens = min(most, tokens + rate * (now - since) / 1000)
@@ -450,7 +496,8 @@
         self._rng = random.Random(seed)
         self._quota = RetryQuota(self._rng)
         self._picker = Picker(settings, self._rng)
-        self._admission = Admission(settings)
+        self._traffic = Traffic(max(1, settings.copies))
+        self._admission = Admission(settings, self._traffic)
         self._requests: dict[int, Request] = {}
         self._usual: list[Mean] = []  # answer times by class
         self._hints: list[Mean] = []  # work that requests announce, by class
@@ -458,7 +505,7 @@
         self._timers: dict[int, tuple[str, int, int]] = {}
         self._next_token, self._first_ms = 0, float("inf")
         self._asks = 0
-        self._following = False
+        self._following, self._telling = False, False
         self._out: list[api.Action] = []
 
     def _tune(self, settings: api.Settings) -> None:
@@ -470,6 +517,9 @@
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self._out = []
+        if self._settings.may_tell and not self._telling:
+            self._telling = True
+            self._set_timer("tell", 0, 0, TELL_MS * self._rng.random())
         match event:
             case api.RequestArrived():
                 self._arrived(now, event)
@@ -496,6 +546,8 @@
                 self._admission.tune(settings)
             case api.Recalled(memory):
                 self._recall(memory)
+            case api.PeerSpoke(peer, message):
+                self._traffic.heard(peer, message, now)
             case api.ListFailed():
                 self._following = False  # also a subscription that broke: it has to be asked for anew
                 self._ask_later()
@@ -535,6 +587,7 @@
             self._out.append(api.Fail(event.request_id))  # its class is unknown, so nothing is promised
             return
         request = Request(event, self._settings.classes[event.class_index], now)
+        self._traffic.arrived(now)
         self._requests[request.id] = request
         hint_ms, hints = event.work_hint_ms or 0.0, self._hints[event.class_index]
         if 0 < hint_ms < float("inf"):
@@ -644,6 +697,9 @@
     def _timer_fired(self, now: float, what: str, request_id: int, number: int) -> None:
         if what == "ask" and not self._following:
             self._out.append(api.Subscribe(True))
+        if what == "tell":
+            self._out.append(api.TellPeers(None, self._traffic.tell(now)))
+            self._set_timer("tell", 0, 0, TELL_MS)
         request = self._requests.get(request_id)
         if request is None:
             return
--- a/madderwind/settings.py
+++ b/madderwind/settings.py
@@ -269,6 +269,7 @@
         second_copies=values.get("Ceilings.SecondCopies", _flag),
         may_cancel=values.get("Ceilings.Cancel", _flag),
         may_probe=values.get("Ceilings.Probes", _flag),
+        may_tell=values.get("Ceilings.MayTell", _flag, False),
         retry_after=values.get("Ceilings.RetryAfter", _flag),
         max_retry_after_ms=values.get("Ceilings.MaxRetryAfterMs", _number, 0.0),
         clients_mark_repeats=values.get("Clients.MarksRetry", _flag, False),
