What is worth less has less of the room, by class as by tenant

Cause: Admission.admits knew only traffic within and beyond a tenant's share. Each class has a credit of its own now; its part of the room goes down with its worth, by four tenths for what is worth nothing.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -45,6 +45,7 @@
 CHANCE = 3.0
 # Part of the room that traffic beyond a tenant's share may fill, and the credit under which the room grows.
 OVER_SHARE_ROOM, SHORT_CREDIT = 0.75, 0.5
+CHEAP_ROOM = 0.4
 # The part of their least capacity that cold upstreams get: chance adds to it, and size where it is not told.
 COLD_CAUTION = 0.8
 # Times are taken as at least this, so that a clock that stands still cannot make one nothing.
@@ -428,6 +429,14 @@
         return rate / max(rate + self._others, 1e-9)
 
 
+class Level:
+    """One class's part of the room, within a tenant's share or beyond: its credit, from 1 (nothing used) to
+    -1, and the most that may be open at a moment."""
+
+    def __init__(self, part: float) -> None:
+        self.part, self.left, self.most_open = part, 1.0, 0.0
+
+
 class Admission:
     """How many requests may be open. The room grows while answers show no queues to speak of, else shrinks.
 
@@ -444,25 +453,30 @@
         self._pressure = Mean()
         self._shrunk_ms, self._grown_ms = float("-inf"), 0.0
         self._allowance: dict[int, tuple[float, float]] = {}
-        # The credit, and the most that may be open at a moment: for traffic within shares, and beyond.
-        self.left, self.most_open, self._settled_ms = [1.0, 1.0], [0.0, 0.0], 0.0
+        self._settled_ms = 0.0
 
     def tune(self, settings: api.Settings) -> None:
         self._settings = settings
+        dearest = max((klass.worth for klass in settings.classes), default=0.0) or 1.0
+        self._dearest = 2 * max(range(len(settings.classes)), key=lambda n: settings.classes[n].worth, default=0)
+        worths = [1 - CHEAP_ROOM * (1 - klass.worth / dearest) for klass in settings.classes]
+        self._levels = [Level(worth * part) for worth in worths for part in (1.0, OVER_SHARE_ROOM)]
 
     def settle(self, open_requests: int, usable: float, typical_ms: float, now: float) -> None:
-        """Both credits up to now, from 1 (nothing used) to -1: earned at this copy's part of the room and
+        """All credits up to now, from 1 (nothing used) to -1: earned at this copy's part of the room and
         spent by each open request, over a usual answer time, measured in what chance may bring."""
         spent, self._settled_ms = (now - self._settled_ms) / typical_ms, now
-        for over, room_part in enumerate((1.0, OVER_SHARE_ROOM)):
-            part = room_part * self.room * max(1.0, usable) * self._traffic.part(now)
+        whole = self.room * max(1.0, usable) * self._traffic.part(now)
+        for level in self._levels:
+            part = level.part * whole
             chance = CHANCE * math.sqrt(part)
-            self.left[over] = max(-1.0, min(1.0, self.left[over] + (part - open_requests) * spent / chance))
-            self.most_open[over] = part + chance
+            level.left = max(-1.0, min(1.0, level.left + (part - open_requests) * spent / chance))
+            level.most_open = part + chance
 
-    def admits(self, open_requests: int, tenant_index: int, now: float) -> bool:
-        over = 0 if self._within_share(tenant_index, now) else 1
-        return self.left[over] > 0 and open_requests < self.most_open[over]
+    def admits(self, open_requests: int, class_index: int, tenant_index: int, now: float) -> bool:
+        within = self._within_share(tenant_index, now)
+        level = self._levels[class_index * 2 + (not within)]
+        return level.left > 0 and open_requests < level.most_open
 
     def _within_share(self, tenant_index: int, now: float) -> bool:
         """This copy's even part of the tenant's quota, as a bucket for what chance may bring in a second."""
@@ -483,7 +497,7 @@
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif self.room < ROOM_START or (self.left[0] < SHORT_CREDIT and self.room < held):
+        elif self.room < ROOM_START or (self._levels[self._dearest].left < SHORT_CREDIT and self.room < held):
             told = GAIN * (1 - self._pressure.mean) ** 2  # one answer tells more, the farther it is from slow
             self.room *= 1 + min(told, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
@@ -598,7 +612,7 @@
         room = True
         if self._is_front:
             self._settle(now, others := self._open() - 1)
-            room = self._admission.admits(others, event.tenant_index, now)
+            room = self._admission.admits(others, event.class_index, event.tenant_index, now)
         if now >= request.deadline_ms or not room or not self._send(now, request, 0.0):
             self._answer(request)
 
