--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -173,13 +173,11 @@
         return sum(a.outcome is None for a in self.attempts)
 
 
-def may_be_resent(
-    request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings, cancelled: bool = False
-) -> bool:
+def may_be_resent(request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings) -> bool:
     """Whether another attempt at this upstream can have no second effect. The only such test."""
     if request.once_only or len(request.attempts) >= settings.max_attempts:
         return False
-    if request.open_attempts() > cancelled and not settings.second_copies:
+    if request.open_attempts() and not settings.second_copies:
         return False
     ran = [a for a in request.attempts if a.may_have_run()]
     klass = request.klass
@@ -292,8 +290,8 @@
                 width, after = max((end - begin, begin) for begin, end in gaps)
                 self._places[number] = (after + width / 2) % 1, rating
 
-    def has_place(self, request: Request, when: float, cancelled: bool = False) -> bool:
-        return any(may_be_resent(request, u.entry, when, self._settings, cancelled) for u in self.fleet.values())
+    def has_place(self, request: Request, when: float) -> bool:
+        return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
 
     def usable(self, now: float) -> float:
         """How many upstreams can be counted on: ready, not set aside repeatedly, cold by their warmth."""
@@ -735,18 +733,11 @@
             if upstream.heard_ms > attempt.sent_ms:
                 return  # it lives: a second copy would be work wasted on a request that is merely long
             upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
-        if request.attempts[-1] is not attempt:
+        if request.attempts[-1] is not attempt or not self._settings.second_copies:
             return
-        if not self._settings.second_copies:
-            self._give_up_on(now, request)
-        elif self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
+        if self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
             self._quota.refund(COST_TRANSIENT)
 
-    def _give_up_on(self, now: float, request: Request) -> None:
-        """Where two attempts at once are not allowed, the silent one is cancelled and its end retried."""
-        if self._settings.may_cancel and self._picker.has_place(request, now, cancelled=True):
-            self._out.append(api.Cancel(request.id, len(request.attempts) - 1))
-
     def _answer(self, request: Request) -> None:
         """The one exit: the final answer of a request given up on, at once."""
         del self._requests[request.id]
