--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -467,6 +467,7 @@
     def tune(self, settings: api.Settings) -> None:
         self._settings = settings
         dearest = max((klass.worth for klass in settings.classes), default=0.0) or 1.0
+        self._dearest = 2 * max(range(len(settings.classes)), key=lambda n: settings.classes[n].worth, default=0)
         worths = [1 - CHEAP_ROOM * (1 - klass.worth / dearest) for klass in settings.classes]
         self._levels = [Level(worth * part) for worth in worths for part in (1.0, OVER_SHARE_ROOM)]
 
@@ -498,10 +499,6 @@
         self._allowance[tenant_index] = (tokens - 1 if within else tokens, now)
         return within
 
-    def _short(self) -> bool:
-        """Whether any class lacks room within shares: also the cheapest is refused for queues alone."""
-        return any(level.left < SHORT_CREDIT for level in self._levels[::2])
-
     def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, held: float, now: float) -> None:
         """Chance makes one copy short of room while all together are not: reports tell, where they come."""
         # Guards against a few slow upstreams, hardly used, that shrink the room of all.
@@ -509,7 +506,7 @@
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
-        elif self.room < ROOM_START or (self._short() and self.room < held):
+        elif self.room < ROOM_START or (self._levels[self._dearest].left < SHORT_CREDIT and self.room < held):
             told = GAIN * (1 - self._pressure.mean) ** 2  # one answer tells more, the farther it is from slow
             self.room *= 1 + min(told, ROOM_GROWTH * (now - self._grown_ms) / usual.mean)
         self._grown_ms = now
