Clients are told to come back within a usual answer time, not a second

Cause: _answer drew the Retry-After up to BASE_FULL_MS, a second, which clients here honour (0.7 to 1), and the aims are 600 to 800 ms, so that what was refused once came back too late. Room is free again within a usual answer time.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -763,7 +763,8 @@
         """The one exit: the final answer of a request given up on, at once."""
         del self._requests[request.id]
         if may_be_refused(request):
-            hold_off_ms = min(self._settings.max_retry_after_ms, self._quota.wait_ms(BASE_FULL_MS, 0))
+            typical_ms = self._picker.typical.mean or BASE_FULL_MS
+            hold_off_ms = min(self._settings.max_retry_after_ms, self._quota.wait_ms(typical_ms, 0))
             self._out.append(api.Refuse(request.id, hold_off_ms if self._settings.retry_after else 0.0))
         else:
             self._out.append(api.Fail(request.id))
