Where a key stays warm, a request goes to one of its two homes, alike at every copy

Cause: Picker.pick never looked at the key; an upstream that met a key lately does 29 to 69% less for it (FamilyInfo.WarmKeys, not read until now). Rendezvous hashing gives the order among which the idle-first pick draws; a key has two homes and as many more as its part of the last 200 requests fills.

--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -116,6 +116,7 @@
     reports_on_answers: bool = False
     ratings_tell_size: bool = False
     worth_by_work: bool = False
+    warm_keys: bool = False
     over_share_worth: float = 1.0
     waste_price: float = 0.0
     probe_price: float = 0.0
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Iterable
 
 from madderwind.policy import api
@@ -39,6 +40,8 @@
 HELD_COLUMN, REPORT_GAIN, REPORT_MS = "in_flight", 1 / 4, 4000.0
 # Steps of this part of a circle keep all points well apart, however many there are.
 GOLDEN = 0.618034
+# Homes of a key, and of how many requests the keys are counted.
+HOMES, KEYS_KEPT = 2, 200
 # How long a count over the whole fleet is kept.
 KEPT_MS = 50.0
 # Deviations of a chance count (its root) that are left to chance before a copy's part binds.
@@ -153,6 +156,7 @@
 class Request:
     def __init__(self, event: api.RequestArrived, klass: api.RequestClass, now: float) -> None:
         self.id, self.class_index, self.klass = event.request_id, event.class_index, klass
+        self.key = event.key
         self.deadline_ms = event.deadline_ms
         aim_ms = klass.aim_ms if klass.late_worth <= 0 else klass.deadline_ms
         self.useful_until_ms = min(event.deadline_ms, now + aim_ms)
@@ -214,6 +218,7 @@
         self._places: dict[int, tuple[float, float]] = {}  # on a circle, with the rating that took each
         self._cold: list[Upstream] = []  # those that the last pick met, and the warm ones' size in all
         self._warm = 0.0
+        self._keys: deque[int] = deque()  # of the last requests
         self._usable, self._usable_ms = 0.0, float("-inf")
         self._usual_held, self.held = Mean(SLOW_GAIN), float("inf")  # what an upstream reports to hold
         self.tune(settings)
@@ -307,11 +312,14 @@
         self._now = now
         tried = request.attempts[-1].upstream.upstream if request.attempts else None
         warm = any(u.warmth(now, self._settings) >= 1 for u in self._order)
+        order, near = self._order, self._near
+        if self._settings.warm_keys and request.key:
+            order, near = self._homes(request.key)
         able: list[Upstream] = []
         last: list[Upstream] = []  # the one just tried, and dead ones
         cold: list[Upstream] = []
         idle = 0.0  # a slow one counts for less, so that who is near to few sound ones looks further
-        for u in self._order:
+        for u in order:
             if not may_be_resent(request, u.entry, now, self._settings):
                 continue
             if u.warmth(now, self._settings) < 1:
@@ -325,7 +333,7 @@
             able.append(u)
             if u.sound(now) and not u.sent_ms:
                 idle += 1 / max(1.0, self.slowness(u))
-            if idle >= self._near:
+            if idle >= near:
                 break
         able = able or last
         sound = [u for u in able if u.sound(now)]
@@ -348,6 +356,20 @@
             self._warm = sum(self._size(u) for u in sound if u.warmth(now, self._settings) >= 1)
         return chosen
 
+    def _homes(self, key: int) -> tuple[list[Upstream], int]:
+        """Where this key has likely been of late, the same at every copy, likeliest first (rendezvous hashing
+        by size), and how many homes its part of the traffic needs."""
+        part = sum(other == key for other in self._keys) / max(1, len(self._keys))
+        self._keys.append(key)
+        if len(self._keys) > KEYS_KEPT:
+            self._keys.popleft()
+
+        def rank(u: Upstream) -> float:
+            mixed = hash((key, u.entry.upstream)) * 0x9E3779B97F4A7C15 % 2**64
+            return math.log((mixed + 1) / 2**64) / self._size(u)
+
+        return sorted(self._order, key=rank, reverse=True), HOMES + math.floor(part * len(self._order))
+
     def _weight(self, u: Upstream, size: float) -> float:
         """The tie-break: the faster the likelier, for heavy work most of all."""
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
--- a/madderwind/settings.py
+++ b/madderwind/settings.py
@@ -274,6 +274,7 @@
         max_retry_after_ms=values.get("Ceilings.MaxRetryAfterMs", _number, 0.0),
         clients_mark_repeats=values.get("Clients.MarksRetry", _flag, False),
         passes_deadline=values.get("FamilyInfo.PassesDeadline", _flag, True),
+        warm_keys=values.get("FamilyInfo.WarmKeys", _flag, False),
         connect_timeout_ms=values.get("Ceilings.ConnectTimeoutMs", _number, 0.0),
         tick_ms=values.get("GranularityMs", _number, 0.0),
         answer_slack_ms=values.get("Obligations.AnswerSlackMs", _number),
