--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -56,7 +56,7 @@
 # An upstream that was called back is owed its first attempt by chance between half of this and all of it.
 OWED_MS = 4500.0
 # How often copies tell one another their rates, over how long those are smoothed, and who counts as silent.
-TELL_MS, RATE_MS, SILENT_MS = 1000.0, 4000.0, 4500.0
+TELL_MS, FIRST_TELL_MS, RATE_MS, SILENT_MS = 2000.0, 200.0, 4000.0, 4500.0
 RATE_BYTES, RATE_UNITS = 3, 100  # a rate on the wire: hundredths of a request a second
 ID_BYTES, MOST_IDS, SOON_MS = 4, 60, 50.0
 SILENCE_MS = 500.0
@@ -417,8 +417,8 @@
     Guards against even parts where each caller has a copy of its own: most carry little, some far more.
     """
 
-    def __init__(self, copies: int) -> None:
-        self.copies = copies
+    def __init__(self, copies: int, may_tell: bool) -> None:
+        self.copies, self._may_tell = copies, may_tell
         self._count, self._counted_ms, self._first_ms = 0.0, 0.0, float("inf")
         self._heard: dict[int, tuple[float, float]] = {}  # rates, and when they were heard
         self._others = 0.0
@@ -430,7 +430,7 @@
 
     def rate(self, now: float) -> float:
         """Requests a second, smoothed; early on, over the time since the first."""
-        gone = 1 - math.exp(-max(TELL_MS / 2, now - self._first_ms) / RATE_MS)
+        gone = 1 - math.exp(-max(FIRST_TELL_MS, now - self._first_ms) / RATE_MS)
         return self._count * math.exp((self._counted_ms - now) / RATE_MS) / gone * 1000 / RATE_MS
 
     def heard(self, peer: int, message: bytes, now: float) -> list[int]:
@@ -454,8 +454,8 @@
         self._others = heard * max(1.0, (self.copies - 1) / max(1, len(self._heard)))
 
     def part(self, now: float) -> float:
-        if not self._heard:
-            return 1 / self.copies
+        if not self._heard:  # before the first words, within which a copy with much traffic would refuse it
+            return 1.0 if self._may_tell and now - self._first_ms < 2 * FIRST_TELL_MS else 1 / self.copies
         rate = self.rate(now)
         return rate / max(rate + self._others, 1e-9)
 
@@ -541,7 +541,7 @@
         self._rng = random.Random(seed)
         self._quota = RetryQuota(self._rng)
         self._picker = Picker(settings, self._rng)
-        self._traffic = Traffic(max(1, settings.copies))
+        self._traffic = Traffic(max(1, settings.copies), settings.may_tell)
         self._admission = Admission(settings, self._traffic)
         self._requests: dict[int, Request] = {}
         self._usual: list[Mean] = []  # answer times by class
@@ -564,7 +564,7 @@
         self._out = []
         if self._settings.may_tell and not self._telling:
             self._telling = True
-            self._set_timer("tell", 0, 0, TELL_MS * self._rng.random())
+            self._set_timer("tell", 0, 0, FIRST_TELL_MS * self._rng.uniform(0.5, 1.5))
         match event:
             case api.RequestArrived():
                 self._arrived(now, event)
@@ -755,8 +755,8 @@
             self._out.append(api.Subscribe(True))
         if what == "tell" or (what == "alarm" and self._traffic.failed):
             self._out.append(api.TellPeers(None, self._traffic.tell(now)))
-        if what == "tell":
-            self._set_timer("tell", 0, 0, TELL_MS)
+        if what == "tell":  # as often as what there is to tell has doubled, up to the usual
+            self._set_timer("tell", 0, 0, min(TELL_MS, max(FIRST_TELL_MS, now - self._first_ms)))
         request = self._requests.get(request_id)
         if request is None:
             return
