--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -56,7 +56,10 @@
 # An upstream that was called back is owed its first attempt by chance between half of this and all of it.
 OWED_MS = 4500.0
 # How often copies tell one another their rates, over how long those are smoothed, and who counts as silent.
-TELL_MS, FIRST_TELL_MS, RATE_MS, SILENT_MS = 2000.0, 200.0, 4000.0, 4500.0
+TELL_MS, FIRST_TELL_MS, RATE_MS = 1000.0, 200.0, 4000.0
+# Who carries little tells less often: at most a word to each copy in so many requests, at least each 10 s.
+REQUESTS_A_WORD, LONGEST_TELL_MS = 0.3, 10_000.0
+SILENT = 3.0  # usual waits without a word after which a copy counts as gone
 RATE_BYTES, RATE_UNITS = 3, 100  # a rate on the wire: hundredths of a request a second
 ID_BYTES, MOST_IDS, SOON_MS = 4, 60, 50.0
 SILENCE_MS = 500.0
@@ -448,9 +451,14 @@
         failed, self.failed = list(self.failed)[:MOST_IDS], {}
         return rate + b"".join(upstream.to_bytes(ID_BYTES, "little") for upstream in failed)
 
+    def tell_ms(self, rate: float) -> float:
+        """How long a copy of this rate waits between tells."""
+        most = REQUESTS_A_WORD * self.copies / max(rate, 1e-9) * 1000
+        return max(TELL_MS, min(LONGEST_TELL_MS, most))
+
     def _sum(self, now: float) -> None:
         """Silent copies carry nothing; one never heard counts as the mean of the heard."""
-        heard = sum(rate for rate, at in self._heard.values() if now - at < SILENT_MS)
+        heard = sum(rate for rate, at in self._heard.values() if now - at < SILENT * self.tell_ms(rate))
         self._others = heard * max(1.0, (self.copies - 1) / max(1, len(self._heard)))
 
     def part(self, now: float) -> float:
@@ -756,7 +764,8 @@
         if what == "tell" or (what == "alarm" and self._traffic.failed):
             self._out.append(api.TellPeers(None, self._traffic.tell(now)))
         if what == "tell":  # as often as what there is to tell has doubled, up to the usual
-            self._set_timer("tell", 0, 0, min(TELL_MS, max(FIRST_TELL_MS, now - self._first_ms)))
+            usual_ms = self._traffic.tell_ms(self._traffic.rate(now))
+            self._set_timer("tell", 0, 0, min(usual_ms, max(FIRST_TELL_MS, now - self._first_ms)))
         request = self._requests.get(request_id)
         if request is None:
             return
