--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -61,8 +61,6 @@
 REQUESTS_A_WORD, LONGEST_TELL_MS = 0.3, 10_000.0
 SILENT = 3.0  # usual waits without a word after which a copy counts as gone
 RATE_BYTES, RATE_UNITS = 3, 100  # a rate on the wire: hundredths of a request a second
-ID_BYTES, MOST_IDS, SOON_MS = 4, 60, 50.0
-SILENCE_MS = 500.0
 READY = UpstreamState.READY
 
 
@@ -425,7 +423,6 @@
         self._count, self._counted_ms, self._first_ms = 0.0, 0.0, float("inf")
         self._heard: dict[int, tuple[float, float]] = {}  # rates, and when they were heard
         self._others = 0.0
-        self.failed: dict[int, None] = {}  # upstreams to tell of, oldest first
 
     def arrived(self, now: float) -> None:
         self._count = self._count * math.exp((self._counted_ms - now) / RATE_MS) + 1
@@ -436,20 +433,14 @@
         gone = 1 - math.exp(-max(FIRST_TELL_MS, now - self._first_ms) / RATE_MS)
         return self._count * math.exp((self._counted_ms - now) / RATE_MS) / gone * 1000 / RATE_MS
 
-    def heard(self, peer: int, message: bytes, now: float) -> list[int]:
-        """A rate, then the upstreams that have failed the peer: those are returned."""
-        if len(message) % ID_BYTES != RATE_BYTES or not 0 <= peer < self.copies:
-            return []
-        self._heard[peer] = int.from_bytes(message[:RATE_BYTES], "little") / RATE_UNITS, now
-        self._sum(now)
-        ids = range(RATE_BYTES, len(message), ID_BYTES)
-        return [int.from_bytes(message[at : at + ID_BYTES], "little") for at in ids]
+    def heard(self, peer: int, message: bytes, now: float) -> None:
+        if len(message) == RATE_BYTES and 0 <= peer < self.copies:
+            self._heard[peer] = int.from_bytes(message, "little") / RATE_UNITS, now
+            self._sum(now)
 
     def tell(self, now: float) -> bytes:
         self._sum(now)
-        rate = min(256**RATE_BYTES - 1, round(self.rate(now) * RATE_UNITS)).to_bytes(RATE_BYTES, "little")
-        failed, self.failed = list(self.failed)[:MOST_IDS], {}
-        return rate + b"".join(upstream.to_bytes(ID_BYTES, "little") for upstream in failed)
+        return min(256**RATE_BYTES - 1, round(self.rate(now) * RATE_UNITS)).to_bytes(RATE_BYTES, "little")
 
     def tell_ms(self, rate: float) -> float:
         """How long a copy of this rate waits between tells."""
@@ -600,10 +591,7 @@
             case api.Recalled(memory):
                 self._recall(memory)
             case api.PeerSpoke(peer, message):
-                for number in self._traffic.heard(peer, message, now):
-                    u = self._picker.fleet.get(number)
-                    if u is not None and u.heard_ms < now - SILENCE_MS:
-                        u.failed(now, self._quota.wait_ms(BASE_FULL_MS, u.failures))
+                self._traffic.heard(peer, message, now)
             case api.ListFailed():
                 self._following = False  # also a subscription that broke: it has to be asked for anew
                 self._ask_later()
@@ -718,7 +706,7 @@
             if outcome is Outcome.OK:
                 upstream.failures //= 2
             elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-                self._failed(now, upstream)
+                upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
             usual, elapsed_ms = self._usual[request.class_index], elapsed_ms / request.size
             if outcome is Outcome.OK:
@@ -732,14 +720,6 @@
                 self._settle(now, self._open())
                 self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, self._picker.held, now)
 
-    def _failed(self, now: float, upstream: Upstream) -> None:
-        """An upstream's failure counts here, and the other copies hear of it, where messages are allowed."""
-        upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
-        if self._settings.may_tell:
-            if not self._traffic.failed:
-                self._set_timer("alarm", 0, 0, SOON_MS)
-            self._traffic.failed[upstream.entry.upstream] = None
-
     def _retry_or_answer(self, now: float, request: Request, outcome: Outcome) -> None:
         """After a failure: the quota's retry after its wait, or the answer at once. The front owns retries;
         an inner copy owns those of attempts proven never to have run, since the proof is lost one tier up."""
@@ -761,9 +741,9 @@
     def _timer_fired(self, now: float, what: str, request_id: int, number: int) -> None:
         if what == "ask" and not self._following:
             self._out.append(api.Subscribe(True))
-        if what == "tell" or (what == "alarm" and self._traffic.failed):
+        if what == "tell":
             self._out.append(api.TellPeers(None, self._traffic.tell(now)))
-        if what == "tell":  # as often as what there is to tell has doubled, up to the usual
+            # as often as what there is to tell has doubled, up to the usual
             usual_ms = self._traffic.tell_ms(self._traffic.rate(now))
             self._set_timer("tell", 0, 0, min(usual_ms, max(FIRST_TELL_MS, now - self._first_ms)))
         request = self._requests.get(request_id)
@@ -784,7 +764,7 @@
         if upstream is not None:
             if upstream.heard_ms > attempt.sent_ms:
                 return  # it lives: a second copy would be work wasted on a request that is merely long
-            self._failed(now, upstream)
+            upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
         if request.attempts[-1] is not attempt or not self._settings.second_copies:
             return
         if self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
