--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -180,11 +180,13 @@
         return sum(a.outcome is None for a in self.attempts)
 
 
-def may_be_resent(request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings) -> bool:
+def may_be_resent(
+    request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings, cancelled: int = 0
+) -> bool:
     """Whether another attempt at this upstream can have no second effect. The only such test."""
     if request.once_only or len(request.attempts) >= settings.max_attempts:
         return False
-    if request.open_attempts() and not settings.second_copies:
+    if request.open_attempts() > cancelled and not settings.second_copies:
         return False
     ran = [a for a in request.attempts if a.may_have_run()]
     klass = request.klass
@@ -298,8 +300,8 @@
                 width, after = max((end - begin, begin) for begin, end in gaps)
                 self._places[number] = (after + width / 2) % 1, rating
 
-    def has_place(self, request: Request, when: float) -> bool:
-        return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
+    def has_place(self, request: Request, when: float, cancelled: int = 0) -> bool:
+        return any(may_be_resent(request, u.entry, when, self._settings, cancelled) for u in self.fleet.values())
 
     def usable(self, now: float) -> float:
         """How many upstreams can be counted on: ready, not set aside repeatedly, cold by their warmth."""
@@ -755,19 +757,25 @@
                 self._quota.refund(cost)
                 self._answer(request)
         elif what == "overdue" and request.attempts[number].outcome is None and not request.once_only:
-            self._overdue(now, request, request.attempts[number])
+            self._overdue(now, request, number)
 
-    def _overdue(self, now: float, request: Request, attempt: Attempt) -> None:
+    def _overdue(self, now: float, request: Request, number: int) -> None:
         """Silence while others answer: guards against upstreams that take work and answer nothing. It counts
         as their failure; where the class allows, a second copy goes out, paid for like a retry."""
+        attempt = request.attempts[number]
         upstream = self._picker.fleet.get(attempt.upstream.upstream)
         if upstream is not None:
             if upstream.heard_ms > attempt.sent_ms:
                 return  # it lives: a second copy would be work wasted on a request that is merely long
             upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
-        if request.attempts[-1] is not attempt or not self._settings.second_copies:
+        if request.attempts[-1] is not attempt:
             return
-        if self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
+        if not self._settings.second_copies:
+            if self._settings.may_cancel and upstream is not None:
+                silent_ms = now - max(upstream.heard_ms, self._first_ms)
+                if silent_ms > 4 * (now - attempt.sent_ms) and self._picker.has_place(request, now, 1):
+                    self._out.append(api.Cancel(request.id, number))
+        elif self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
             self._quota.refund(COST_TRANSIENT)
 
     def _answer(self, request: Request) -> None:
