--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -180,13 +180,11 @@
         return sum(a.outcome is None for a in self.attempts)
 
 
-def may_be_resent(
-    request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings, cancelled: int = 0
-) -> bool:
+def may_be_resent(request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings) -> bool:
     """Whether another attempt at this upstream can have no second effect. The only such test."""
     if request.once_only or len(request.attempts) >= settings.max_attempts:
         return False
-    if request.open_attempts() > cancelled and not settings.second_copies:
+    if request.open_attempts() and not settings.second_copies:
         return False
     ran = [a for a in request.attempts if a.may_have_run()]
     klass = request.klass
@@ -211,8 +209,8 @@
 class Picker:
     """The design's idle-first pick, within the rules on drains and cold upstreams."""
 
-    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self._rng = rng
+    def __init__(self, settings: api.Settings, traffic: Traffic, rng: random.Random) -> None:
+        self._traffic, self._rng = traffic, rng
         self.fleet: dict[int, Upstream] = {}
         self.typical = Mean(SLOW_GAIN)  # answer times of all classes
         self._now = 0.0
@@ -300,8 +298,8 @@
                 width, after = max((end - begin, begin) for begin, end in gaps)
                 self._places[number] = (after + width / 2) % 1, rating
 
-    def has_place(self, request: Request, when: float, cancelled: int = 0) -> bool:
-        return any(may_be_resent(request, u.entry, when, self._settings, cancelled) for u in self.fleet.values())
+    def has_place(self, request: Request, when: float) -> bool:
+        return any(may_be_resent(request, u.entry, when, self._settings) for u in self.fleet.values())
 
     def usable(self, now: float) -> float:
         """How many upstreams can be counted on: ready, not set aside repeatedly, cold by their warmth."""
@@ -315,7 +313,7 @@
         self._now = now
         tried = request.attempts[-1].upstream.upstream if request.attempts else None
         warm = any(u.warmth(now, self._settings) >= 1 for u in self._order)
-        order, near = self._order, self._near
+        order, near = self._order, max(NEAR, self._near * self._traffic.part(now) * self._settings.copies)
         if self._settings.warm_keys and request.key:
             order, near = self._homes(request.key)
         able: list[Upstream] = []
@@ -359,7 +357,7 @@
             self._warm = sum(self._size(u) for u in sound if u.warmth(now, self._settings) >= 1)
         return chosen
 
-    def _homes(self, key: int) -> tuple[list[Upstream], int]:
+    def _homes(self, key: int) -> tuple[list[Upstream], float]:
         """Where this key has likely been of late, the same at every copy, likeliest first (rendezvous hashing
         by size), and how many homes its part of the traffic needs."""
         part = sum(other == key for other in self._keys) / max(1, len(self._keys))
@@ -541,8 +539,8 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self._rng = random.Random(seed)
         self._quota = RetryQuota(self._rng)
-        self._picker = Picker(settings, self._rng)
         self._traffic = Traffic(max(1, settings.copies), settings.may_tell)
+        self._picker = Picker(settings, self._traffic, self._rng)
         self._admission = Admission(settings, self._traffic)
         self._requests: dict[int, Request] = {}
         self._usual: list[Mean] = []  # answer times by class
@@ -757,25 +755,19 @@
                 self._quota.refund(cost)
                 self._answer(request)
         elif what == "overdue" and request.attempts[number].outcome is None and not request.once_only:
-            self._overdue(now, request, number)
+            self._overdue(now, request, request.attempts[number])
 
-    def _overdue(self, now: float, request: Request, number: int) -> None:
+    def _overdue(self, now: float, request: Request, attempt: Attempt) -> None:
         """Silence while others answer: guards against upstreams that take work and answer nothing. It counts
         as their failure; where the class allows, a second copy goes out, paid for like a retry."""
-        attempt = request.attempts[number]
         upstream = self._picker.fleet.get(attempt.upstream.upstream)
         if upstream is not None:
             if upstream.heard_ms > attempt.sent_ms:
                 return  # it lives: a second copy would be work wasted on a request that is merely long
             upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
-        if request.attempts[-1] is not attempt:
+        if request.attempts[-1] is not attempt or not self._settings.second_copies:
             return
-        if not self._settings.second_copies:
-            if self._settings.may_cancel and upstream is not None:
-                silent_ms = now - max(upstream.heard_ms, self._first_ms)
-                if silent_ms > 4 * (now - attempt.sent_ms) and self._picker.has_place(request, now, 1):
-                    self._out.append(api.Cancel(request.id, number))
-        elif self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
+        if self._quota.spend(COST_TRANSIENT) and not self._send(now, request, COST_TRANSIENT):
             self._quota.refund(COST_TRANSIENT)
 
     def _answer(self, request: Request) -> None:
