--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -523,7 +523,7 @@
     def answered(self, elapsed_ms: float, usual: Mean, aim_ms: float, held: float, now: float) -> None:
         """Chance makes one copy short of room while all together are not: reports tell, where they come."""
         # Guards against a few slow upstreams, hardly used, that shrink the room of all.
-        self._pressure.add(min(MOST_PRESSURE, elapsed_ms / (usual.best * aim_ms) ** 0.5))
+        self._pressure.add(min(MOST_PRESSURE, elapsed_ms / (usual.best**2 * aim_ms) ** (1 / 3)))
         if self._pressure.mean > 1:
             if now - self._shrunk_ms >= usual.mean:
                 self.room, self._shrunk_ms = max(ROOM_LEAST, self.room * ROOM_SHRINK), now
