--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -125,7 +125,10 @@
 
 
 class UpstreamEntry(msgspec.Struct, frozen=True, gc=False):
-    """One line of the list of upstreams. `started_ms` is 0 where the start was long ago."""
+    """One line of the list of upstreams. `started_ms` is 0 where the start was long ago.
+
+    `mark` is alike at every copy, for choices that all copies make alike; 0: `upstream` is.
+    """
 
     upstream: int
     zone: int
@@ -134,6 +137,7 @@
     state: UpstreamState
     rating: float
     started_ms: float
+    mark: int = 0
 
 
 class Known(msgspec.Struct, frozen=True):
