--- a/madderwind/handover/handover.py
+++ b/madderwind/handover/handover.py
@@ -10,7 +10,7 @@
 from madderwind.eventlog import EventLog
 from madderwind.handover.bans import Bans, read_bans, write_bans
 from madderwind.handover.link import Link, Offer, Word, take_over
-from madderwind.handover.message import Message, MessageError, read_message, write_message
+from madderwind.handover.message import Message, MessageError, read_message, shape_of, write_message
 from madderwind.routing.copy import Copy
 from madderwind.routing.directory import Memory
 
@@ -66,8 +66,9 @@
         else:
             self._copy.directory.recall(message.directory)
             self._copy.listed(message.listing, cached=True)
-            self._copy.recall(message.quota, message.room, message.upstreams)
-            self._log("taken_over", upstreams=len(message.listing.members))
+            same = message.shape == shape_of(self._copy.settings)
+            self._copy.recall(message.quota, message.room, message.upstreams, same)
+            self._log("taken_over", upstreams=len(message.listing.members), same_shape=same)
         self._on_change()
         return taken.listening
 
@@ -86,7 +87,10 @@
         self._offered = True
         self._on_change()
         message = Message(
-            self._copy.directory.listing(), self._copy.directory.memory(), *self._copy.hand_over()
+            self._copy.directory.listing(),
+            self._copy.directory.memory(),
+            *self._copy.hand_over(),
+            shape_of(self._copy.settings),
         )
         return listening, write_message(message)
 
--- a/madderwind/handover/message.py
+++ b/madderwind/handover/message.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from madderwind.policy.api import Known
+from madderwind.policy.api import Known, Settings
 from madderwind.protocol.listing import Listing
 from madderwind.routing.directory import Memory
 
@@ -13,6 +13,12 @@
 LONGEST_MESSAGE = 8 * 1024 * 1024
 
 
+def shape_of(settings: Settings) -> str:
+    """What the meaning of learned ratios rests on: the classes, the tier, how many copies and places."""
+    parts = (settings.classes, settings.tier, settings.tiers, settings.copies, settings.zones)
+    return msgspec.json.encode(parts).decode()
+
+
 class Message(msgspec.Struct, frozen=True):
     """Upstreams go by discovery's ids, since each process numbers them itself."""
 
@@ -21,6 +27,7 @@
     quota: float
     room: float
     upstreams: dict[str, Known]
+    shape: str = ""  # of the deployment in which this was learned; unknown of an older program
     version: int = VERSION
 
 
--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -141,7 +141,7 @@
 
 
 class Known(msgspec.Struct, frozen=True):
-    """What a copy has learned of one upstream."""
+    """What a copy has learned of one upstream. `slowness` 0: to be learned afresh."""
 
     started_ms: float
     slowness: float
@@ -151,7 +151,7 @@
 
 
 class Memory(msgspec.Struct, frozen=True):
-    """What a process that takes over goes on from, upstreams by their numbers."""
+    """What a process that takes over goes on from, upstreams by their numbers. `room` 0: start afresh."""
 
     quota: float
     room: float
--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -531,10 +531,10 @@
 
     def _recall(self, memory: api.Memory) -> None:
         self._quota.tokens = min(self._quota.tokens, memory.quota)
-        self._admission.room = max(ROOM_LEAST, memory.room)
+        self._admission.room = max(ROOM_LEAST, memory.room or ROOM_START)
         for number, known in memory.upstreams.items():
             if (u := self._picker.fleet.get(number)) is not None:
-                u.started_ms, u.slowness = max(u.started_ms, known.started_ms), known.slowness
+                u.started_ms, u.slowness = max(u.started_ms, known.started_ms), known.slowness or u.slowness
                 u.failures, u.refused, u.aside_until_ms = known.failures, known.refused, known.aside_until_ms
 
     def _ask_later(self) -> None:
--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -29,6 +29,7 @@
     settings: msgspec.Raw
     limits: Limits = msgspec.field(default_factory=Limits)
     admin_addr: str = ""
+    peers: tuple[str, ...] = ()
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -42,6 +43,9 @@
     known: Listing
     host: HostSettings
     admin_given: str  # by the environment, before the file's
+    peers: tuple[
+        tuple[str, int], ...
+    ]  # the copies of this tier in order of their numbers, this one among them
     parts: frozenset[str]  # what the file holds: its own keys and those of its settings
 
 
@@ -72,12 +76,25 @@
             known,
             host,
             admin_given,
+            _read_peers(file.peers, host),
             frozenset(msgspec.json.decode(raw)) | {f"settings.{name}" for name in settings},
         )
     except (*UNREADABLE, ListingError, SettingsError) as error:
         raise ConfigurationError(f"{path}: {' '.join(str(error).split())}") from None
 
 
+def _read_peers(peers: tuple[str, ...], host: HostSettings) -> tuple[tuple[str, int], ...]:
+    """Where the copies listen for one another. Guards against words under a wrong number."""
+    settings = host.settings
+    if peers and len(peers) != settings.copies:
+        raise SettingsError(f"peers names {len(peers)} copies, NInstances says {settings.copies}")
+    if peers and not 0 <= settings.me < len(peers):
+        raise SettingsError(f"Me is {settings.me}, peers names {len(peers)} copies")
+    if len(set(peers)) < len(peers):
+        raise SettingsError("peers names an address twice")
+    return tuple(read_address(peer, "peers") for peer in peers)
+
+
 def read_successor(before: Configuration) -> Configuration:
     """The file of a running balancer once more, judged whole before any of it acts.
 
--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -22,7 +22,8 @@
 from madderwind.routing.copy import Copy
 from madderwind.routing.discovery import Follower
 from madderwind.routing.exchange import LastWord, serve
-from madderwind.settings import moved, retuned
+from madderwind.routing.peers import Peers
+from madderwind.settings import HostSettings, moved, retuned
 from madderwind.transport.budget import Budgets
 from madderwind.transport.listening import Listener
 from madderwind.transport.upstreams import Upstreams
@@ -40,7 +41,7 @@
 MOST_ANSWERS = 1 / 3
 # What of a new configuration needs a restart. The seed is new with each start and the list known is for the
 # start alone, so changes of those are nothing to speak of.
-FOR_THE_START = ("name", "listen", "admin", "limits")
+FOR_THE_START = ("name", "listen", "admin", "limits", "peers")
 # Descriptors for all but connections: streams, loop, listener, the watch and its successor, and a margin.
 OWN_DESCRIPTORS = 20
 
@@ -52,7 +53,7 @@
         self.ready = asyncio.Event()
         self._ending = asyncio.Event()
         self.port = 0
-        host = configuration.host
+        host = self._with_peers(configuration.host)
         # A request takes two descriptors, its caller's connection and an upstream's: half for each side.
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         own = OWN_DESCRIPTORS + (MOST_CALLS + SPARES + 1 if configuration.admin else 0)
@@ -63,6 +64,7 @@
         self._chance = random.Random(configuration.seed)
         self._follower = Follower(self.copy, configuration.discovery, self._chance)
         self._following: asyncio.Task[None] | None = None
+        self._reopening: asyncio.Task[None] | None = None
         self._listener = Listener(self._answer, self._most, log)
         # An upgrade is for operators, who ask at the second address whether the new process serves.
         self._handover: Handover | None = None
@@ -80,6 +82,13 @@
         self._admin = AdminListener(desk.answer, log, self.copy.clock.now_ms)
         self.admin_port = 0
 
+    def _with_peers(self, host: HostSettings) -> HostSettings:
+        """Words are for where the configuration names the other copies: elsewhere the module says none."""
+        may_tell = host.settings.may_tell and bool(self._configuration.peers)
+        return msgspec.structs.replace(
+            host, settings=msgspec.structs.replace(host.settings, may_tell=may_tell)
+        )
+
     def _is_ready(self) -> bool:
         return self.ready.is_set() and not self._ending.is_set()
 
@@ -95,6 +104,10 @@
         self._listener.share(self._most // processes)
         self._budgets.share(processes)
         self._listener.hand_on(self._handed_on)
+        if self.copy.peers is not None and self._handed_on:
+            self.copy.peers.close()  # two processes are one copy: the successor speaks and hears
+        elif self.copy.peers is not None and self.copy.peers.closed:
+            self._reopening = asyncio.get_running_loop().create_task(self.copy.peers.start(shared=True))
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request._message.path == READY and request.method == "GET":
@@ -123,7 +136,7 @@
         needs_restart += moved(before.host, new.host)
         self._log("configuration_read", discovery=list(new.discovery), needs_restart=needs_restart)
         # What needs a restart is compared with what runs, not with what an earlier reading found.
-        host = retuned(before.host, new.host)
+        host = self._with_peers(retuned(before.host, new.host))
         self._configuration = msgspec.structs.replace(
             before, discovery=new.discovery, host=host, parts=new.parts
         )
@@ -143,6 +156,8 @@
             await self._run()
         finally:
             self._admin.close()
+            if self.copy.peers is not None:
+                self.copy.peers.close()
             if self._handover is not None:
                 self._handover.close()
             logging.getLogger().removeHandler(library_log)
@@ -157,6 +172,12 @@
         self.copy.listed(configuration.known, cached=True)
         if configuration.admin is not None:
             self.admin_port = await self._admin.start(*configuration.admin)
+        if configuration.peers:
+            me, sparingly = configuration.host.settings.me, self.copy.log_sparingly
+            self.copy.peers = Peers(configuration.peers, me, self.copy.heard, sparingly)
+            await self.copy.peers.start(shared=self._handover is not None)
+        elif configuration.host.settings.may_tell:
+            self._log("no_peers_named")
         listening = await self._handover.take_over() if self._handover is not None else None
         reuse_port = self._handover is not None  # the way in where no process hands its socket over
         self.port = await self._listener.start(*configuration.listen, listening, reuse_port)
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
 from multidict import CIMultiDict
 
 from madderwind.clock import Clock
@@ -16,6 +17,7 @@
 from madderwind.protocol.listing import Listing
 from madderwind.protocol.requests import RequestReader
 from madderwind.routing.directory import Directory
+from madderwind.routing.peers import Peers
 from madderwind.routing.tally import Tally
 from madderwind.settings import HostSettings
 from madderwind.transport.budget import Budgets
@@ -50,6 +52,7 @@
         self.open: dict[int, Exchange] = {}
         self.open_ids: set[str] = set()
         self.watch_asked_for = asyncio.Event()
+        self.peers: Peers | None = None  # where the configuration names other copies
         self._balancer = Balancer(host.settings, seed)
         self._last_number = 0
         self._last_ms = 0.0
@@ -101,8 +104,20 @@
         names = ((self.directory.name(number), known) for number, known in memory.upstreams.items())
         return memory.quota, memory.room, {name: known for name, known in names if name}
 
-    def recall(self, quota: float, room: float, upstreams: dict[str, api.Known]) -> None:
-        """What the process before this one knew; after the list that it followed."""
+    def heard(self, peer: int, words: bytes) -> None:
+        """Another copy's words."""
+        self.happened(api.PeerSpoke(peer, words))
+
+    def recall(self, quota: float, room: float, upstreams: dict[str, api.Known], same: bool) -> None:
+        """What the process before this one knew; after the list that it followed.
+
+        `same`: it stood in a deployment of this shape. If not, what was learned in ratios to the usual there
+        starts afresh: the room, and how slow each upstream is. What is plain of an upstream holds: when it
+        started, that connects fail, that it is set aside. So does the quota: both spend no more than one.
+        """
+        if not same:
+            room = 0.0
+            upstreams = {n: msgspec.structs.replace(k, slowness=0.0) for n, k in upstreams.items()}
         numbers = ((self.directory.number(name), known) for name, known in upstreams.items())
         by_number = {number: known for number, known in numbers if number is not None}
         self.happened(api.Recalled(api.Memory(quota, room, by_number)))
@@ -166,7 +181,9 @@
                     self.upstreams.close_idle(upstream)
                 case api.Log(text):
                     self.log("module_says", text=text)
-                case _:  # copies share nothing here: no wire for words to peers
+                case api.TellPeers(peer, message) if self.peers is not None:
+                    self.peers.tell(peer, message)
+                case _:  # words to peers where none are named
                     self.log("action_not_carried_out", action=type(action).__name__)
 
     def report(self, upstream: int, text: str | None) -> tuple[float, ...]:
--- a/madderwind/routing/directory.py
+++ b/madderwind/routing/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import Counter
 from collections.abc import Container
 from typing import NamedTuple, TypeVar
@@ -170,6 +171,7 @@
             self._state(member, revision),
             member.size,
             max(0.0, member.up_since_ms),
+            zlib.crc32(member.id.encode()) or 1,  # alike at every copy, as the number is not
         )
 
     def began(self, upstream: int) -> None:
