--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -323,7 +323,7 @@
         return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), STEEPNESS)
 
     def slowness(self, u: Upstream) -> float:
-        """What was learned of it and its cell, or its silence with work out, which tells before answers do."""
+        """What was learned of it and its cell, or its silence with work out, which tells before answers."""
         silent_ms = self._now - max(u.heard_ms, next(iter(u.sent_ms.values()), self._now))
         slowness = u.slowness * self.cells.get(u.entry.cell, 1.0) ** 2
         return max(slowness, silent_ms / self.typical.mean if self.typical.seen else 0.0)
--- a/tests/policy/test_pick.py
+++ b/tests/policy/test_pick.py
@@ -278,7 +278,7 @@
 
 
 def test_a_slow_cell_counts_against_members_that_have_not_been_heard() -> None:
-    """rosario-main: a third of the cells have a limit in common. Their members had 20 to 30% of attempts timed
+    """rosario-main: a third of the cells have a limit in common. Their members had 20 to 30% of attempts time
     out, the others 2%, as each copy learned each member alone and took all others for usual."""
     script = Script([entry(n, cell=n // 10) for n in range(30)], copies=1)
     picker = script.balancer._picker
