A cell's slowness weighs in the tie-break alone, not in how far a copy looks

Guess: Picker.pick counts an idle neighbour for less when its cell is slow, so a copy connects to more upstreams.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -310,13 +310,13 @@
 
     def _weight(self, u: Upstream) -> float:
         crosses = self._settings.cross_zone_price > 0 and u.entry.zone != self._settings.zone
-        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(self.slowness(u), STEEPNESS)
+        slowness = self.slowness(u) * self.cells.get(u.entry.cell, 1.0) ** 2
+        return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(slowness, STEEPNESS)
 
     def slowness(self, u: Upstream) -> float:
-        """What was learned of it and its cell, or its silence with work out, which tells before answers."""
+        """What was learned of it, or its silence with work out, which tells before any answer does."""
         silent_ms = self._now - max(u.heard_ms, next(iter(u.sent_ms.values()), self._now))
-        slowness = u.slowness * self.cells.get(u.entry.cell, 1.0) ** 2
-        return max(slowness, silent_ms / self.typical.mean if self.typical.seen else 0.0)
+        return max(u.slowness, silent_ms / self.typical.mean if self.typical.seen else 0.0)
 
     def _takes_cold(self, u: Upstream, warm: bool) -> bool:
         """A cold upstream takes what its credit allows; where all are cold, one attempt at a time."""
