--- /dev/null
+++ b/tests/policy/test_uneven.py
@@ -0,0 +1,158 @@
+"""A hundred copies with traffic as uneven as where each caller has its own; and what words may not do."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import msgspec
+import pytest
+
+from madderwind.policy import api
+from madderwind.policy.api import Effect, Group, Outcome
+from madderwind.policy.balancer import Balancer
+from tests.policy.scripts import Script, a_class, entry, sends, settings
+
+COPIES, UPSTREAMS, ANSWER_MS = 100, 60, 100.0
+
+
+def play(may_tell: bool, lost: float = 0.0, seconds: float = 8.0) -> tuple[int, int, list[int]]:
+    """Requests, refusals, and those at the busiest tenth of the copies; no upstream is ever slow."""
+    chance = random.Random(7)
+    shape = settings(copies=COPIES, may_tell=may_tell, classes=(a_class(aim_ms=800.0),))
+    copies = [Balancer(msgspec.structs.replace(shape, me=n), n) for n in range(COPIES)]
+    weights = [chance.paretovariate(1.1) for _ in copies]
+    rates = [1600 * w / sum(weights) for w in weights]  # half of what the room allows over all
+    refused = [0] * COPIES
+    asked, request = 0, 0
+    queue: list[tuple[float, int, int, object]] = []
+    ties = 0
+
+    def put(at_ms: float, copy: int, what: object) -> None:
+        nonlocal ties
+        ties += 1
+        heapq.heappush(queue, (at_ms, ties, copy, what))
+
+    def feed(now: float, n: int, event: api.Event) -> None:
+        for action in copies[n].handle(now, event):
+            if isinstance(action, api.SetTimer):
+                put(now + action.after_ms, n, api.TimerFired(action.token))
+            elif isinstance(action, api.Send):
+                end = api.AttemptEnded(action.request_id, True, 0, Outcome.OK, action.upstream, ANSWER_MS, ())
+                put(now + ANSWER_MS, n, end)
+            elif isinstance(action, api.TellPeers):
+                for peer in range(COPIES):
+                    if peer != n and chance.random() >= lost:
+                        put(now + 10.0, peer, api.PeerSpoke(n, action.message))
+            elif isinstance(action, api.Refuse | api.Fail):
+                refused[n] += 1
+
+    for n in range(COPIES):
+        listed = tuple(entry(u) for u in range(UPSTREAMS))
+        put(0.0, n, api.FleetListed(api.ListKind.CACHED, 1, listed))
+        put(chance.expovariate(rates[n]) * 1000, n, None)
+    while queue and queue[0][0] < seconds * 1000:
+        now, _, n, what = heapq.heappop(queue)
+        if what is None:
+            asked, request = asked + 1, request + 1
+            feed(now, n, api.RequestArrived(request, 0, 0, 0, now + 4000, None, False, False))
+            put(now + chance.expovariate(rates[n]) * 1000, n, None)
+        else:
+            assert isinstance(what, api.Event)
+            feed(now, n, what)
+    busiest = sorted(range(COPIES), key=lambda n: -rates[n])[: COPIES // 10]
+    return asked, sum(refused), [refused[n] for n in busiest]
+
+
+def test_uneven_copies_refuse_nothing_in_calm_once_they_tell_their_rates() -> None:
+    """recife-dispatch big-2: 12% refused in calm, a third of it at two of fifty copies."""
+    asked, refused, at_busiest = play(may_tell=False)
+    assert refused > 0.03 * asked and sum(at_busiest) > 0.8 * refused
+    asked, refused, _ = play(may_tell=True)
+    assert refused < 0.005 * asked
+    asked, refused, _ = play(may_tell=True, lost=0.3)
+    assert refused < 0.01 * asked
+
+
+def test_parts_sum_to_one_so_that_all_together_keep_the_room() -> None:
+    rates = [1.0, 1.0, 2.0, 4.0, 32.0]
+    parts = []
+    for me, own in enumerate(rates):
+        script = Script([entry(1)], copies=len(rates), me=me, may_tell=True, seed=me)
+        for _ in range(round(own * 20)):
+            script.arrives()
+            script.wait(1000 / own)
+        for peer, rate in enumerate(rates):
+            if peer != me:
+                script.event(api.PeerSpoke(peer, round(rate * 100).to_bytes(3, "little")))
+        parts.append(script.balancer._traffic.part(script.now))
+    assert sum(parts) == pytest.approx(1.0, abs=0.1)
+
+
+def test_words_move_no_quota_revive_no_drain_and_name_no_upstream() -> None:
+    """Lost, late, repeated, garbled, from unknown peers: only the pick and this copy's part hear them."""
+    chance = random.Random(3)
+    listed = [entry(1), entry(2, state=api.UpstreamState.DRAINING)]
+    script = Script(listed, copies=5, may_tell=True)
+    for _ in range(500):
+        size = chance.choice([0, 3, 7, 11, 256])
+        word = bytes(chance.randrange(256) for _ in range(size))
+        if size >= 7:
+            word = word[:3] + chance.choice([2, 99]).to_bytes(4, "little") + word[7:]
+        assert not sends(script.event(api.PeerSpoke(chance.randrange(-1, 9), word)))
+    balancer = script.balancer
+    assert balancer._quota.tokens == 500.0
+    assert set(balancer._picker.fleet) == {1, 2}
+    for _ in range(20):
+        _, actions = script.arrives()
+        assert {sent.upstream for sent in sends(actions)} <= {1}
+        script.wait(100)
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+@pytest.mark.parametrize("group", list(Group))
+def test_no_second_attempt_is_out_beside_a_first_where_copies_are_not_allowed(
+    effect: Effect, group: Group
+) -> None:
+    fleet = [entry(n, zone=n % 3, cell=n % 4) for n in range(12)]
+    script = Script(fleet, second_copies=False, classes=(a_class(effect, group, window_ms=1200.0),))
+    for _ in range(30):
+        script.serve(elapsed_ms=20.0)
+    request, actions = script.arrives()
+    (first,) = sends(actions)
+    assert not sends(script.wait(3500))  # silent: overdue, and yet nothing goes out beside it
+    later = script.ends(request, Outcome.ERROR, first.upstream, over=False)
+    assert len(sends(later) + sends(script.wait(400))) <= 1
+
+
+def test_a_keys_preference_yields_to_a_busy_a_cold_and_a_set_aside_home() -> None:
+    key = 77
+
+    def at(script: Script) -> int:
+        event = api.RequestArrived(
+            random.randrange(10**6, 10**8), 0, 0, key, script.now + 4000, None, False, False
+        )
+        (sent,) = sends(script.event(event))
+        script.balancer._picker._keys = []
+        return sent.upstream
+
+    script = Script([entry(n) for n in range(20)], warm_keys=True)
+    order = [u.entry.upstream for u in script.balancer._picker._homes(key)[0]]
+    homes = order[:2]
+    first, second = at(script), at(script)
+    assert first in homes and second in set(order[:3]) - {
+        first
+    }  # a busy home makes room for the next in order
+    third = at(script)
+    assert third in set(order[:4]) - {first, second}
+    script = Script([entry(n) for n in range(20)], warm_keys=True)
+    script.now += 100_000
+    for home in homes:
+        script.balancer._picker.fleet[home].failed(script.now, 5000.0)
+    assert at(script) not in homes
+    script = Script(
+        [entry(n, started_ms=900.0 if n in homes else 0.0) for n in range(20)],
+        warm_keys=True,
+        ratings_tell_size=True,
+    )
+    assert at(script) not in homes
