Rates are summed four times a second, not with each word

Lines at fault: Traffic.heard, which summed all copies' rates with each word, and the walk over the fleet at each word in Balancer.handle.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -13,8 +13,7 @@
 from madderwind.policy import api
 from madderwind.policy.api import Effect, Group, ListKind, Outcome, UpstreamState
 
-# The design page's figures.
-QUOTA_CAP, COST_TRANSIENT, COST_FULL, CLEAN_REFUND = 500.0, 14.0, 5.0, 1.0
+QUOTA_CAP, COST_TRANSIENT, COST_FULL, CLEAN_REFUND = 500.0, 14.0, 5.0, 1.0  # the design page's, as the next
 BASE_TRANSIENT_MS, BASE_FULL_MS, CEILING_MS = 100.0, 1000.0, 20_000.0
 GAIN, SLOW_GAIN = 1 / 8, 1 / 64  # the last eight answers count, as in TCP's estimate; for what is usual, 64
 OVERDUE_DEVIATIONS = 8.0  # over its class's mean; TCP's four call one sound attempt in forty late
@@ -349,7 +348,7 @@
         self.tune(settings)
         self._count, self._counted_ms, self.first_ms = 0.0, 0.0, float("inf")
         self._heard: dict[int, tuple[float, float]] = {}  # rates, and when they were heard
-        self._others, self.failed = 0.0, list[int]()  # failed: marks of upstreams, to be told
+        self._others, self._summed_ms, self.failed = 0.0, float("-inf"), list[int]()  # failed: marks to tell
 
     def tune(self, settings: api.Settings) -> None:
         self.copies, self._may_tell = max(1, settings.copies), settings.may_tell
@@ -366,8 +365,6 @@
         """Silent copies carry nothing, one never heard the mean. Returned: the marks of who failed it."""
         if ok := len(message) % MARK_BYTES == RATE_BYTES and 0 <= peer < self.copies:
             self._heard[peer] = int.from_bytes(message[:RATE_BYTES], "little") / RATE_UNITS, now
-            alive = sum(rate for rate, at in self._heard.values() if now - at < SILENT * self.tell_ms(rate))
-            self._others = alive * max(1.0, (self.copies - 1) / len(self._heard))
         marks = range(RATE_BYTES, len(message), MARK_BYTES) if ok else ()
         return {int.from_bytes(message[at : at + MARK_BYTES], "little") for at in marks}
 
@@ -383,6 +380,9 @@
     def part(self, now: float) -> float:
         if not self._heard:  # before the first words, within which a copy with much traffic would refuse it
             return 1.0 if self._may_tell and now - self.first_ms < 2 * FIRST_TELL_MS else 1 / self.copies
+        if now - self._summed_ms >= 250:  # not with each word: they grow with the square of the copies
+            alive = sum(rate for rate, at in self._heard.values() if now - at < SILENT * self.tell_ms(rate))
+            self._others, self._summed_ms = alive * max(1.0, (self.copies - 1) / len(self._heard)), now
         return (rate := self.rate(now)) / max(rate + self._others, 1e-9)
 
 
@@ -497,8 +497,8 @@
                 self._recall(memory)
             case api.PeerSpoke(peer, message):
                 marks = self._traffic.heard(peer, message, now)
-                for u in (u for u in self._picker.fleet.values() if u.mark in marks):
-                    if u.heard_ms < now - HEARD_MS:
+                for u in self._picker.fleet.values() if marks else ():
+                    if u.mark in marks and u.heard_ms < now - HEARD_MS:
                         u.failed(now, self._quota.wait_ms(BASE_FULL_MS, u.failures))
             case api.ListFailed():
                 self._following = False  # also a subscription that broke: it has to be asked for anew
--- a/tests/policy/test_traffic.py
+++ b/tests/policy/test_traffic.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from madderwind.policy import api
@@ -56,6 +58,7 @@
         script.serve(elapsed_ms=1.0)
         script.wait(99.0)
     script.event(api.PeerSpoke(2, words(10.0)))
+    script.wait(300)  # they are summed four times a second
     assert script.balancer._traffic.part(script.now) == pytest.approx(1 / 2, abs=0.05)
 
 
@@ -176,3 +179,24 @@
         upstream.failures, upstream.heard_ms = 0, hearer.now - 100.0  # it answers here
     hearer.event(api.PeerSpoke(4, word))
     assert not any(u.failures for u in hearer.balancer._picker.fleet.values())
+
+
+def test_what_a_word_costs_does_not_grow_with_the_copies() -> None:
+    """Incident i1f2bf2: 174 copies summed all rates with each word, and the day was cut off for CPU."""
+
+    class Counted(dict[int, tuple[float, float]]):
+        sums = 0
+
+        def values(self) -> Any:
+            self.sums += 1
+            return super().values()
+
+    script = Script([entry(1)], copies=200, may_tell=True)
+    heard = script.balancer._traffic._heard = Counted()
+    for second in range(3):
+        for peer in range(1, 200):
+            script.event(api.PeerSpoke(peer, words(10.0)))
+            if peer % 10 == 0:
+                script.serve(elapsed_ms=1.0)
+            script.now += 5.0
+        assert heard.sums <= 5 * (second + 1)
