Read over: one way to set aside, the emulator's clock in a test, parameters that had one value

What stood twice: setting an upstream aside after a wait (own failures and hearsay), copies counted at least as one (Picker and Traffic), an event heap in test_uneven beside lab's Timeline, an entry with a mark built by hand beside scripts.entry, a rate's bytes. What was more than it needs to be: Upstream's first slowness as a parameter with one value, a cell's learning done from outside the Picker, a flag carried through Traffic.heard, a part of the traffic worked out for keyed requests that do not use it, an absent sender as 0 in Peers. Comments that the formatter had torn over several lines; two that spoke of even parts and of weighing hints.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -37,12 +37,8 @@
 # Who carries little tells less often: a word to a copy costs so many requests. Silent so many waits: gone.
 REQUESTS_A_WORD, LONGEST_TELL_MS, SILENT = 0.3, 10_000.0, 3.0
 RATE_BYTES, RATE_UNITS = 3, 100  # a rate on the wire: hundredths of a request a second
-MARK_BYTES, MOST_MARKS, ALARM_MS, HEARD_MS = (
-    4,
-    60,
-    50.0,
-    500.0,
-)  # failures: told so soon; not if so lately heard
+# Failures are told so soon, by upstreams' marks, and pass over who has been heard from so lately.
+MARK_BYTES, MOST_MARKS, ALARM_MS, HEARD_MS = 4, 60, 50.0, 500.0
 
 
 class RetryQuota:
@@ -84,10 +80,10 @@
 class Upstream:
     """What this copy knows of one upstream."""
 
-    def __init__(self, entry: api.UpstreamEntry, slowness: float) -> None:
+    def __init__(self, entry: api.UpstreamEntry) -> None:
         self.entry, self.started_ms, self.mark = entry, entry.started_ms, entry.mark or entry.upstream
         self.sent_ms: dict[tuple[int, int], float] = {}  # attempts in flight, oldest first
-        self.slowness = slowness  # its answers' times over the class's usual, smoothed
+        self.slowness = 1.0  # its answers' times over the class's usual, smoothed
         self.failures, self.aside_until_ms = 0, 0.0
         self.refused = 0  # connects that failed in a row, each after a wait
         self.heard_ms = float("-inf")  # its last answer
@@ -204,7 +200,7 @@
                 if entry.started_ms > u.started_ms:
                     u.restarted(entry.started_ms)
             else:  # not yet heard from: picked by its size, where ratings tell that
-                u = self.fleet[upstream] = Upstream(entry, 1.0)
+                u = self.fleet[upstream] = Upstream(entry)
                 if self._settings.ratings_tell_size and 0 < entry.rating < float("inf"):
                     u.slowness = math.pow(sum(ratings) / len(ratings) / entry.rating, 1 / STEEPNESS)
         self._reorder()
@@ -214,8 +210,8 @@
         so-many-th by rating, big and small, from starts spread over the copies."""
         ready = [u for u in self.fleet.values() if u.entry.state is UpstreamState.READY]
         ready.sort(key=lambda u: (u.entry.rating, u.entry.upstream))
-        count, copies = len(ready), max(1, self._settings.copies)
-        self._near = min(count, max(NEAR, math.ceil(COPIES_EACH * count / copies)))
+        count = len(ready)
+        self._near = min(count, max(NEAR, math.ceil(COPIES_EACH * count / self._traffic.copies)))
         self._place(ready)
         start, step = self._settings.me * GOLDEN % 1, 1 / max(1, self._near)
         self._order = sorted(ready, key=lambda u: (self._places[u.entry.upstream][0] - start) % 1 % step)
@@ -256,10 +252,11 @@
         self._now = now
         tried = request.attempts[-1].upstream.upstream if request.attempts else None
         warm = any(u.warmth(now, self._settings) >= 1 for u in self._order)
-        near = max(NEAR, round(self._near * self._traffic.part(now) * self._traffic.copies))
-        order = self._order
         if self._settings.warm_keys and request.key:
             order, near = self._homes(request.key)
+        else:
+            near = max(NEAR, round(self._near * self._traffic.part(now) * self._traffic.copies))
+            order = self._order
         able, cold, last = list[Upstream](), list[Upstream](), list[Upstream]()  # last: just tried, and dead
         idle = 0.0  # a slow one counts for less, so that who is near to few sound ones looks further
         for u in order:
@@ -312,6 +309,12 @@
         slowness = self.slowness(u) * self.cells.get(u.entry.cell, 1.0) ** 2
         return (CROSS_ZONE_PART if crosses else 1.0) / math.pow(slowness, STEEPNESS)
 
+    def took(self, u: Upstream, ratio: float) -> None:
+        """An answer's or a time-out's time over its class's usual."""
+        u.slowness += GAIN * (ratio - u.slowness)
+        known = self.cells.get(u.entry.cell, 1.0)
+        self.cells[u.entry.cell] = known + GAIN / 4 * (ratio - known)
+
     def slowness(self, u: Upstream) -> float:
         """What was learned of it, or its silence with work out, which tells before any answer does."""
         silent_ms = self._now - max(u.heard_ms, next(iter(u.sent_ms.values()), self._now))
@@ -363,9 +366,10 @@
 
     def heard(self, peer: int, message: bytes, now: float) -> set[int]:
         """Silent copies carry nothing, one never heard the mean. Returned: the marks of who failed it."""
-        if ok := len(message) % MARK_BYTES == RATE_BYTES and 0 <= peer < self.copies:
-            self._heard[peer] = int.from_bytes(message[:RATE_BYTES], "little") / RATE_UNITS, now
-        marks = range(RATE_BYTES, len(message), MARK_BYTES) if ok else ()
+        if len(message) % MARK_BYTES != RATE_BYTES or not 0 <= peer < self.copies:
+            return set()
+        self._heard[peer] = int.from_bytes(message[:RATE_BYTES], "little") / RATE_UNITS, now
+        marks = range(RATE_BYTES, len(message), MARK_BYTES)
         return {int.from_bytes(message[at : at + MARK_BYTES], "little") for at in marks}
 
     def tell(self, now: float) -> bytes:
@@ -421,7 +425,7 @@
         return self.left[n] > 0 and open_requests < most_open + CHANCE * math.sqrt(most_open)
 
     def _within_share(self, tenant_index: int, now: float) -> bool:
-        """This copy's even part of the tenant's quota, as a bucket for what chance may bring in a second."""
+        """This copy's part of the tenant's quota, as a bucket for what chance may bring in a second."""
         if tenant_index >= len(self._settings.tenants):
             return True
         rate = max(0.0, self._settings.tenants[tenant_index].quota_per_s) * self._traffic.part(now)
@@ -499,7 +503,7 @@
                 marks = self._traffic.heard(peer, message, now)
                 for u in self._picker.fleet.values() if marks else ():
                     if u.mark in marks and u.heard_ms < now - HEARD_MS:
-                        u.failed(now, self._quota.wait_ms(BASE_FULL_MS, u.failures))
+                        self._set_aside(now, u)
             case api.ListFailed():
                 self._following = False  # also a subscription that broke: it has to be asked for anew
                 self._ask_later()
@@ -550,9 +554,7 @@
             self._answer(request)
 
     def _open(self) -> int:
-        return sum(
-            not request.passing for request in self._requests.values()
-        )  # long messages crowd nobody out
+        return sum(not request.passing for request in self._requests.values())  # those crowd nobody out
 
     def _settle(self, now: float, open_requests: int) -> None:
         typical_ms = self._picker.typical.mean or min(c.aim_ms for c in self._settings.classes)
@@ -611,15 +613,17 @@
                 if upstream is not None:
                     self._picker.carried(upstream, now)
             if upstream is not None and usual.mean > 0:
-                ratio, cells, cell = elapsed_ms / usual.mean, self._picker.cells, upstream.entry.cell
-                upstream.slowness += GAIN * (ratio - upstream.slowness)
-                cells[cell] = cells.get(cell, 1.0) + GAIN / 4 * (ratio - cells.get(cell, 1.0))
+                self._picker.took(upstream, elapsed_ms / usual.mean)
             if outcome is Outcome.OK and self._is_front:
                 self._settle(now, self._open())
                 self._admission.answered(elapsed_ms, usual, request.klass.aim_ms, now)
 
-    def _failed(self, now: float, upstream: Upstream) -> None:
+    def _set_aside(self, now: float, upstream: Upstream) -> None:
         upstream.failed(now, self._quota.wait_ms(BASE_FULL_MS, upstream.failures))
+
+    def _failed(self, now: float, upstream: Upstream) -> None:
+        """What this copy has seen itself is told to the others; hearsay is not told on."""
+        self._set_aside(now, upstream)
         if self._settings.may_tell:
             if not self._traffic.failed:
                 self._set_timer("alarm", 0, 0, ALARM_MS)
@@ -647,9 +651,7 @@
         if what == "tell" or (what == "alarm" and self._traffic.failed):
             self._out.append(api.TellPeers(None, self._traffic.tell(now)))
         if what == "tell":
-            usual_ms = self._traffic.tell_ms(
-                self._traffic.rate(now)
-            )  # less early on: the rate is soon another
+            usual_ms = self._traffic.tell_ms(self._traffic.rate(now))  # less early on: it soon changes
             self._set_timer("tell", 0, 0, min(usual_ms, max(FIRST_TELL_MS, now - self._telling_ms)))
         request = self._requests.get(request_id)
         if request is None:
--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -43,9 +43,7 @@
     known: Listing
     host: HostSettings
     admin_given: str  # by the environment, before the file's
-    peers: tuple[
-        tuple[str, int], ...
-    ]  # the copies of this tier in order of their numbers, this one among them
+    peers: tuple[tuple[str, int], ...]  # the copies of this tier by their numbers, this one among them
     parts: frozenset[str]  # what the file holds: its own keys and those of its settings
 
 
--- a/madderwind/routing/peers.py
+++ b/madderwind/routing/peers.py
@@ -40,13 +40,13 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        peer = HEAD.unpack_from(data)[1] if data[: len(MARK)] == MARK and len(data) >= HEAD.size else None
+        mark, peer = HEAD.unpack_from(data) if len(data) >= HEAD.size else (b"", self._me)
         words = data[HEAD.size :]
-        known = peer is not None and peer < len(self._addresses) and peer != self._me
-        if not known or self._addresses[peer or 0] != tuple(addr[:2]) or len(words) > LONGEST_WORDS:
+        another = mark == MARK and peer != self._me and peer < len(self._addresses)
+        if another and self._addresses[peer] == tuple(addr[:2]) and len(words) <= LONGEST_WORDS:
+            self._heard(peer, words)
+        else:
             self._log("odd_words", sender=list(addr[:2]), size=len(data))
-            return
-        self._heard(peer or 0, words)
 
     def error_received(self, exc: Exception) -> None:
         """A copy that is down: the next words may find it up."""
--- a/tests/policy/scripts.py
+++ b/tests/policy/scripts.py
@@ -54,8 +54,9 @@
     state: UpstreamState = UpstreamState.READY,
     rating: float = 1.0,
     started_ms: float = 0.0,
+    mark: int = 0,
 ) -> api.UpstreamEntry:
-    return api.UpstreamEntry(upstream, zone, 0, cell, state, rating, started_ms)
+    return api.UpstreamEntry(upstream, zone, 0, cell, state, rating, started_ms, mark)
 
 
 class Script:
--- a/tests/policy/test_traffic.py
+++ b/tests/policy/test_traffic.py
@@ -125,8 +125,8 @@
 
 def test_a_key_has_the_same_two_homes_at_every_copy_however_it_numbers_upstreams() -> None:
     """recife-dispatch: an upstream that met a key lately does half the work, and hosts number by turn."""
-    listed = [marked(entry(n), 1000 + n) for n in range(30)]
-    other = [marked(entry(29 - n), 1000 + n) for n in range(30)]
+    listed = [entry(n, mark=1000 + n) for n in range(30)]
+    other = [entry(29 - n, mark=1000 + n) for n in range(30)]
     for key in (7, 8, 9):
         here = homes(Script(listed, seed=1, warm_keys=True, me=1, copies=5), key)
         there = homes(Script(other, seed=2, warm_keys=True, me=4, copies=5), key)
@@ -135,12 +135,6 @@
     assert len(homes(Script(listed, seed=1, me=1, copies=5), 7)) > 2
 
 
-def marked(line: api.UpstreamEntry, mark: int) -> api.UpstreamEntry:
-    return api.UpstreamEntry(
-        line.upstream, line.zone, line.kind, line.cell, line.state, line.rating, line.started_ms, mark
-    )
-
-
 def test_a_key_that_draws_much_has_more_homes() -> None:
     script = Script([entry(n) for n in range(30)], warm_keys=True)
     picker = script.balancer._picker
--- a/tests/policy/test_uneven.py
+++ b/tests/policy/test_uneven.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import heapq
+import itertools
 import random
+from functools import partial
 
 import msgspec
 import pytest
 
+from madderwind.lab.timeline import Timeline
 from madderwind.policy import api
 from madderwind.policy.api import Effect, Group, Outcome
 from madderwind.policy.balancer import Balancer
 from tests.policy.scripts import Script, a_class, entry, sends, settings
+from tests.policy.test_traffic import words
 
 COPIES, UPSTREAMS, ANSWER_MS = 100, 60, 100.0
 
@@ -24,44 +27,35 @@
     weights = [chance.paretovariate(1.1) for _ in copies]
     rates = [1600 * w / sum(weights) for w in weights]  # half of what the room allows over all
     refused = [0] * COPIES
-    asked, request = 0, 0
-    queue: list[tuple[float, int, int, object]] = []
-    ties = 0
+    requests = itertools.count()
+    timeline = Timeline()
 
-    def put(at_ms: float, copy: int, what: object) -> None:
-        nonlocal ties
-        ties += 1
-        heapq.heappush(queue, (at_ms, ties, copy, what))
-
-    def feed(now: float, n: int, event: api.Event) -> None:
+    def feed(n: int, event: api.Event) -> None:
+        now = timeline.now_ms
         for action in copies[n].handle(now, event):
             if isinstance(action, api.SetTimer):
-                put(now + action.after_ms, n, api.TimerFired(action.token))
+                timeline.after(action.after_ms, partial(feed, n, api.TimerFired(action.token)))
             elif isinstance(action, api.Send):
                 end = api.AttemptEnded(action.request_id, True, 0, Outcome.OK, action.upstream, ANSWER_MS, ())
-                put(now + ANSWER_MS, n, end)
+                timeline.after(ANSWER_MS, partial(feed, n, end))
             elif isinstance(action, api.TellPeers):
                 for peer in range(COPIES):
                     if peer != n and chance.random() >= lost:
-                        put(now + 10.0, peer, api.PeerSpoke(n, action.message))
+                        timeline.after(10.0, partial(feed, peer, api.PeerSpoke(n, action.message)))
             elif isinstance(action, api.Refuse | api.Fail):
                 refused[n] += 1
 
+    def ask(n: int) -> None:
+        deadline_ms = timeline.now_ms + 4000
+        feed(n, api.RequestArrived(next(requests), 0, 0, 0, deadline_ms, None, False, False))
+        timeline.after(chance.expovariate(rates[n]) * 1000, partial(ask, n))
+
     for n in range(COPIES):
-        listed = tuple(entry(u) for u in range(UPSTREAMS))
-        put(0.0, n, api.FleetListed(api.ListKind.CACHED, 1, listed))
-        put(chance.expovariate(rates[n]) * 1000, n, None)
-    while queue and queue[0][0] < seconds * 1000:
-        now, _, n, what = heapq.heappop(queue)
-        if what is None:
-            asked, request = asked + 1, request + 1
-            feed(now, n, api.RequestArrived(request, 0, 0, 0, now + 4000, None, False, False))
-            put(now + chance.expovariate(rates[n]) * 1000, n, None)
-        else:
-            assert isinstance(what, api.Event)
-            feed(now, n, what)
+        feed(n, api.FleetListed(api.ListKind.CACHED, 1, tuple(entry(u) for u in range(UPSTREAMS))))
+        timeline.after(chance.expovariate(rates[n]) * 1000, partial(ask, n))
+    timeline.run(seconds * 1000)
     busiest = sorted(range(COPIES), key=lambda n: -rates[n])[: COPIES // 10]
-    return asked, sum(refused), [refused[n] for n in busiest]
+    return next(requests), sum(refused), [refused[n] for n in busiest]
 
 
 def test_uneven_copies_refuse_nothing_in_calm_once_they_tell_their_rates() -> None:
@@ -84,7 +78,7 @@
             script.wait(1000 / own)
         for peer, rate in enumerate(rates):
             if peer != me:
-                script.event(api.PeerSpoke(peer, round(rate * 100).to_bytes(3, "little")))
+                script.event(api.PeerSpoke(peer, words(rate)))
         parts.append(script.balancer._traffic.part(script.now))
     assert sum(parts) == pytest.approx(1.0, abs=0.1)
 
@@ -126,13 +120,11 @@
 
 
 def test_a_keys_preference_yields_to_a_busy_a_cold_and_a_set_aside_home() -> None:
-    key = 77
+    key, numbers = 77, itertools.count(10**6)
 
     def at(script: Script) -> int:
         script.balancer._picker._keys = []  # one of many keys
-        event = api.RequestArrived(
-            random.randrange(10**6, 10**8), 0, 0, key, script.now + 4000, None, False, False
-        )
+        event = api.RequestArrived(next(numbers), 0, 0, key, script.now + 4000, None, False, False)
         (sent,) = sends(script.event(event))
         return sent.upstream
 
@@ -140,9 +132,8 @@
     order = [u.entry.upstream for u in script.balancer._picker._homes(key)[0]]
     homes = order[:2]
     first, second = at(script), at(script)
-    assert first in homes and second in set(order[:3]) - {
-        first
-    }  # a busy home makes room for the next in order
+    assert first in homes
+    assert second in set(order[:3]) - {first}  # a busy home makes room for the next in order
     third = at(script)
     assert third in set(order[:4]) - {first, second}
     script = Script([entry(n) for n in range(20)], warm_keys=True)
--- a/tests/protocol/test_requests.py
+++ b/tests/protocol/test_requests.py
@@ -85,7 +85,7 @@
 
 
 def test_the_work_that_a_client_announces() -> None:
-    """Guards against requests whose hint is passed over: the module weighs heavy work by it."""
+    """Guards against requests whose hint is passed over: it goes with the event to the module."""
     assert read(X_Size_Hint="412513").work_hint_ms == 412.513
     assert read(X_Size_Hint="0").work_hint_ms == 0
 
