--- a/madderwind/drill/links.py
+++ b/madderwind/drill/links.py
@@ -10,7 +10,7 @@
 
 from madderwind.drill.part import Part, play
 from madderwind.drill.plan import DISCOVERY, Address
-from madderwind.drill.scenario import LinkFault
+from madderwind.drill.scenario import LinkFault, UpstreamFault
 from madderwind.drill.traces import ENDLESS_MS, Sent
 
 TRACE_ID = re.compile(rb"\r\nx-trace-id: ([0-9a-f]+)\r\n", re.IGNORECASE)
@@ -29,6 +29,7 @@
         self._held: asyncio.Queue[bytes] = asyncio.Queue(MOST_HELD)
         self._on: asyncio.StreamWriter | None = None
         self._attempt: Sent | None = None
+        self._taken_ms = link.now_ms
 
     async def run(self) -> None:
         tasks = [asyncio.create_task(self._take()), asyncio.create_task(self._pass_on())]
@@ -71,6 +72,9 @@
             while piece := await self._held.get():
                 await self._link.passes()
                 if self._on is None:
+                    if self._link.restarted_since(self._taken_ms):
+                        self.reset()  # the process that would have known of this connection is gone
+                        raise ConnectionResetError
                     reader, self._on = await asyncio.open_connection(
                         *self._link.target, local_addr=self._link.source
                     )
@@ -128,6 +132,10 @@
         self._part.seen.sent.append(sent)
         return sent
 
+    def restarted_since(self, at_ms: float) -> bool:
+        """Whether the upstream's process is another than the one of that time."""
+        return any(at_ms < back_ms <= self.now_ms for back_ms in self._part.restarts.get(self._upstream, ()))
+
     async def passes(self) -> None:
         await self._open.wait()
         if self._late_ms:
@@ -201,6 +209,11 @@
 
     async def start(self) -> None:
         plan = self.plan
+        self.restarts: dict[int, list[float]] = {}  # when each upstream's process comes back
+        for turn in self.turns(UpstreamFault):
+            for upstream in turn.upstreams:
+                if getattr(plan.scenario.faults[turn.fault], "kind", "") == "restart":
+                    self.restarts.setdefault(upstream, []).append(turn.end_ms)
         self._links: dict[tuple[int, int], Link] = {}
         for copy in range(self.shard, plan.scenario.copies, plan.shards):
             for upstream in plan.upstreams():
