A thin copy no longer refuses all while one attempt into silence fills its room

A copy with 1/40 of the traffic has a part of the room of about one request, so one that hangs takes all of it.

Change: a request whose open attempts are all at upstreams that failed and have said nothing since counts as no open request; the room goes without those upstreams already. An upstream that starts again is no longer known as slow for its silence before.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -19,26 +19,22 @@
 OVERDUE_DEVIATIONS = 8.0  # over its class's mean; TCP's four call one sound attempt in forty late
 SOUND_PART = 0.5  # fewer sound ones than this part: all have one cause, and those set aside are used again
 DEAD = 3  # failed connects in a row that are a death: fewer, or a reset, may be those connections alone
-# How the room shrinks on a sign of queues, and grows in a usual answer time in which it was short.
-ROOM_SHRINK, ROOM_GROWTH, SHORT_CREDIT = 0.9, 0.04, 0.5
+ROOM_SHRINK, ROOM_GROWTH, SHORT_CREDIT = 0.9, 0.04, 0.5  # on a sign of queues; in a usual time, when short
 MOST_PRESSURE = 2.0  # of one answer, where 1 is the mark: a few slow upstreams don't shrink the room of all
 ROOM_START, ROOM_LEAST = 8.0, 3.0  # open requests an upstream, over all copies; the least keeps all at work
 OVER_SHARE_ROOM, CHEAP_ROOM = 0.75, 0.4  # of the room: beyond a share; what a worthless class would lack
 CHANCE = 3.0  # deviations of a count (its root) that are left to chance before a copy's part binds
-# Idle upstreams that a pick draws from, and copies that each is near to, so that none alone matters.
-NEAR, COPIES_EACH = 3, 8
+NEAR, COPIES_EACH = 3, 8  # idle upstreams a pick draws from; copies near to each, so that none alone matters
 STEEPNESS, CROSS_ZONE_PART = 3.0, 0.2  # of slowness in the tie-break; another zone there, if that is priced
 GOLDEN = 0.618034  # steps of this part of a circle keep all points well apart, however many there are
 HOMES, KEYS_KEPT = 2, 200  # of a key; and the requests whose keys are counted
 COLD_CAUTION = 0.8  # of their least capacity for cold upstreams, as chance and unknown size add to it
 OWED_MS = 4500.0  # one called back is owed its first attempt by chance between half of this and all of it
-# How often copies tell one another their rates, at most and at first; over how long a rate is smoothed.
-TELL_MS, FIRST_TELL_MS, RATE_MS = 1000.0, 200.0, 4000.0
+TELL_MS, FIRST_TELL_MS, RATE_MS = 1000.0, 200.0, 4000.0  # rates: told at most, at first; smoothed over
 # Who carries little tells less often: a word to a copy costs so many requests. Silent so many waits: gone.
 REQUESTS_A_WORD, LONGEST_TELL_MS, SILENT = 0.3, 10_000.0, 3.0
 RATE_BYTES, RATE_UNITS = 3, 100  # a rate on the wire: hundredths of a request a second
-# Failures are told so soon, by upstreams' marks, and pass over who has been heard from so lately.
-MARK_BYTES, MOST_MARKS, ALARM_MS, HEARD_MS = 4, 60, 50.0, 500.0
+MARK_BYTES, MOST_MARKS, ALARM_MS, HEARD_MS = 4, 60, 50.0, 500.0  # failures; passed over if heard so lately
 
 
 class RetryQuota:
@@ -92,6 +88,7 @@
 
     def restarted(self, started_ms: float) -> None:
         self.started_ms, self.refused, self.cold_credit = started_ms, 0, None
+        self.slowness = min(self.slowness, 1.0)  # what the process before it was, or its silence, is over
         self.failures, self.aside_until_ms = 0, 0.0
 
     def warmth(self, now: float, settings: api.Settings) -> float:
@@ -510,11 +507,9 @@
         return self._out
 
     def skipped(self, now: float) -> int:
-        fleet = [(u.entry.state, now < u.aside_until_ms) for u in self._picker.fleet.values()]
-        return sum(
-            state is UpstreamState.SUSPENDED or (state is UpstreamState.READY and aside)
-            for state, aside in fleet
-        )
+        ready, suspended = UpstreamState.READY, UpstreamState.SUSPENDED
+        asides = ((u.entry.state, now < u.aside_until_ms) for u in self._picker.fleet.values())
+        return sum(state is suspended or (state is ready and aside) for state, aside in asides)
 
     def hand_over(self) -> api.Memory:
         """What a successor goes on from. Half of the quota goes with it: both spend no more than one."""
@@ -554,7 +549,13 @@
             self._answer(request)
 
     def _open(self) -> int:
-        return sum(not request.passing for request in self._requests.values())  # those crowd nobody out
+        return len([r for r in self._requests.values() if not (r.passing or self._hangs(r))])
+
+    def _hangs(self, request: Request) -> bool:
+        """Guards against thin copies that refuse all while an attempt into silence fills their room."""
+        fleet, out = self._picker.fleet, [a for a in request.attempts if a.outcome is None]
+        known = [(fleet.get(a.upstream.upstream), a.sent_ms) for a in out]
+        return bool(out) and all(u is None or (u.failures and u.heard_ms < at) for u, at in known)
 
     def _settle(self, now: float, open_requests: int) -> None:
         typical_ms = self._picker.typical.mean or min(c.aim_ms for c in self._settings.classes)
--- a/tests/drill/test_rig.py
+++ b/tests/drill/test_rig.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-import socket
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
@@ -78,14 +79,19 @@
     assert str(path) in str(caught.value) and said in str(caught.value) and "\n" not in str(caught.value)
 
 
-async def _one_link(folder: Path) -> tuple[Links, Link, Upstream, socket.socket]:
-    """A relay between a copy and one stand-in, and the lock of their addresses."""
+@contextlib.asynccontextmanager
+async def _one_link(folder: Path) -> AsyncIterator[tuple[Links, Link, Upstream]]:
+    """A relay between a copy and one stand-in."""
     net, lock = take_net(random.Random())
     part = Links(plan_of(Scenario(name="s", question="?", copies=1), 1, net, folder), 0)
-    stand_in = Upstream(says(answer(200, b"yes")))
-    stand_in._server = await asyncio.start_server(stand_in._serve, *part.plan.upstream(0))
-    await part.start()
-    return part, part._links[0, 0], stand_in, lock
+    async with Upstream(says(answer(200, b"yes"))) as stand_in:
+        server = await asyncio.start_server(stand_in._serve, *part.plan.upstream(0))
+        await part.start()
+        yield part, part._links[0, 0], stand_in
+        server.close()
+        for link in part._links.values():
+            link.be("refuse", 0.0)
+    lock.close()
 
 
 ASK = b"GET /lookup HTTP/1.1\r\nX-Trace-Id: 2a\r\n\r\n"
@@ -96,40 +102,39 @@
     """As a new connection and one that was open before meet it, and as both find it when it is over."""
 
     async def play() -> None:
-        part, link, stand_in, lock = await _one_link(tmp_path)
-        before = await asyncio.open_connection(*part.plan.link(0, 0))
-        before[1].write(ASK)
-        assert (await within(read_message(before[0]))).body == b"yes"
-        link.be(kind, 150.0 if kind == "slow" else 0.0)
-        loop = asyncio.get_running_loop()
-        began_s = loop.time()
-        before[1].write(ASK)
-        if kind in ("", "slow"):
+        async with _one_link(tmp_path) as (part, link, stand_in):
+            before = await asyncio.open_connection(*part.plan.link(0, 0))
+            before[1].write(ASK)
             assert (await within(read_message(before[0]))).body == b"yes"
-            assert (loop.time() - began_s >= 0.3) == (kind == "slow")  # each way
-        elif kind in ("refuse", "reset"):
-            with pytest.raises(ConnectionResetError):
-                await within(before[0].readexactly(1))
-        else:
-            with pytest.raises(TimeoutError):
-                await asyncio.wait_for(before[0].readexactly(1), 0.3)
-        if kind == "refuse":
-            with pytest.raises(ConnectionRefusedError):
-                await asyncio.open_connection(*part.plan.link(0, 0))
-        elif kind == "vanish":
-            with pytest.raises(TimeoutError):
-                await asyncio.wait_for(asyncio.open_connection(*part.plan.link(0, 0)), 0.4)
-        attempts = len(part.seen.sent)
-        assert attempts == (1 if kind == "refuse" else 2)
-        link.be("", 0.0)
-        if kind in ("silent", "vanish"):  # what was held passes on
-            assert (await within(read_message(before[0]))).body == b"yes"
-        reader, writer = await within(asyncio.open_connection(*part.plan.link(0, 0)))
-        writer.write(ASK)
-        assert (await within(read_message(reader))).body == b"yes"
-        sent = part.seen.sent[-1]
-        assert (sent.copy, sent.upstream, sent.number) == (0, 0, 42) and sent.ended_ms >= sent.at_ms
-        lock.close()
+            link.be(kind, 150.0 if kind == "slow" else 0.0)
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            before[1].write(ASK)
+            if kind in ("", "slow"):
+                assert (await within(read_message(before[0]))).body == b"yes"
+                assert (loop.time() - began_s >= 0.3) == (kind == "slow")  # each way
+            elif kind in ("refuse", "reset"):
+                with pytest.raises(ConnectionResetError):
+                    await within(before[0].readexactly(1))
+            else:
+                with pytest.raises(TimeoutError):
+                    await asyncio.wait_for(before[0].readexactly(1), 0.3)
+            if kind == "refuse":
+                with pytest.raises(ConnectionRefusedError):
+                    await asyncio.open_connection(*part.plan.link(0, 0))
+            elif kind == "vanish":
+                with pytest.raises(TimeoutError):
+                    await asyncio.wait_for(asyncio.open_connection(*part.plan.link(0, 0)), 0.4)
+            attempts = len(part.seen.sent)
+            assert attempts == (1 if kind == "refuse" else 2)
+            link.be("", 0.0)
+            if kind in ("silent", "vanish"):  # what was held passes on
+                assert (await within(read_message(before[0]))).body == b"yes"
+            reader, writer = await within(asyncio.open_connection(*part.plan.link(0, 0)))
+            writer.write(ASK)
+            assert (await within(read_message(reader))).body == b"yes"
+            sent = part.seen.sent[-1]
+            assert (sent.copy, sent.upstream, sent.number) == (0, 0, 42) and sent.ended_ms >= sent.at_ms
 
     run(play())
 
@@ -138,18 +143,17 @@
     """Else an upstream that starts again would get at once all that was sent into its silence."""
 
     async def play() -> None:
-        part, link, stand_in, lock = await _one_link(tmp_path)
-        link.be("silent", 0.0)
-        reader, writer = await asyncio.open_connection(*part.plan.link(0, 0))
-        writer.write(ASK)
-        async with asyncio.timeout(10):
-            while not part.seen.sent:
-                await asyncio.sleep(0)
-        part.restarts[0] = [link.now_ms]
-        link.be("", 0.0)
-        with pytest.raises(ConnectionResetError):
-            await within(reader.readexactly(1))
-        assert not stand_in.asked
-        lock.close()
+        async with _one_link(tmp_path) as (part, link, stand_in):
+            link.be("silent", 0.0)
+            reader, writer = await asyncio.open_connection(*part.plan.link(0, 0))
+            writer.write(ASK)
+            async with asyncio.timeout(10):
+                while not part.seen.sent:
+                    await asyncio.sleep(0)
+            part.restarts[0] = [link.now_ms]
+            link.be("", 0.0)
+            with pytest.raises(ConnectionResetError):
+                await within(reader.readexactly(1))
+            assert not stand_in.asked
 
     run(play())
--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -227,3 +227,35 @@
     failed.failures = 2
     script.now += 100.0
     assert picker.usable(script.now) == 3
+
+
+def test_an_attempt_into_silence_takes_no_room() -> None:
+    """Of a copy with a small part of the traffic: one that hangs must not shut out the others."""
+    for hangs, least, most in ((True, 28, 30), (False, 0, 12)):
+        script = Script([entry(n) for n in range(4)], copies=40, second_copies=False)
+        for _ in range(40):
+            script.now += 400.0
+            script.serve(elapsed_ms=100.0)
+        _, actions = script.arrives()
+        (dead,) = sends(actions)
+        script.wait(1500.0)  # overdue: that upstream has failed
+        for u in script.balancer._picker.fleet.values():
+            if not hangs and u.entry.upstream == dead.upstream:
+                u.heard_ms = script.now  # it lives, and is merely slow: what it holds does crowd
+        taken = 0
+        for _ in range(30):
+            script.now += 80.0
+            request, actions = script.arrives()
+            for sent in sends(actions):
+                taken += 1
+                script.now += 20.0
+                script.ends(request, Outcome.OK, sent.upstream, elapsed_ms=100.0)
+        assert least <= taken <= most, (hangs, taken)
+
+
+def test_what_was_learned_of_a_process_ends_with_it() -> None:
+    script = Script([entry(n) for n in range(4)])
+    upstream = script.balancer._picker.fleet[2]
+    upstream.slowness, upstream.failures = 30.0, 5
+    script.listed([entry(n, started_ms=900.0 if n == 2 else 0.0) for n in range(4)])
+    assert (upstream.slowness, upstream.failures) == (1.0, 0)
