Words passed on among copies, with who is alive: bounded whatever the fleet's size

On with fleet in the file, off by default and absent in run; the rates and failures that the module tells ride on it.

A drill of seven processes with 20% lost, links one way, one killed, one stopped and one upgraded: the killed one is held dead by all, nobody else is.

--- a/madderwind/admin/desk.py
+++ b/madderwind/admin/desk.py
@@ -7,6 +7,7 @@
 from madderwind.admin.commands import BadCall, no, read_call, yes
 from madderwind.admin.figures import Fleet, figures
 from madderwind.routing.copy import Copy
+from madderwind.routing.fellows import Fellows
 
 
 class Desk:
@@ -33,7 +34,10 @@
                 return yes("ready") if self._is_ready() else no("not ready")
             case "METRICS":
                 fleet = Fleet(self._copy.directory.listed_count(), self._copy.skipped())
-                return figures(self._copy.tally, fleet)
+                peers = self._copy.peers
+                return figures(
+                    self._copy.tally, fleet, peers.counts() if isinstance(peers, Fellows) else None
+                )
             case "SUSPEND" if self._suspend(call.upstream):
                 return yes(f"{call.upstream} gets nothing more")
             case "RESTORE" if self._restore(call.upstream):
--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from madderwind.gossip.fellowship import FleetSettings
 from madderwind.protocol.listing import UNREADABLE, Listing, ListingError, read_address, read_listing
 from madderwind.settings import HostSettings, SettingsError, read_host_settings
 
@@ -30,6 +31,7 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     admin_addr: str = ""
     peers: tuple[str, ...] = ()
+    fleet: FleetSettings | None = None
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -44,6 +46,7 @@
     host: HostSettings
     admin_given: str  # by the environment, before the file's
     peers: tuple[tuple[str, int], ...]  # the copies of this tier by their numbers, this one among them
+    fleet: FleetSettings | None  # how copies speak with one another; without it each tells every other
     parts: frozenset[str]  # what the file holds: its own keys and those of its settings
 
 
@@ -75,6 +78,7 @@
             host,
             admin_given,
             _read_peers(file.peers, host),
+            _read_fleet(file),
             frozenset(msgspec.json.decode(raw)) | {f"settings.{name}" for name in settings},
         )
     except (*UNREADABLE, ListingError, SettingsError) as error:
@@ -102,3 +106,9 @@
     if lost := sorted(before.parts - new.parts):
         raise ConfigurationError(f"{before.path}: lacks {', '.join(lost)}, which the one in force has")
     return new
+
+
+def _read_fleet(file: _File) -> FleetSettings | None:
+    if file.fleet is not None and not file.peers:
+        raise SettingsError("fleet needs peers: it names no copies to speak with")
+    return file.fleet
--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -22,6 +22,7 @@
 from madderwind.routing.copy import Copy
 from madderwind.routing.discovery import Follower
 from madderwind.routing.exchange import LastWord, serve
+from madderwind.routing.fellows import Fellows
 from madderwind.routing.peers import Peers
 from madderwind.settings import HostSettings, moved, retuned
 from madderwind.transport.budget import Budgets
@@ -41,7 +42,7 @@
 MOST_ANSWERS = 1 / 3
 # What of a new configuration needs a restart. The seed is new with each start and the list known is for the
 # start alone, so changes of those are nothing to speak of.
-FOR_THE_START = ("name", "listen", "admin", "limits", "peers")
+FOR_THE_START = ("name", "listen", "admin", "limits", "peers", "fleet")
 # Descriptors for all but connections: streams, loop, listener, the watch and its successor, and a margin.
 OWN_DESCRIPTORS = 20
 
@@ -89,6 +90,15 @@
             host, settings=msgspec.structs.replace(host.settings, may_tell=may_tell)
         )
 
+    def speaker(self) -> Peers | Fellows:
+        """Who carries this copy's words: each to every other, or passed on where the file has a fleet."""
+        configuration, copy = self._configuration, self.copy
+        me, fleet = configuration.host.settings.me, configuration.fleet
+        if fleet is None:
+            return Peers(configuration.peers, me, copy.heard, copy.log_sparingly)
+        logs, seed = (self._log, copy.log_sparingly), configuration.seed
+        return Fellows(configuration.peers, me, copy.heard, *logs, copy.clock, fleet, seed)
+
     def _is_ready(self) -> bool:
         return self.ready.is_set() and not self._ending.is_set()
 
@@ -173,8 +183,7 @@
         if configuration.admin is not None:
             self.admin_port = await self._admin.start(*configuration.admin)
         if configuration.peers:
-            me, sparingly = configuration.host.settings.me, self.copy.log_sparingly
-            self.copy.peers = Peers(configuration.peers, me, self.copy.heard, sparingly)
+            self.copy.peers = self.speaker()
             await self.copy.peers.start(shared=self._handover is not None)
         elif configuration.host.settings.may_tell:
             self._log("no_peers_named")
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -17,6 +17,7 @@
 from madderwind.protocol.listing import Listing
 from madderwind.protocol.requests import RequestReader
 from madderwind.routing.directory import Directory
+from madderwind.routing.fellows import Fellows
 from madderwind.routing.peers import Peers
 from madderwind.routing.tally import Tally
 from madderwind.settings import HostSettings
@@ -52,7 +53,7 @@
         self.open: dict[int, Exchange] = {}
         self.open_ids: set[str] = set()
         self.watch_asked_for = asyncio.Event()
-        self.peers: Peers | None = None  # where the configuration names other copies
+        self.peers: Peers | Fellows | None = None  # where the configuration names other copies
         self._balancer = Balancer(host.settings, seed)
         self._last_number = 0
         self._last_ms = 0.0
--- /dev/null
+++ b/madderwind/routing/fellows.py
@@ -0,0 +1,139 @@
+"""The copies of a fleet on sockets: what `gossip` decides, as datagrams. No rule rests on them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from madderwind.clock import Clock
+from madderwind.eventlog import EventLog, Sparing
+from madderwind.gossip.fellowship import Action, Fellowship, FleetSettings, Heard, Send
+from madderwind.gossip.members import Changed, State
+from madderwind.policy.balancer import MARK_BYTES, RATE_BYTES
+
+Address = tuple[str, int]
+# A life is the time of a process's start, in eighths of a second from here on: it fits for 17 years, and a
+# process that starts after another has the higher one.
+EPOCH_MS, LIFE_MS = 1_767_225_600_000.0, 125.0
+# What a copy said of its traffic is held for as long as it lives; the module is told again so often.
+AGAIN_MS = 2000.0
+MARKS_AN_EVENT = 12
+
+
+class Fellows(asyncio.DatagramProtocol):
+    """This copy among those of its tier, in the place of `Peers` and with its calls.
+
+    Guards against words from elsewhere as that does: only what comes from the very address of the copy that
+    it names is looked at; the rest is counted, and logged sparingly.
+    """
+
+    def __init__(
+        self,
+        addresses: tuple[Address, ...],
+        me: int,
+        heard: Callable[[int, bytes], None],
+        log: EventLog,
+        log_sparingly: Sparing,
+        clock: Clock,
+        fleet: FleetSettings,
+        seed: int,
+    ) -> None:
+        self._addresses, self._me, self._heard = addresses, me, heard
+        self._numbers = {address: number for number, address in enumerate(addresses)}
+        self._log, self._log_sparingly, self._clock = log, log_sparingly, clock
+        self._dead: set[int] = set()
+        life = int((clock.now_ms() - EPOCH_MS) / LIFE_MS)
+        self._fellowship = Fellowship(me, len(addresses), seed, life, fleet.name, fleet.datagrams_per_s)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._again_ms = clock.now_ms() + AGAIN_MS
+        self.strangers = 0
+
+    async def start(self, shared: bool = False) -> None:
+        """Listen where this copy's own address says. `shared`: beside the other process of an upgrade."""
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, self._addresses[self._me], reuse_port=shared or None
+        )
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+        self._tick()
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        peer = self._numbers.get(tuple(addr[:2]))
+        if peer is None:
+            self.strangers += 1
+            self._log_sparingly("odd_words", sender=list(addr[:2]), size=len(data))
+            return
+        self._do(self._fellowship.receive(self._clock.now_ms(), peer, data))
+
+    def error_received(self, exc: Exception) -> None:
+        """A copy that is down: the next words may find it up."""
+
+    @property
+    def closed(self) -> bool:
+        return self._transport is None
+
+    def tell(self, peer: int | None, words: bytes) -> None:
+        """The module's words, which are for all: the rate as this copy's state, failures as what it saw."""
+        if self._transport is None:
+            return
+        rate, marks = words[:RATE_BYTES], words[RATE_BYTES:]
+        size = MARK_BYTES * MARKS_AN_EVENT
+        events = tuple(rate + marks[at : at + size] for at in range(0, len(marks), size))
+        self._do(self._fellowship.tell(self._clock.now_ms(), rate, events))
+
+    def counts(self) -> Counter[str]:
+        """What was sent, heard and passed over, by reason; and how many are held to be how."""
+        counts = Counter(self._fellowship.counts)
+        counts["strangers"] = self.strangers
+        for member in self._fellowship.members.all.values():
+            counts[f"fellows_{member.state.value}"] += 1
+        return counts
+
+    def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._again_ms:
+            self._again_ms = now_ms + AGAIN_MS
+            for number, item in list(self._fellowship.states.items()):
+                if number != self._me and self._fellowship.members.all[number].state is not State.DEAD:
+                    self._heard(number, item.payload)
+        self._do(self._fellowship.tick(now_ms))
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(peer, data) if self._transport is not None:
+                    self._transport.sendto(data, self._addresses[peer])
+                case Heard(origin, _, payload):
+                    self._heard(origin, payload)
+                case Changed():
+                    self._changed(action)
+        if self._transport is not None:
+            if self._timer is not None:
+                self._timer.cancel()
+            due_ms = max(min(self._fellowship.due_ms, self._again_ms), self._clock.now_ms())
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(self._clock.loop_time_s(due_ms), self._tick)
+
+    def _changed(self, changed: Changed) -> None:
+        """Deaths and returns are told each; a suspicion may come often where words are lost."""
+        member = changed.member
+        if changed.state is State.DEAD:
+            self._dead.add(member)
+            self._log("fellow_dead", copy=member, life=changed.life)
+        elif changed.state is State.SUSPECT:
+            accusers = list(changed.accusers)
+            self._log_sparingly("fellow_suspect", copy=member, life=changed.life, accusers=accusers)
+        elif member in self._dead:
+            self._dead.discard(member)
+            self._log("fellow_back", copy=member, life=changed.life)
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
--- a/tests/drill/test_drills.py
+++ b/tests/drill/test_drills.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import subprocess
@@ -10,6 +11,7 @@
 from collections import Counter
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
@@ -21,7 +23,7 @@
 from madderwind.lab.experiment import ExperimentError
 
 DRILLS = Path(__file__).parents[2] / "drills"
-NAMES = ("short-processes", "short-links", "short-words")
+NAMES = ("short-processes", "short-links", "short-words", "short-fleet")
 
 
 @pytest.fixture(scope="module")
@@ -81,6 +83,26 @@
     assert 0 < passed[True] < 0.6 * sent[True]  # three in five pairs are cut, three tenths of the rest lost
 
 
+def test_a_fleet_holds_the_killed_dead_and_nobody_else(
+    folder: Path, played: dict[str, Future[list[DrillRecord]]]
+) -> None:
+    """By the copies' own logs, as nothing outside shows what a copy holds of another."""
+    played["short-fleet"].result()
+    traced = folder / "short-fleet" / "now" / "traces-000-1"
+    held: set[tuple[int, int]] = set()
+    for copy in range(1, 7):
+        for line in (traced / f"copy-{copy}" / "log").read_text().splitlines():
+            said: dict[str, Any] = json.loads(line) if '"event":"fellow_' in line else {"event": ""}
+            if said["event"] == "fellow_dead":
+                held.add((copy, said["copy"]))
+            elif said["event"] == "fellow_back":
+                held.discard((copy, said["copy"]))
+    assert {pair for pair in held if pair[1] == 0} == {(copy, 0) for copy in range(1, 7)}
+    assert {pair for pair in held if pair[1] != 0} == set()  # the paused one is back
+    for words in seen(folder, "short-fleet").words:
+        assert words.sent <= 2 * 25 + 25  # a bucket that was full, in one second; twice while it is upgraded
+
+
 def test_reports_and_comparisons(folder: Path, played: dict[str, Future[list[DrillRecord]]]) -> None:
     played["short-words"].result()
     records = report.read_drills(folder / "short-words")
