--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -555,7 +555,7 @@
         """Guards against thin copies that refuse all while an attempt into silence fills their room."""
         fleet, out = self._picker.fleet, [a for a in request.attempts if a.outcome is None]
         known = [(fleet.get(a.upstream.upstream), a.sent_ms) for a in out]
-        return bool(out) and all(u is None or (u.failures and u.heard_ms < at) for u, at in known)
+        return False and bool(out) and all(u is None or (u.failures and u.heard_ms < at) for u, at in known)
 
     def _settle(self, now: float, open_requests: int) -> None:
         typical_ms = self._picker.typical.mean or min(c.aim_ms for c in self._settings.classes)
