Tried: what hangs at upstreams set aside repeatedly takes no room

The room goes without those alone (usable), so only they may hold what does not count. Where all are slow at once, each of a thin copy's upstreams looks silent after one failure.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -104,6 +104,9 @@
             self.failures += 1
             self.aside_until_ms = now + wait_ms
 
+    def counts(self, now: float) -> bool:
+        return now >= self.aside_until_ms or self.failures < 2  # else it was set aside repeatedly
+
     def sound(self, now: float) -> bool:
         """Not set aside; after a failure, one attempt at a time shows whether it has recovered."""
         return now >= self.aside_until_ms and (self.failures == 0 or not self.sent_ms)
@@ -240,7 +243,7 @@
     def usable(self, now: float) -> float:
         """How many upstreams can be counted on: ready, not set aside repeatedly, cold by their warmth."""
         if now - self._usable_ms >= 50:  # it goes over the whole fleet
-            in_use = [u for u in self._order if now >= u.aside_until_ms or u.failures < 2]
+            in_use = [u for u in self._order if u.counts(now)]
             self._usable, self._usable_ms = sum(u.warmth(now, self._settings) for u in in_use), now
         return self._usable
 
@@ -466,7 +469,7 @@
         self._usual += [Mean(SLOW_GAIN) for _ in settings.classes[len(self._usual) :]]
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
-        self._out: list[api.Action] = []
+        self._out, self._now = list[api.Action](), now
         if self._settings.may_tell and math.isinf(self._telling_ms):
             self._telling_ms = now
             self._set_timer("tell", 0, 0, FIRST_TELL_MS * self._rng.uniform(0.5, 1.5))
@@ -555,7 +558,7 @@
         """Guards against thin copies that refuse all while an attempt into silence fills their room."""
         fleet, out = self._picker.fleet, [a for a in request.attempts if a.outcome is None]
         known = [(fleet.get(a.upstream.upstream), a.sent_ms) for a in out]
-        return False and bool(out) and all(u is None or (u.failures and u.heard_ms < at) for u, at in known)
+        return bool(out) and all(u is None or (not u.counts(self._now) and u.heard_ms < at) for u, at in known)
 
     def _settle(self, now: float, open_requests: int) -> None:
         typical_ms = self._picker.typical.mean or min(c.aim_ms for c in self._settings.classes)
