--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -88,8 +88,7 @@
 
     def restarted(self, started_ms: float) -> None:
         self.started_ms, self.refused, self.cold_credit = started_ms, 0, None
-        self.slowness = min(self.slowness, 1.0)  # what the process before it was, or its silence, is over
-        self.failures, self.aside_until_ms = 0, 0.0
+        self.slowness, self.failures, self.aside_until_ms = min(self.slowness, 1.0), 0, 0.0  # another process
 
     def warmth(self, now: float, settings: api.Settings) -> float:
         """The least part of its capacity that it can have by now; 1 when warm."""
@@ -554,11 +553,10 @@
     def _open(self) -> int:
         return len([r for r in self._requests.values() if not (r.passing or self._hangs(r))])
 
-    def _hangs(self, request: Request) -> bool:
+    def _hangs(self, r: Request) -> bool:
         """Guards against thin copies that refuse all while an attempt into silence fills their room."""
-        fleet, out = self._picker.fleet, [a for a in request.attempts if a.outcome is None]
-        known = [(fleet.get(a.upstream.upstream), a.sent_ms) for a in out]
-        return bool(out) and all(u is None or (not u.counts(self._now) and u.heard_ms < at) for u, at in known)
+        out = [(self._picker.fleet.get(a.upstream.upstream), a) for a in r.attempts if a.outcome is None]
+        return bool(out) and not any(u and (u.counts(self._now) or u.heard_ms >= a.sent_ms) for u, a in out)
 
     def _settle(self, now: float, open_requests: int) -> None:
         typical_ms = self._picker.typical.mean or min(c.aim_ms for c in self._settings.classes)
