--- a/madderwind/drill/figures.py
+++ b/madderwind/drill/figures.py
@@ -18,6 +18,7 @@
 STEP_MS = 50.0  # what could be done is summed in such steps
 LONGEST_US = 3_600_000_000
 SECOND_MS = 1000.0
+NEWS_MS = 5000.0
 
 
 class Second(msgspec.Struct):
@@ -172,6 +173,8 @@
             "memory_mb": lambda: max((s.memory_mb for s in self._copies(begin_ms, end_ms)), default=0.0),
             "p99_ms": lambda: float(self.histogram(inside).get_value_at_percentile(99)) / 1000,
             "attempts": lambda: self._attempts(inside),
+            "news_ms": lambda: self._news(begin_ms, end_ms)[0],
+            "news_missed": lambda: self._news(begin_ms, end_ms)[1],
         }
         return round(figures[figure.figure](), 4)
 
@@ -192,6 +195,28 @@
         seconds = end_ms // SECOND_MS - -(-begin_ms // SECOND_MS)
         return float(sum(sums)) / max(1.0, seconds) / self._scenario.copies
 
+    def _news(self, begin_ms: float, end_ms: float) -> tuple[float, float]:
+        """Of urgent words: the 99th of 100 times until a copy had one, and the part of copies that had it not
+        within `NEWS_MS`. Copies that were killed or stopped are left out, and words too late to judge."""
+        out = {
+            life.copy for life in self._seen.lives if life.what in ("kill", "pause") and life.at_ms < end_ms
+        }
+        copies = [n for n in self._plan.copies() if n not in out]
+        until_ms = min(end_ms, self._scenario.for_s * 1000 - NEWS_MS)
+        took = HdrHistogram(1, LONGEST_US, 3)
+        asked = missed = 0
+        for news in self._seen.news:
+            if not begin_ms <= news.at_ms < until_ms:
+                continue
+            for copy in copies:
+                heard_ms = news.heard_ms.get(copy, float("inf")) - news.at_ms
+                if copy != news.origin:
+                    asked += 1
+                    missed += heard_ms > NEWS_MS
+                    if heard_ms <= NEWS_MS:
+                        took.record_value(max(1, int(heard_ms * 1000)))
+        return float(took.get_value_at_percentile(99)) / 1000, missed / max(1, asked)
+
     def _copies(self, begin_ms: float, end_ms: float) -> list[Sample]:
         inside = (s for s in self._seen.samples if begin_ms <= s.at_ms <= end_ms + SECOND_MS)
         return [s for s in inside if s.who.startswith("copy-")]
--- a/madderwind/drill/scenario.py
+++ b/madderwind/drill/scenario.py
@@ -161,7 +161,7 @@
 
 FigureName = Literal[
     "served", "in_time", "late", "refused", "failed", "lost", "dark_per_s", "cold_load", "words_per_s",
-    "word_bytes_per_s", "cpu_ms_per_s", "memory_mb", "p99_ms", "attempts",
+    "word_bytes_per_s", "cpu_ms_per_s", "memory_mb", "p99_ms", "attempts", "news_ms", "news_missed",
 ]  # fmt: skip
 
 
--- a/madderwind/drill/traces.py
+++ b/madderwind/drill/traces.py
@@ -81,6 +81,16 @@
     passed: int = 0
 
 
+class News(msgspec.Struct):
+    """An urgent word of a fleet that passes words on: when it first left its teller, and each copy's first
+    datagram with it."""
+
+    origin: int
+    version: int
+    at_ms: float
+    heard_ms: dict[int, float] = {}
+
+
 class Life(msgspec.Struct):
     """What became of a copy's process, as its parent saw it."""
 
@@ -106,6 +116,7 @@
     fell: list[Fell] = []
     told: list[Told] = []
     words: list[Words] = []
+    news: list[News] = []
     lives: list[Life] = []
     samples: list[Sample] = []
     foreign: int = 0  # datagrams that came to a relay from nobody of the rig
--- a/madderwind/drill/words.py
+++ b/madderwind/drill/words.py
@@ -10,7 +10,8 @@
 from madderwind.drill.plan import OWN, PKTINFO, ip
 from madderwind.drill.scenario import WordFault
 from madderwind.drill.schedule import Turn
-from madderwind.drill.traces import Words
+from madderwind.drill.traces import News, Words
+from madderwind.gossip.wire import BadWords, Kind, read, seed_of
 
 BUFFER_BYTES = 8 << 20
 MOST_AT_ONCE = 64
@@ -32,6 +33,9 @@
         self._seconds: dict[tuple[int, int], Words] = {}
         self._hit: dict[tuple[int, int], list[WordFault]] = {}
         self._turns: list[Turn] = []
+        fleet = self.plan.scenario.file.get("fleet.name")
+        self._fleet = None if fleet is None else seed_of(str(fleet))
+        self._news: dict[tuple[int, int, int], News] = {}
         asyncio.get_running_loop().add_reader(self._socket, self._readable)
 
     def begin(self) -> None:
@@ -103,6 +107,8 @@
 
     def _send(self, data: bytes, sender: int, hearer: int) -> None:
         """To the hearer, from the very address that its file names for the sender."""
+        if self._fleet is not None:
+            self._note_news(data, hearer, self._fleet)
         source = PKTINFO.pack(0, ip(self.plan.word_link(hearer, sender)[0]), b"\0" * 4)
         try:
             control = [(socket.IPPROTO_IP, IP_PKTINFO, source)]
@@ -110,7 +116,20 @@
         except OSError:
             return  # lost, as words may be
 
+    def _note_news(self, data: bytes, hearer: int, fleet: int) -> None:
+        """Which urgent words reach this copy with it for the first time."""
+        try:
+            datagram = read(data, fleet)
+        except BadWords:
+            return
+        for item in datagram.items:
+            if item.kind == Kind.EVENT:
+                key = item.about, item.life, item.version
+                news = self._news.setdefault(key, News(item.about, item.version, self.clock.now_ms))
+                news.heard_ms.setdefault(hearer, self.clock.now_ms)
+
     async def finish(self) -> None:
+        self.seen.news = list(self._news.values())
         self.seen.words = list(self._seconds.values())
 
 
--- a/madderwind/lab/command.py
+++ b/madderwind/lab/command.py
@@ -4,9 +4,11 @@
 
 import os
 import sys
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Any
 
+from madderwind.lab import words
 from madderwind.lab.experiment import ExperimentError, read_experiment
 from madderwind.lab.records import play_all, read_records
 from madderwind.lab.report import FIGURES, breaks, compare, plot, table
@@ -17,6 +19,8 @@
     try:
         if said["run"]:
             return _run(Path(said["FILE"]), said["--out"], int(said["--cores"] or os.cpu_count() or 1))
+        if said["words"]:
+            return _words(Path(said["FILE"]), int(said["--cores"] or os.cpu_count() or 1))
         if said["report"]:
             return _report(Path(said["FOLDER"]), said["--plot"])
         return _compare(said)
@@ -38,6 +42,13 @@
     return _report(folder, None)
 
 
+def _words(path: Path, cores: int) -> int:
+    with ProcessPoolExecutor(max_workers=cores) as pool:
+        waits = [pool.submit(words.play, *run) for run in words.plays(words.read_spread(path))]
+        print(words.table([wait.result() for wait in waits]), end="")
+    return 0
+
+
 def _report(folder: Path, picture: str | None) -> int:
     records = read_records(folder)
     print(table(records), end="")
--- a/madderwind/program/cli.py
+++ b/madderwind/program/cli.py
@@ -7,6 +7,7 @@
   madderwind lab run FILE [--out=FOLDER] [--cores=N]
   madderwind lab report FOLDER [--plot=PICTURE]
   madderwind lab compare FOLDER [OTHER] [--policy=NAME] [--against=NAME]
+  madderwind lab words FILE [--cores=N]
   madderwind drill run FILE [--out=FOLDER] [--seeds=N] [--beside=CHECKOUT]...
   madderwind drill report FOLDER [--plot=PICTURE]
   madderwind drill compare A B
--- a/tests/gossip/test_fellowship.py
+++ b/tests/gossip/test_fellowship.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -12,7 +13,8 @@
 from madderwind.gossip.fellowship import Fellowship, Send
 from madderwind.gossip.members import State
 from madderwind.gossip.wire import LONGEST, BadWords, Datagram, Item, Kind, Seen, Word
-from madderwind.lab.words import Spread, World, play
+from madderwind.lab.experiment import ExperimentError
+from madderwind.lab.words import Spread, World, play, plays, read_spread, table
 
 SEED = wire.seed_of("f")
 ITEMS = st.builds(
@@ -190,3 +192,14 @@
     net.run(3000)
     assert {n: item.payload[0] for n, item in net.copies[4].states.items()} == {0: 0, 1: 1, 2: 2, 3: 3, 5: 5}
     assert not {pair for pair in net.held(State.DEAD) if 4 in pair}
+
+
+def test_a_spread_is_read_strictly_and_its_table_has_a_line_a_run(tmp_path: Path) -> None:
+    path = tmp_path / "words.yaml"
+    path.write_text("{name: w, question: q, for_s: 6, vary: {way: [gossip, all], copies: [3]}}")
+    records = [play(*run) for run in plays(read_spread(path))]
+    assert [r.reached for r in records] == [1.0, 1.0] and table(records).count("\n") == 4
+    for wrong in ("{name: w, question: q, copeis: 3}", "{name: w, question: q, vary: {loss: [2]}}"):
+        path.write_text(wrong)
+        with pytest.raises(ExperimentError, match="words.yaml"):
+            read_spread(path)
