--- a/tests/gossip/test_fellowship.py
+++ b/tests/gossip/test_fellowship.py
@@ -196,7 +196,7 @@
 
 def test_a_spread_is_read_strictly_and_its_table_has_a_line_a_run(tmp_path: Path) -> None:
     path = tmp_path / "words.yaml"
-    path.write_text("{name: w, question: q, for_s: 6, vary: {way: [gossip, all], copies: [3]}}")
+    path.write_text("{name: w, question: q, for_s: 14, killed: 0, vary: {way: [gossip, all], copies: [3]}}")
     records = [play(*run) for run in plays(read_spread(path))]
     assert [r.reached for r in records] == [1.0, 1.0] and table(records).count("\n") == 4
     for wrong in ("{name: w, question: q, copeis: 3}", "{name: w, question: q, vary: {loss: [2]}}"):
