--- a/madderwind/gossip/fellowship.py
+++ b/madderwind/gossip/fellowship.py
@@ -116,7 +116,6 @@
         self._number, self._version = 0, 0
         self._probes: dict[int, Probe] = {}
         self._probe_at_ms = self._round_at_ms = -math.inf
-        self._last_ms = -math.inf
         self._synced, self._syncs = False, 0
         self._pressing = False
         self._actions: list[Action] = []
@@ -163,7 +162,7 @@
         if not self._in.setdefault(peer, Bucket(self._loudest_per_s)).take(now):
             self.counts["flood"] += 1
             return []
-        life, seen = self._numbers.get(peer, (0, Seen()))
+        life, seen = self._numbers.get(peer, (-1, Seen()))
         if datagram.life > life:
             life, seen = datagram.life, Seen()
             self._numbers[peer] = life, seen
@@ -364,7 +363,7 @@
                 self.news.put((Kind.STATE, item.about), item, STATE_SENDS)
                 self._actions.append(Heard(item.about, False, item.payload))
         elif item.kind == Kind.EVENT:
-            life, seen = self._events.get(item.about, (0, Seen()))
+            life, seen = self._events.get(item.about, (-1, Seen()))
             if item.life > life:
                 life, seen = item.life, Seen()
                 self._events[item.about] = life, seen
