--- a/madderwind/program/cli.py
+++ b/madderwind/program/cli.py
@@ -51,10 +51,8 @@
         return 0
     if said["call"]:
         return _call(said["ADDRESS"], " ".join(filter(None, (said["WORD"], said["ID"]))))
-    if said["lab"]:
-        return _lab(said)
-    if said["drill"]:
-        return _drill(said)
+    if said["lab"] or said["drill"]:
+        return _laboratory(said)
     path = said["--config"] or os.environ.get("PROXY_CONFIG")
     try:
         if not path:
@@ -79,22 +77,14 @@
     return int(not answer or answer.startswith("NAK"))
 
 
-def _lab(said: dict[str, Any]) -> int:
-    try:
-        from madderwind.lab.command import lab
-    except ModuleNotFoundError as error:
-        print(f"madderwind lab: needs {error.name}: pip install -r requirements-lab.txt", file=sys.stderr)
-        return 1
-    return lab(said)
-
-
-def _drill(said: dict[str, Any]) -> int:
+def _laboratory(said: dict[str, Any]) -> int:
     try:
         from madderwind.drill.command import drill
+        from madderwind.lab.command import lab
     except ModuleNotFoundError as error:
-        print(f"madderwind drill: needs {error.name}: pip install -r requirements-lab.txt", file=sys.stderr)
+        print(f"madderwind: needs {error.name}: pip install -r requirements-lab.txt", file=sys.stderr)
         return 1
-    return drill(said)
+    return (lab if said["lab"] else drill)(said)
 
 
 def _summary(configuration: Configuration) -> str:
