Read over: one reader of varied files, one warmth, one list of starts; leftovers gone

What stood twice or more: reading a file with its variants (experiments, drills, words of copies), the warmth of a cold upstream (the model, two places in the drills' figures), when upstreams start anew (relays, figures), records by what was chosen, a member as an item, the requests that count. What nothing used: slots of stand-ins, a probe's numbers, sends of a piece of news, tellers of urgent words. Assertions and bounds are as they were.

One thing is other than before: whoever corrected an accuser of a member that it itself holds suspect named itself as an accuser; it names one that is.

--- a/madderwind/drill/figures.py
+++ b/madderwind/drill/figures.py
@@ -14,6 +14,7 @@
 from madderwind.drill.schedule import Turn
 from madderwind.drill.traces import Asked, Sample, Sent, Traces
 from madderwind.lab.rules import Window
+from madderwind.lab.upstream import warmth
 
 STEP_MS = 50.0  # what could be done is summed in such steps
 LONGEST_US = 3_600_000_000
@@ -59,8 +60,8 @@
     def __init__(self, plan: Plan, seen: Traces) -> None:
         self._plan, self._seen = plan, seen
         self._scenario = plan.scenario
-        self._asked = [a for a in seen.asked if a.how != "crossed" and a.intended_ms >= 0]
-        self._fates = {a.number: fate(plan, a) for a in self._asked}
+        self.asked = [a for a in seen.asked if a.how != "crossed" and a.intended_ms >= 0]
+        self._fates = {a.number: fate(plan, a) for a in self.asked}
         self._lost = lost(plan, seen)
         self._loads = list(self._cold_loads())
 
@@ -97,9 +98,8 @@
                     cut = fault.kind != "slow" and len(turn.copies) == self._scenario.copies
                     parts[upstream] *= not (cut and turn.on(at_ms))
                 elif isinstance(fault, UpstreamFault) and fault.kind == "restart" and at_ms >= turn.begin_ms:
-                    warm = max(0.0, at_ms - turn.end_ms) / rules.warm_after_ms
-                    cold = min(1.0, rules.start_capacity + (1 - rules.start_capacity) * warm)
-                    parts[upstream] *= cold if at_ms >= turn.end_ms else 0.0
+                    up = at_ms >= turn.end_ms
+                    parts[upstream] *= warmth(at_ms - turn.end_ms, rules) if up else 0.0
                 elif isinstance(fault, UpstreamFault) and turn.on(at_ms):
                     slow = {"slow": 1 / fault.factor, "err": 1 - fault.rate, "drain": 0.0}
                     parts[upstream] *= slow.get(fault.kind, 1.0)
@@ -109,7 +109,7 @@
         """Requests in a window: no more than what comes, no more than what the upstreams could do."""
         steps = max(1, round((end_ms - begin_ms) / STEP_MS))
         room = sum(self.could_ms(begin_ms + (n + 0.5) * STEP_MS) * STEP_MS for n in range(steps))
-        return min(room, sum(begin_ms <= a.intended_ms < end_ms for a in self._asked))
+        return min(room, sum(begin_ms <= a.intended_ms < end_ms for a in self.asked))
 
     # --- where it was bad ---
 
@@ -129,20 +129,13 @@
     def _cold_loads(self) -> Iterator[tuple[float, float]]:
         """Of each request at a cold upstream: when, and what came in the window over what it could do."""
         model, rules = self._scenario.upstreams, self._scenario.rules
-        starts: dict[int, list[float]] = defaultdict(list)
-        for turn in self._plan.schedule.turns:
-            fault = self._scenario.faults[turn.fault]
-            if isinstance(fault, UpstreamFault) and fault.kind == "restart":
-                for upstream in turn.upstreams:
-                    starts[upstream].append(turn.end_ms)
+        starts = self._plan.starts_ms()
         windows: dict[tuple[int, float], Window] = {}
         for ran in sorted(self._seen.ran, key=lambda r: r.at_ms):
-            started_ms = max((s for s in starts[ran.upstream] if s <= ran.at_ms), default=None)
+            started_ms = max((s for s in starts.get(ran.upstream, ()) if s <= ran.at_ms), default=None)
             if started_ms is None or ran.at_ms >= started_ms + rules.warm_after_ms:
                 continue
-            warm = rules.start_capacity + (1 - rules.start_capacity) * (
-                (ran.at_ms - started_ms) / rules.warm_after_ms
-            )
+            warm = warmth(ran.at_ms - started_ms, rules)
             got = windows.setdefault((ran.upstream, started_ms), Window(rules.fall_ms)).add(ran.at_ms)
             yield ran.at_ms, got / (rules.fall_ms * model.cores * warm / model.work_ms)
 
@@ -150,7 +143,7 @@
 
     def value(self, figure: Figure) -> float:
         begin_ms, end_ms = self.window(figure)
-        inside = [a for a in self._asked if begin_ms <= a.intended_ms < end_ms]
+        inside = [a for a in self.asked if begin_ms <= a.intended_ms < end_ms]
         fates = [self._fates[a.number] for a in inside]
 
         def part(*names: str) -> float:
@@ -248,7 +241,7 @@
     def lag_ms(self) -> float:
         """How late the rig's own clients were, at the 99th of 100 requests."""
         histogram = HdrHistogram(1, LONGEST_US, 3)
-        for a in self._asked:
+        for a in self.asked:
             if a.written_ms >= a.intended_ms:
                 histogram.record_value(max(1, int((a.written_ms - a.intended_ms) * 1000)))
         return float(histogram.get_value_at_percentile(99)) / 1000
@@ -267,7 +260,7 @@
     def seconds(self) -> list[Second]:
         count = int(-(-self._scenario.for_s // 1))
         seconds = [Second(could=round(self.could(n * 1000.0, (n + 1) * 1000.0), 1)) for n in range(count)]
-        for asked in self._asked:
+        for asked in self.asked:
             second = seconds[min(count - 1, int(asked.intended_ms // 1000))]
             second.asked += 1
             what = self._fates[asked.number]
--- a/madderwind/drill/judge.py
+++ b/madderwind/drill/judge.py
@@ -159,7 +159,7 @@
             copy: str = f"app-{told.copy}",
             u: int = told.upstream,
             ready: bool = told.phase == "Ready",
-        ) -> None:  # noqa: E501
+        ) -> None:
             checker.told(at_ms, copy, u, ready)
 
         at(told_ms, tell)
@@ -171,7 +171,7 @@
             u: int = fell.upstream,
             got: int = fell.got,
             can: float = fell.can,
-        ) -> None:  # noqa: E501
+        ) -> None:
             checker.fell(at_ms, "all", n, u, got, can)
 
         at(fell.at_ms, fall)
--- a/madderwind/drill/links.py
+++ b/madderwind/drill/links.py
@@ -10,7 +10,7 @@
 
 from madderwind.drill.part import Part, play
 from madderwind.drill.plan import DISCOVERY, Address
-from madderwind.drill.scenario import LinkFault, UpstreamFault
+from madderwind.drill.scenario import LinkFault
 from madderwind.drill.traces import ENDLESS_MS, Sent
 
 TRACE_ID = re.compile(rb"\r\nx-trace-id: ([0-9a-f]+)\r\n", re.IGNORECASE)
@@ -209,11 +209,7 @@
 
     async def start(self) -> None:
         plan = self.plan
-        self.restarts: dict[int, list[float]] = {}  # when each upstream's process comes back
-        for turn in self.turns(UpstreamFault):
-            for upstream in turn.upstreams:
-                if getattr(plan.scenario.faults[turn.fault], "kind", "") == "restart":
-                    self.restarts.setdefault(upstream, []).append(turn.end_ms)
+        self.restarts = plan.starts_ms()
         self._links: dict[tuple[int, int], Link] = {}
         for copy in range(self.shard, plan.scenario.copies, plan.shards):
             for upstream in plan.upstreams():
--- a/madderwind/drill/plan.py
+++ b/madderwind/drill/plan.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from madderwind.drill.scenario import Scenario
+from madderwind.drill.scenario import Scenario, UpstreamFault
 from madderwind.drill.schedule import Schedule, upstream_count, zone_of
 
 Address = tuple[str, int]
@@ -76,6 +76,16 @@
     def upstreams(self) -> range:
         return range(upstream_count(self.scenario))
 
+    def starts_ms(self) -> dict[int, list[float]]:
+        """When the schedule starts each upstream's process anew."""
+        found: dict[int, list[float]] = {}
+        for turn in self.schedule.turns:
+            fault = self.scenario.faults[turn.fault]
+            if isinstance(fault, UpstreamFault) and fault.kind == "restart":
+                for upstream in turn.upstreams:
+                    found.setdefault(upstream, []).append(turn.end_ms)
+        return found
+
     def copies(self) -> range:
         return range(self.scenario.copies)
 
--- a/madderwind/drill/records.py
+++ b/madderwind/drill/records.py
@@ -59,14 +59,13 @@
     measured = Measured(plan, seen)
     figures, missed = measured.all()
     scenario = plan.scenario
-    kept = [a for a in seen.asked if a.how != "crossed" and a.intended_ms >= 0]
     return DrillRecord(
         scenario=scenario.name,
         chosen=chosen,
         program=program,
         seed=plan.schedule.seed,
         schedule=plan.schedule.digest(),
-        asked=len(kept),
+        asked=len(measured.asked),
         figures=figures,
         missed=missed,
         broken=judge(plan, seen),
@@ -79,7 +78,7 @@
             )
             for t in plan.schedule.turns
         ],
-        times=measured.histogram(kept).encode().decode(),
+        times=measured.histogram(measured.asked).encode().decode(),
         lag_p99_ms=measured.lag_ms(),
         foreign=seen.foreign,
         took_s=round(time.monotonic() - began_s, 1),
--- a/madderwind/drill/report.py
+++ b/madderwind/drill/report.py
@@ -12,7 +12,7 @@
 from madderwind.drill.records import DrillRecord
 from madderwind.lab.experiment import ExperimentError
 from madderwind.lab.records import read_all
-from madderwind.lab.report import compare_pairs, interval
+from madderwind.lab.report import compare_pairs, grouped, interval
 
 
 def read_drills(folder: Path) -> list[DrillRecord]:
@@ -29,10 +29,7 @@
 
 def groups(records: Sequence[DrillRecord]) -> dict[tuple[str, str], list[DrillRecord]]:
     """By what was chosen, and by program."""
-    found: dict[tuple[str, str], list[DrillRecord]] = {}
-    for record in records:
-        chosen = ", ".join(f"{name}={value}" for name, value in record.chosen.items()) or "-"
-        found.setdefault((chosen, record.program), []).append(record)
+    found = grouped(records, lambda record: record.chosen, lambda record: record.program)
     return dict(sorted(found.items(), key=lambda item: item[0]))
 
 
--- a/madderwind/drill/scenario.py
+++ b/madderwind/drill/scenario.py
@@ -16,8 +16,7 @@
     Positive,
     Strict,
     Varied,
-    read_tree,
-    variants,
+    read_varied,
 )
 
 # The address plan gives a copy one byte of an address, an upstream another, and keeps some for the rig.
@@ -201,17 +200,10 @@
 
 def read_scenario(path: Path) -> Scenario:
     """The drill of a file, with every variant checked. ExperimentError names file and place."""
-    scenario = _checked(path, read_tree(path))
-    for _, variant in variants(scenario):
-        _checked(path, variant)
-    return scenario
+    return read_varied(path, Scenario, _check)
 
 
-def _checked(path: Path, tree: Any) -> Scenario:
-    try:
-        scenario = msgspec.convert(tree, Scenario)
-    except msgspec.ValidationError as error:
-        raise ExperimentError(f"{path}: {error}") from None
+def _check(path: Path, scenario: Scenario) -> None:
     upstreams = scenario.upstreams.each_zone * len(scenario.zones)
     if upstreams > MOST_UPSTREAMS:
         raise ExperimentError(f"{path}: {upstreams} upstreams, at most {MOST_UPSTREAMS} can be played")
@@ -231,7 +223,6 @@
             raise ExperimentError(f"{path}: figure {figure.name!r}: no fault is named {figure.fault!r}")
     if len({figure.name for figure in scenario.figures}) < len(scenario.figures):
         raise ExperimentError(f"{path}: two figures have one name")
-    return scenario
 
 
 def _must_be_there(at: str, which: Which | None, most: int, zones: tuple[str, ...]) -> None:
--- a/madderwind/drill/upstreams.py
+++ b/madderwind/drill/upstreams.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 
 from madderwind.drill.part import Part, play
-from madderwind.drill.plan import copy_of
+from madderwind.drill.plan import Plan, copy_of
 from madderwind.drill.scenario import UpstreamFault
 from madderwind.drill.schedule import Turn, zone_of
 from madderwind.drill.traces import Fell, Ran
@@ -43,8 +42,8 @@
 class UpstreamStandIns(Part):
     """All of them; `Surroundings` of the model."""
 
-    def __init__(self, plan: object, shard: int) -> None:
-        super().__init__(plan, shard)  # type: ignore[arg-type]
+    def __init__(self, plan: Plan, shard: int) -> None:
+        super().__init__(plan, shard)
         scenario, model = self.plan.scenario, self.plan.scenario.upstreams
         self.seed, self.timeline, self.checker = self.plan.schedule.seed, self.clock, self
         self.experiment = lab.Experiment(
@@ -68,7 +67,6 @@
             ),
         )
         self._open: dict[int, set[asyncio.StreamWriter]] = {u: set() for u in self.plan.upstreams()}
-        self._slots: Counter[int] = Counter()
 
     async def start(self) -> None:
         self._all = [
--- a/madderwind/gossip/fellowship.py
+++ b/madderwind/gossip/fellowship.py
@@ -255,16 +255,18 @@
         last_ms = (PERIOD_MS - 1) if probe.helped else ANSWER_MS
         return probe.began_ms + last_ms * self.members.scale()
 
+    def _held(self, number: int) -> Item:
+        """How this copy holds a member to be, as an item."""
+        member = self.members.all[number]
+        return Item(KINDS[member.state], number, member.life, min(member.accusers, default=self.me))
+
     def _accusation(self, target: int) -> tuple[Item, ...]:
         """A suspect is told at once what is said of it, so that it can speak for itself."""
-        member = self.members.all[target]
-        if member.state is State.ALIVE:
-            return ()
-        return (Item(KINDS[member.state], target, member.life, min(member.accusers, default=self.me)),)
+        return () if self.members.all[target].state is State.ALIVE else (self._held(target),)
 
-    def _ping(self, target: int, now: float, asked_by: int = -1, asked_number: int = 0) -> None:
+    def _ping(self, target: int, now: float, asked_by: int = -1) -> None:
         if self._send(target, Word.PING, now, target, self._accusation(target)):
-            self._probes[self._number] = Probe(target, self._number, now, asked_by, asked_number)
+            self._probes[self._number] = Probe(target, now, asked_by)
 
     def _probe(self, now: float) -> None:
         target = self.members.next_target()
@@ -303,7 +305,7 @@
                 self.members.all[about].heard_ms = now
                 self._answered(about, now)
             case Word.ASK if about in self.members.all:
-                self._ping(about, now, peer, datagram.number)
+                self._ping(about, now, peer)
             case Word.SILENT:
                 for probe in self._probes.values():
                     probe.refused += probe.target == about and probe.asked_by < 0
@@ -326,9 +328,7 @@
     def _sync(self, peer: int, now: float) -> None:
         """What this copy knows, to one that has just started: who is not alive, then states by chance."""
         items = [
-            Item(KINDS[m.state], n, m.life, min(m.accusers, default=self.me))
-            for n, m in self.members.all.items()
-            if m.state is not State.ALIVE and n != peer
+            self._held(n) for n, m in self.members.all.items() if m.state is not State.ALIVE and n != peer
         ]
         states = [item for about, item in self.states.items() if about != peer]
         self._chance.shuffle(states)
@@ -356,8 +356,7 @@
                 and (Kind.ALIVE, item.about) not in self.news
             ):
                 # Its accuser does not hear it, nor those who do: it learns from this copy of a later life.
-                better = Item(KINDS[member.state], item.about, member.life, self.me)
-                self.news.put((Kind.ALIVE, item.about), better, STATE_SENDS, urgent=True)
+                self.news.put((Kind.ALIVE, item.about), self._held(item.about), STATE_SENDS, urgent=True)
             self._note(self.members.told(item.about, state, item.life, item.version, now))
         elif item.kind == Kind.STATE:
             known = self.states.get(item.about)
--- a/madderwind/gossip/members.py
+++ b/madderwind/gossip/members.py
@@ -46,10 +46,8 @@
     """A probe under way, of this copy's own (`asked_by` < 0) or for another."""
 
     target: int
-    number: int
     began_ms: float
     asked_by: int = -1
-    asked_number: int = 0
     helped: bool = False  # others were asked
     refused: int = 0  # helpers that told that they had no answer either
 
--- a/madderwind/gossip/news.py
+++ b/madderwind/gossip/news.py
@@ -12,11 +12,11 @@
 
 
 class _Entry:
-    __slots__ = ("item", "key", "live", "most", "sends")
+    __slots__ = ("item", "key", "live", "most")
 
     def __init__(self, key: Hashable, item: Item, most: int) -> None:
         self.key, self.item, self.most = key, item, most
-        self.sends, self.live = 0, True
+        self.live = True
 
 
 class News:
--- a/madderwind/lab/experiment.py
+++ b/madderwind/lab/experiment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Annotated, Any, Literal, TypeVar
 
@@ -130,10 +130,25 @@
 
 def read_experiment(path: Path) -> Experiment:
     """The experiment of a file, with every variant checked. ExperimentError names file and place."""
-    experiment = _checked(path, read_tree(path))
-    for _, variant in variants(experiment):
-        _checked(path, variant)
-    return experiment
+    return read_varied(path, Experiment, _check)
+
+
+def read_varied(path: Path, kind: type[V], check: Callable[[Path, V], None] = lambda *_: None) -> V:
+    """What a file describes, and that each of its variants can be read; `check` looks beyond the types.
+    ExperimentError names file and place."""
+
+    def read(tree: Any) -> V:
+        try:
+            found = msgspec.convert(tree, kind)
+        except msgspec.ValidationError as error:
+            raise ExperimentError(f"{path}: {error}") from None
+        check(path, found)
+        return found
+
+    whole = read(read_tree(path))
+    for _, variant in variants(whole):
+        read(variant)
+    return whole
 
 
 def read_tree(path: Path) -> Any:
@@ -146,13 +161,9 @@
         raise ExperimentError(f"{path}: {' '.join(str(error).split())}") from None
 
 
-def _checked(path: Path, tree: Any) -> Experiment:
+def _check(path: Path, experiment: Experiment) -> None:
     from madderwind.lab.policies import POLICIES
 
-    try:
-        experiment = msgspec.convert(tree, Experiment)
-    except msgspec.ValidationError as error:
-        raise ExperimentError(f"{path}: {error}") from None
     for number, trouble in enumerate(experiment.troubles):
         at = f"{path}: troubles[{number}]"
         if trouble.tier >= len(experiment.tiers):
@@ -162,7 +173,6 @@
     for policy in experiment.policies:
         if policy not in POLICIES:
             raise ExperimentError(f"{path}: policies: {policy!r} is none of {', '.join(POLICIES)}")
-    return experiment
 
 
 def variants(experiment: Varied) -> Iterator[tuple[dict[str, Any], Any]]:
--- a/madderwind/lab/report.py
+++ b/madderwind/lab/report.py
@@ -7,12 +7,13 @@
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from statistics import fmean
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from madderwind.lab.experiment import ExperimentError
 from madderwind.lab.records import Record
 
 K = TypeVar("K")
+R = TypeVar("R")
 Figure = Callable[[Record], float]
 FIGURES: dict[str, Figure] = {
     "goodput": lambda r: r.goodput,
@@ -52,10 +53,17 @@
 
 def groups(records: Sequence[Record]) -> dict[tuple[str, str], list[Record]]:
     """Records by what was chosen and by policy."""
-    found: dict[tuple[str, str], list[Record]] = {}
+    return grouped(records, lambda record: record.chosen, lambda record: record.policy)
+
+
+def grouped(
+    records: Sequence[R], chosen: Callable[[R], dict[str, Any]], who: Callable[[R], str]
+) -> dict[tuple[str, str], list[R]]:
+    """Records by what was chosen, as a text, and by whose they are."""
+    found: dict[tuple[str, str], list[R]] = {}
     for record in records:
-        chosen = ", ".join(f"{name}={value}" for name, value in record.chosen.items()) or "-"
-        found.setdefault((chosen, record.policy), []).append(record)
+        text = ", ".join(f"{name}={value}" for name, value in chosen(record).items()) or "-"
+        found.setdefault((text, who(record)), []).append(record)
     return found
 
 
--- a/madderwind/lab/upstream.py
+++ b/madderwind/lab/upstream.py
@@ -53,6 +53,18 @@
     def call(self, job: Job, on_end: Callable[[bool], None]) -> None: ...
 
 
+class ColdStart(Protocol):
+    @property
+    def start_capacity(self) -> float: ...
+    @property
+    def warm_after_ms(self) -> float: ...
+
+
+def warmth(age_ms: float, rules: ColdStart) -> float:
+    """The part of its capacity that an upstream has so long after its start."""
+    return min(1.0, rules.start_capacity + (1 - rules.start_capacity) * age_ms / rules.warm_after_ms)
+
+
 class Job:
     """A request at an upstream."""
 
@@ -90,8 +102,7 @@
     def warmth(self) -> float:
         if self.started_ms <= LONG_AGO_MS:
             return 1.0
-        age = (self._world.timeline.now_ms - self.started_ms) / self._rules.warm_after_ms
-        return min(1.0, self._rules.start_capacity + (1 - self._rules.start_capacity) * age)
+        return warmth(self._world.timeline.now_ms - self.started_ms, self._rules)
 
     def arrive(self, job: Job, copy: str, request: int) -> None:
         """A request's last byte has come."""
--- a/madderwind/lab/words.py
+++ b/madderwind/lab/words.py
@@ -18,12 +18,11 @@
 from madderwind.gossip.members import Changed, State
 from madderwind.lab.experiment import (
     Count,
-    ExperimentError,
     NotNegative,
     Part,
     Positive,
     Varied,
-    read_tree,
+    read_varied,
     variant_of,
     variants,
 )
@@ -87,11 +86,11 @@
             for n in range(spread.copies)
         ]
         self._down: set[int] = set()
-        self._paused: dict[int, float] = {}
+        self._paused: set[int] = set()
         self._excused: set[int] = set()  # were paused: word of that may come after they woke
         self._waiting: dict[int, list[tuple[int, bytes]]] = defaultdict(list)
         self._due: dict[int, float] = {}
-        self._told: dict[bytes, tuple[float, int]] = {}
+        self._told: dict[bytes, float] = {}
         self._heard: dict[bytes, list[float]] = defaultdict(list)
         self._states: dict[int, set[int]] = defaultdict(set)
         self._killed_ms = spread.for_s * 1000 / 3
@@ -172,7 +171,7 @@
         number = self._chance.randrange(self._spread.copies)
         if number not in self._down and number not in self._paused:
             payload = self._chance.randbytes(EVENT_BYTES)
-            self._told[payload] = self._timeline.now_ms, number
+            self._told[payload] = self._timeline.now_ms
             state = self._copies[number].states.get(number)
             self._tell(number, state.payload if state else bytes(STATE_BYTES), (payload,))
 
@@ -213,13 +212,13 @@
         hit = self._chance.sample(range(self._spread.copies), self._spread.killed + self._spread.paused)
         self._down |= set(hit[: self._spread.killed])
         for number in hit[self._spread.killed :]:
-            self._paused[number] = self._timeline.now_ms
+            self._paused.add(number)
             self._excused.add(number)
             self._timeline.after(self._spread.pause_s * 1000, lambda n=number: self._wakes(n))  # type: ignore[misc]
 
     def _wakes(self, number: int) -> None:
         """With all that has come meanwhile, in a buffer, before it looks at its own clock."""
-        del self._paused[number]
+        self._paused.discard(number)
         for sender, data in self._waiting.pop(number, []):
             self._arrives(sender, number, data)
         self._wake(number)
@@ -227,10 +226,10 @@
     def record(self, chosen: dict[str, Any], seed: int) -> SpreadRecord:
         spread, end_ms = self._spread, self._spread.for_s * 1000
         living = spread.copies - len(self._down) - 1
-        done = {p: sorted(self._heard[p]) for p, (at, _) in self._told.items() if at < end_ms - 5000}
+        done = {p: sorted(self._heard[p]) for p, at in self._told.items() if at < end_ms - 5000}
         reached = [min(1.0, len(times) / living) for times in done.values()]
-        halves = [t[len(t) // 2] - self._told[p][0] for p, t in done.items() if t]
-        wholes = [t[-1] - self._told[p][0] for p, t in done.items() if t]
+        halves = [t[len(t) // 2] - self._told[p] for p, t in done.items() if t]
+        wholes = [t[-1] - self._told[p] for p, t in done.items() if t]
         dead = [times[-1] - self._killed_ms for times in self._held_dead.values() if len(times) >= living]
         suspects = [at - self._killed_ms for at in self._suspected.values()]
         refused = sum((c.counts for c in self._copies), Counter())
@@ -260,13 +259,7 @@
 
 def read_spread(path: Path) -> Spread:
     """ExperimentError names file and place."""
-    try:
-        spread = msgspec.convert(read_tree(path), Spread)
-        for _, variant in variants(spread):
-            msgspec.convert(variant, Spread)
-    except msgspec.ValidationError as error:
-        raise ExperimentError(f"{path}: {error}") from None
-    return spread
+    return read_varied(path, Spread)
 
 
 def play(spread: Spread, chosen: dict[str, Any], seed: int) -> SpreadRecord:
