Who is to be looked at again is kept once, so that it stays bounded

Each lone suspicion that ran out put its member on the list once more, with one look a period: where a third of the words is lost the list could grow without end. Kept by member, the latest first as before; an entry more of one member did nothing else.

--- a/madderwind/gossip/members.py
+++ b/madderwind/gossip/members.py
@@ -72,7 +72,7 @@
         self._suspects: set[int] = set()
         self._turns: list[int] = []
         self._probes_made = 0
-        self.first: list[int] = []  # to be probed before others, for a second look
+        self._first: dict[int, None] = {}  # to be probed before others, for a second look; the latest first
         self._unanswered: dict[int, int] = {}  # probes in a row, with helpers, that brought nothing
         # The part of first pings that went unanswered lately; who knows nothing yet trusts itself little.
         self._missed = LOSS_FIRST
@@ -97,8 +97,8 @@
     def next_target(self) -> int | None:
         """Whom to probe: each in turn, in an order drawn anew each time round; seldom one held dead."""
         self._probes_made += 1
-        while self.first:
-            if self.all[number := self.first.pop()].state is not State.DEAD:
+        while self._first:
+            if self.all[number := self._first.popitem()[0]].state is not State.DEAD:
                 return number
         if self._probes_made % DEAD_EACH == 0 and len(self._living) < len(self.all):
             return self._chance.choice([n for n, m in self.all.items() if m.state is State.DEAD])
@@ -129,7 +129,7 @@
         pings are lost, one probe says little, so this copy looks again before it speaks."""
         looks = self._unanswered[number] = self._unanswered.get(number, 0) + 1
         if looks < 1 + sum(self._missed >= part for part in LOSSY):
-            self.first.append(number)
+            self._first[number] = None
             return False
         return True
 
@@ -201,7 +201,7 @@
             elif self.me in member.accusers and (len(member.accusers) > 1 or len(self._living) < 2):
                 changed.append(self._becomes(number, State.DEAD, member.life, now))
             else:
-                self.first.append(number)  # this copy looks for itself
+                self._first[number] = None  # this copy looks for itself
                 member.until_ms = now + 2 * PERIOD_MS * self.scale()
         return changed
 
