A reset is no end of an answer: only the upstream's own end of sending is one

The client library's parser calls any loss of the connection the end of such an answer (ResponseHandler.connection_lost feeds its end whatever the cause), so half an answer was whole. Ruled out: answers with a length and chunked ones, which the parser calls broken.

Change: OneAnswer keeps whether the upstream ended its sending; a connection lost within an answer without that, by a reset or by a close from this side, breaks the answer: it may have run.

Test: reset, own close and the upstream's end, each once the half has been read, for answers held and passing on. Without the mend the four of reset and own close fail.

--- a/madderwind/drill/links.py
+++ b/madderwind/drill/links.py
@@ -46,7 +46,7 @@
                     writer.transport.abort()
 
     def reset(self) -> None:
-        _reset(self._writer)
+        reset(self._writer)
 
     def _ended(self) -> None:
         if self._attempt is not None:
@@ -101,7 +101,7 @@
             self.reset()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
     with suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING)
--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -50,6 +50,7 @@
         self._left: float = 0  # bytes of the body that are still to come; infinite where the framing tells
         self._begun = b""  # the last bytes of a head that has not ended
         self._body: Any = None
+        self._at_end = False  # the upstream has ended its sending
 
     def set_response_params(self, **params: Any) -> None:
         self._awaits = _Awaits.HEAD
@@ -147,8 +148,16 @@
         """Whether it had been kept for another request, and brought not a byte of that one's answer."""
         return self.asked > 1 and not self.heard
 
+    def eof_received(self) -> None:
+        self._at_end = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
+        """Guards against half an answer of no told length taken for whole: the parser calls any loss its end,
+        but only the upstream's own end of sending is one; a reset, or a close from this side, is none."""
         self._stop_stall_timer()
+        if self._awaits is _Awaits.BODY and not self._at_end:
+            self._body.set_exception(ClientPayloadError("the connection was lost within the answer"))
         super().connection_lost(exc)
 
     def clean(self) -> bool:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,10 +8,11 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from madderwind.drill.links import reset
 from madderwind.drill.wire import Message, answer, chunk, read_message
 from tests.examples import HOST
 
-__all__ = ["Message", "answer", "read_message"]  # for the tests, from one place with the stand-ins
+__all__ = ["Message", "answer", "read_message", "reset"]  # for the tests, from one place with the stand-ins
 
 WAIT_S = 10.0  # how long a test waits for what must come; no test passes by waiting
 
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -19,7 +19,7 @@
 from madderwind.transport.answering import LONGEST_ANSWER, OneAnswer
 from madderwind.transport.upstreams import HELD_ANSWER, READ_BUFFER, Answer, Letter, Upload, Upstreams
 from tests.examples import HOST
-from tests.standins import Message, Upstream, Writer, answer, resets, run, says, silent, within
+from tests.standins import Message, Upstream, Writer, answer, reset, resets, run, says, silent, within
 
 FAR_S = 1000.0
 
@@ -243,6 +243,50 @@
     run(test())
 
 
+NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nhalf of it"
+
+
+@pytest.mark.parametrize("passes", [False, True])
+@pytest.mark.parametrize("ends", ["reset", "closed here", "closed there"])
+def test_only_the_upstreams_end_ends_an_answer_of_no_told_length(
+    monkeypatch: pytest.MonkeyPatch, ends: str, passes: bool
+) -> None:
+    """Guards against serving what came before a reset as the whole answer, held or passing on. The end comes
+    once the half has been read."""
+    monkeypatch.setattr(transport, "HELD_S", 0.01 if passes else FAR_S)
+
+    async def test() -> None:
+        writers: asyncio.Queue[Writer] = asyncio.Queue()
+
+        async def half(_: Message, writer: Writer) -> None:
+            writer.write(NO_LENGTH)
+            writers.put_nowait(writer)
+
+        async with Upstream(half) as upstream, Pool() as pool:
+            sink = Kept()
+            sent = to(sink)
+            task = asyncio.create_task(pool.get(upstream, sent))
+            writer = await within(writers.get())
+            while not (sink.parts if passes else sent.connection and sent.connection._body):
+                await asyncio.sleep(0)
+            assert sent.connection is not None
+            if ends == "reset":
+                reset(writer)
+            elif ends == "closed here":
+                assert sent.connection.transport is not None
+                sent.connection.transport.close()
+            else:
+                writer.close()
+            got = await within(task)
+            if ends == "closed there":
+                assert isinstance(got, Answer)
+                assert (got.body, sink.parts) == ((b"", [b"half of it"]) if passes else (b"half of it", []))
+            else:
+                assert got is Outcome.RESET
+
+    run(test())
+
+
 def test_redirects_cookies_and_compression_are_left_alone() -> None:
     async def test() -> None:
         packed = gzip.compress(b"x" * 1000)
