A long answer that came whole is passed on to its end after its connection is gone

Each read below the low-water mark asks the connection to go on; after its end OneAnswer took the end, noted there for the next request, for a fault of the answer still being read. Also by reading: the short bound on pauses (the connect time-out) runs on from a long answer's head, until its next byte.

Change: nothing is judged after the connection is lost, what came before it stands; passing on sets the pause's bound anew.

Tests: an answer whose end comes while its reader holds the first piece; a pause behind a head.

--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -43,7 +43,7 @@
         self.unreadable = False
         self.asked = 0  # requests written to it
         self.heard = False  # whether a byte of the present answer has come
-        self.passes = False  # whether the present answer passes on in pieces
+        self._passes = False  # whether the present answer passes on in pieces
         self._stall_s = stall_s
         self._stalls: asyncio.TimerHandle | None = None
         self._awaits = _Awaits.NOTHING
@@ -54,7 +54,7 @@
 
     def set_response_params(self, **params: Any) -> None:
         self._awaits = _Awaits.HEAD
-        self.asked, self.heard, self.passes = self.asked + 1, False, False
+        self.asked, self.heard, self._passes = self.asked + 1, False, False
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -78,6 +78,8 @@
 
     def data_received(self, data: bytes) -> None:
         """What the upstream sent; nothing where the client goes on with what its parser held back."""
+        if self._connection_lost_called:
+            return  # its reader takes what has come whole: that the connection is gone spoils nothing
         if not data:
             self._feed(data)
             self._watch_for_a_stall()
@@ -100,10 +102,16 @@
             self._feed(part)
         self._watch_for_a_stall()
 
+    def passes_on(self) -> None:
+        """The present answer passes on from here. Guards against the shorter time, which runs since its last
+        byte, cutting off one whose upstream is merely slow to go on."""
+        self._passes = True
+        self._watch_for_a_stall()
+
     def _watch_for_a_stall(self) -> None:
         self._stop_stall_timer()
         if (self._awaits is _Awaits.BODY or self._begun) and self.transport is not None and self._stall_s:
-            stall_s = max(PASSING_STALL_S, self._stall_s) if self.passes else self._stall_s
+            stall_s = max(PASSING_STALL_S, self._stall_s) if self._passes else self._stall_s
             self._stalls = self._loop.call_later(stall_s, self._stalled)
 
     def _feed(self, part: bytes) -> None:
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -346,7 +346,7 @@
     ) -> Answer | Outcome:
         """Piece by piece, as fast as both sides allow. No deadline cuts off what the upstream still gives."""
         if letter.connection is not None:
-            letter.connection.passes = True
+            letter.connection.passes_on()
         if not await sink.begin(response.headers, response.content_length):
             response.close()
             return Outcome.CANCELLED
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -267,7 +267,7 @@
             sent = to(sink)
             task = asyncio.create_task(pool.get(upstream, sent))
             writer = await within(writers.get())
-            while not (sink.parts if passes else sent.connection and sent.connection._body):
+            while not (sink.parts if passes else sent.connection is not None and sent.connection._body):
                 await asyncio.sleep(0)
             assert sent.connection is not None
             if ends == "reset":
@@ -406,6 +406,58 @@
     run(test())
 
 
+def test_a_long_answer_that_pauses_behind_its_head_is_not_cut_off() -> None:
+    """Guards against the bound on short answers' pauses, which began to run before this was known for long."""
+
+    async def test() -> None:
+        class Begun(Kept):
+            async def begin(self, headers: object, length: int | None) -> bool:
+                began.set()
+                return await super().begin(headers, length)
+
+        async def pauses(_: Message, writer: Writer) -> None:
+            writer.write(HEAD + b"Content-Length: 900000\r\n\r\n")
+            await within(began.wait())
+            await asyncio.sleep(0.15)  # three times what a short one may pause
+            writer.write(b"x" * 900_000)
+
+        began, sink = asyncio.Event(), Begun()
+        async with Upstream(pauses) as upstream, Pool(connect_timeout_ms=50.0) as pool:
+            assert isinstance(await pool.get(upstream, to(sink)), Answer)
+            assert sum(map(len, sink.parts)) == 900_000
+
+    run(test())
+
+
+@pytest.mark.parametrize("head", [b"\r\n", b"Content-Length: 120000\r\nConnection: close\r\n\r\n"])
+def test_a_long_answer_that_has_come_whole_is_read_to_its_end_after_its_connection_is_gone(
+    head: bytes,
+) -> None:
+    """Guards against a reader that asks for more taking the connection's end for a spoilt answer."""
+
+    async def test() -> None:
+        class Late(Kept):
+            async def write(self, part: bytes) -> None:
+                began.set()
+                while sent.connection is None or not sent.connection._connection_lost_called:
+                    await asyncio.sleep(0)
+                self.parts.append(part)
+
+        async def ends(_: Message, writer: Writer) -> None:
+            writer.write(HEAD + head + b"x" * 70_000)
+            await within(began.wait())
+            writer.write(b"x" * 50_000)  # little enough to be taken in at once, and the end behind it
+            writer.close()
+
+        began, sink = asyncio.Event(), Late()
+        sent = to(sink)
+        async with Upstream(ends) as upstream, Pool() as pool:
+            assert isinstance(await pool.get(upstream, sent), Answer)
+            assert sum(map(len, sink.parts)) == 120_000
+
+    run(test())
+
+
 def test_a_long_answer_that_nobody_wants_is_not_read() -> None:
     async def test() -> None:
         for sink, status, is_wanted in ((Kept(wants=False), 200, False), (Kept(), 500, True)):
