Lists are framed as values, and every wait on discovery follows from one deadline

Need: lists may come indented, and a change counts as told 6 s after discovery had it, whatever became of a call.

Indented lists. Seen by reading: the watch was cut at line ends and each line read as one list, so an indented one was passed over whole as odd lines. Change: protocol/framing.py cuts values out of the bytes, by brackets and texts, bounded in size, depth and in what is looked through again; one that never ends is shown by a whole list that begins a line within it.

Seen by reading, then by a clock that jumps: an answer's head and first line had 1.5 s each; where copies must ask, 4.5 s of silence and 5 s until the next call made 9.5 s, a call that got no answer 1.5 + 5 = 6.5 s; blanks alone and half a list were taken for life. Change: one deadline from the last sign of life or the last call's beginning (6 s, 4 s after SIGHUP); the answer's 1.5 s and a margin of 0.5 s are taken off, the watch is dead after 3.5 s, and where copies must ask the host draws its wait from what is left, so that calls stay spread. A sign of life is a whole list or an empty line.

The tests of the old constants name the new ones and hold the same.

--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -180,7 +180,7 @@
             self._follower = Follower(self.copy, new.discovery, self._chance)
             if self._following is not None:  # else the start is still to come, and follows this one
                 self._following.cancel()  # leaves the old address at once: no descriptor is held for both
-                self._following = asyncio.get_running_loop().create_task(self._follower.run(at_once=True))
+                self._following = asyncio.get_running_loop().create_task(self._follower.run(anew=True))
 
     async def run(self) -> None:
         """Serve until SIGTERM, and end."""
--- a/madderwind/routing/discovery.py
+++ b/madderwind/routing/discovery.py
@@ -7,22 +7,27 @@
 from contextlib import aclosing, suppress
 
 from madderwind.policy import api
-from madderwind.protocol.listing import ListingError, read_listing
+from madderwind.protocol.framing import ListFraming
+from madderwind.protocol.listing import Listing, ListingError
 from madderwind.routing.copy import Copy
-from madderwind.transport.stream import StreamEnded, lines
+from madderwind.transport.stream import StreamEnded, parts
 
-# An empty line comes every 2 s while nothing changes: once two of those are missing the watch is dead. The
-# next must be up within the 6 s after which what it would have told counts as told.
-SILENCE_S = 4.5
-# The agent is silent while discovery is down: whoever goes on waiting for an answer to what was asked then
-# hears late that it is back.
-FIRST_S = 1.5
+# Whatever became of a call, a change counts as told so long after discovery had it and could be reached; and
+# so long after SIGHUP, at a new address. All other times here follow from these two.
+TOLD_S, TOLD_ANEW_S = 6.0, 4.0
+# The agent answers at once, and is silent while discovery is down: whoever goes on waiting for an answer to
+# what was asked then hears late that it is back.
+ANSWER_S = 1.5
+# For a loop that is late, and for what an answer takes.
+MARGIN_S = 0.5
+# An empty line comes every 2 s while nothing changes. The watch counts as dead while there is still time for
+# the next call to begin: that is owed `TOLD_S - ANSWER_S - MARGIN_S` after the last sign of life.
+SILENCE_S = 3.5
 # Between tries where changes are pushed to the agent, which a try costs nothing.
 RETRY_S = 0.25
 # Where copies must ask, each call is work for discovery, which turns some away: the module says when to ask.
-# Its waits double to 20 s, so the host asks after this time, by chance, if the module has not: what discovery
-# has to tell counts as told after 6 s.
-LEAST_UNASKED_S, MOST_UNASKED_S = 2.5, 5.0
+# Its waits double to 20 s, so the host asks by itself after this part, by chance, of the time that is left.
+LEAST_UNASKED, MOST_UNASKED = 0.3, 1.0
 
 
 class Follower:
@@ -32,13 +37,20 @@
         self._copy, self._address, self._chance = copy, address, chance
         self.heard = asyncio.Event()
         self._told, self._last_reason = False, ""
+        self._told_s = TOLD_S
+        # Until when all that discovery had is known here, or would be by the answer to the last call.
+        self._known_s = 0.0
+        self._dead_s = 0.0  # when the watch counts as dead, if nothing comes till then
 
-    async def run(self, at_once: bool = False) -> None:
-        """Follow for good. `at_once`: also where copies must ask, as at an address that is new."""
-        copy = self._copy
-        if copy.settings.must_ask and not at_once:
+    async def run(self, anew: bool = False) -> None:
+        """Follow for good. `anew`: at a new address, which is called at once also where copies must ask."""
+        copy, loop = self._copy, asyncio.get_running_loop()
+        self._told_s, self._known_s = TOLD_ANEW_S if anew else TOLD_S, loop.time()
+        if copy.settings.must_ask and not anew:
             await self._asked()
         while True:
+            self._known_s = loop.time()
+            self._dead_s = self._known_s + ANSWER_S
             try:
                 await self._watch()
             except StreamEnded as error:
@@ -56,29 +68,34 @@
 
     async def _asked(self) -> None:
         """Until the module asks, or for as long as it may be left to it."""
+        owed_s = self._known_s + self._told_s - ANSWER_S - MARGIN_S
+        left_s = max(0.0, owed_s - asyncio.get_running_loop().time())
         with suppress(TimeoutError):
-            async with asyncio.timeout(self._chance.uniform(LEAST_UNASKED_S, MOST_UNASKED_S)):
+            async with asyncio.timeout(left_s * self._chance.uniform(LEAST_UNASKED, MOST_UNASKED)):
                 await self._copy.watch_asked_for.wait()
 
     async def _watch(self) -> None:
         target = f"/v1/servers?watch=1&from={self._copy.directory.revision}"
-        async with aclosing(lines(self._address, target, FIRST_S, SILENCE_S)) as told:
-            async for line in told:
-                if line:
-                    self._line(line)
+        framing = ListFraming()
+        async with aclosing(parts(self._address, target, lambda: self._dead_s)) as told:
+            async for part in told:
+                for said in framing.feed(part):
+                    self._take(said)
 
-    def _line(self, line: bytes) -> None:
-        try:
-            listing = read_listing(line)
-        except ListingError as error:
-            self._copy.log("odd_list_line", error=str(error), line=line[:120].decode("latin-1"))
+    def _take(self, said: Listing | ListingError | str) -> None:
+        if isinstance(said, ListingError):
+            self._copy.log("odd_list_line", error=str(said))
             return
-        self._copy.log(
-            "listed",
-            revision=listing.revision,
-            whole=listing.complete,
-            members=[[member.id, member.phase] for member in listing.members],
-        )
-        self._copy.listed(listing)
-        self.heard.set()
-        self._told = True
+        if isinstance(said, Listing):
+            self._copy.log(
+                "listed",
+                revision=said.revision,
+                whole=said.complete,
+                members=[[member.id, member.phase] for member in said.members],
+            )
+            self._copy.listed(said)
+            self.heard.set()
+            self._told = True
+        # Only a whole list or an empty line is a sign of life: not half a list, nor what can't be read.
+        self._known_s = asyncio.get_running_loop().time()
+        self._dead_s, self._told_s = self._known_s + SILENCE_S, TOLD_S
--- a/madderwind/transport/stream.py
+++ b/madderwind/transport/stream.py
@@ -1,54 +1,42 @@
-"""Lines of a chunked answer that stays open."""
+"""A chunked answer that stays open."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 
 import aiohttp
 from yarl import URL
 
-CONNECT_TIMEOUT_S = 2.0
-# A list of thousands of upstreams is one line; this bounds what a broken agent can make the program hold.
-LONGEST_LINE = 8 * 1024 * 1024
-
 
 class StreamEnded(Exception):
     """The stream broke, fell silent or was no stream at all; the text says how."""
 
 
-async def lines(
-    address: tuple[str, int], target: str, first_s: float, silence_s: float
+async def parts(
+    address: tuple[str, int], target: str, until_s: Callable[[], float]
 ) -> AsyncGenerator[bytes, None]:
-    """Each line without its end, empty ones too.
+    """The answer's bytes as they come. StreamEnded when it ends, or once the loop's clock is past `until_s`.
 
-    StreamEnded when the first does not come within `first_s`, or none for `silence_s` after that.
-    Reads chunks and cuts them itself: the client's own line reader fails on lines over its buffer.
+    That is asked anew before each wait: the caller moves it on for what it takes for a sign of life. It
+    bounds the connecting and the answer's head as well, so no sum of waits goes past it.
     """
     url = URL(f"http://{address[0]}:{address[1]}{target}", encoded=True)
-    timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S, sock_read=None)
     try:
         async with aiohttp.ClientSession(
-            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False
+            timeout=aiohttp.ClientTimeout(total=None), cookie_jar=aiohttp.DummyCookieJar(), trust_env=False
         ) as session:
-            async with asyncio.timeout(first_s):
+            async with asyncio.timeout_at(until_s()):
                 response = await session.get(url, allow_redirects=False)
             async with response:
                 if response.status != 200:
                     raise StreamEnded(f"status {response.status}")
-                held, wait_s = b"", first_s
                 while True:
-                    async with asyncio.timeout(wait_s):
+                    async with asyncio.timeout_at(until_s()):
                         part = await response.content.readany()
-                    wait_s = silence_s
                     if not part:
                         raise StreamEnded("ended")
-                    held += part
-                    *whole, held = held.split(b"\n")
-                    if len(held) > LONGEST_LINE:
-                        raise StreamEnded("line too long")
-                    for line in whole:
-                        yield line.rstrip(b"\r")
+                    yield part
     except TimeoutError:
         raise StreamEnded("silent") from None
     except (aiohttp.ClientError, OSError) as error:
--- a/tests/program/test_discovery.py
+++ b/tests/program/test_discovery.py
@@ -5,9 +5,12 @@
 import asyncio
 import json
 import os
+import random
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable, Coroutine
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
@@ -16,6 +19,7 @@
 from madderwind.program.configuration import read_configuration
 from madderwind.program.service import Service
 from madderwind.routing import discovery
+from madderwind.transport.stream import StreamEnded
 from tests import examples
 from tests.program.harness import Running
 from tests.standins import (
@@ -34,6 +38,48 @@
     within,
 )
 
+LIST = json.dumps(examples.listing(revision=7)).encode() + b"\n"
+
+
+class Jumping(asyncio.SelectorEventLoop):
+    """A loop whose clock is where the next timer is: nothing is waited for, and none of it is luck."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now_s = 1000.0
+        select = self._selector.select  # type: ignore[attr-defined]
+
+        def jump(timeout: float | None) -> object:
+            if timeout and self._scheduled:  # type: ignore[attr-defined]
+                self._now_s = max(self._now_s, self._scheduled[0].when())  # type: ignore[attr-defined]
+            return select(0)
+
+        self._selector.select = jump  # type: ignore[attr-defined]
+
+    def time(self) -> float:
+        return self._now_s
+
+    def run(self, test: Coroutine[Any, Any, None]) -> None:
+        try:
+            self.run_until_complete(test)
+        finally:
+            self.close()
+
+
+class FollowedCopy:
+    """What a follower needs of a copy."""
+
+    def __init__(self, must_ask: bool) -> None:
+        self.settings = SimpleNamespace(must_ask=must_ask)
+        self.directory = SimpleNamespace(revision=0)
+        self.watch_asked_for = asyncio.Event()
+
+    def log(self, *_: object, **__: object) -> None: ...
+
+    def happened(self, _: object) -> None: ...
+
+    def listed(self, _: object) -> None: ...
+
 
 async def until(holds: Callable[[], bool]) -> None:
     """Wait until a condition holds."""
@@ -139,8 +185,7 @@
 
 def test_where_copies_must_ask_the_module_says_when(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against copies that all call discovery at once and again: it turned them away on cuenca-sur."""
-    monkeypatch.setattr(discovery, "LEAST_UNASKED_S", 1000.0)
-    monkeypatch.setattr(discovery, "MOST_UNASKED_S", 1000.0)
+    monkeypatch.setattr(discovery, "TOLD_S", 10_000.0)
 
     async def test() -> None:
         async with Running(tmp_path, Upstream(silent), discovery="on_request") as running:
@@ -162,9 +207,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against the module's own waits of up to twenty seconds, in which drains would be missed."""
-    assert discovery.MOST_UNASKED_S < 6
-    monkeypatch.setattr(discovery, "LEAST_UNASKED_S", 0.0)
-    monkeypatch.setattr(discovery, "MOST_UNASKED_S", 0.01)
+    monkeypatch.setattr(discovery, "MOST_UNASKED", 0.003)
     monkeypatch.setattr(Balancer, "_ask_later", lambda _: None)
 
     async def test() -> None:
@@ -175,6 +218,96 @@
     run(test())
 
 
+@pytest.mark.parametrize("must_ask", [False, True])
+@pytest.mark.parametrize(
+    "fails", ["refused", "reset", "never answered", "half a head", "half a list", "blanks"]
+)
+@pytest.mark.parametrize("anew", [False, True])
+def test_whatever_became_of_a_call_the_next_is_answered_in_time(
+    must_ask: bool, fails: str, anew: bool
+) -> None:
+    """Guards against waits that are each short enough and too long in all: a change that discovery has right
+    after a call began which then fails must be known 6 s after that, 4 s where SIGHUP named the address. On a
+    clock that jumps to what comes next, with a bare loop's margin left for the loop and the answer."""
+    within_s = discovery.TOLD_ANEW_S if anew else discovery.TOLD_S
+
+    async def test(seed: int) -> None:
+        loop = asyncio.get_running_loop()
+        copy = FollowedCopy(must_ask)
+        calls: list[float] = []
+
+        async def parts(_: object, __: str, until_s: Callable[[], float]) -> AsyncGenerator[bytes, None]:
+            calls.append(loop.time())
+            if len(calls) > 1:
+                yield LIST
+                await asyncio.sleep(1000)
+            if fails == "refused":
+                raise StreamEnded("refused")
+            if fails == "reset":
+                await asyncio.sleep(0.9 * discovery.ANSWER_S)
+                raise StreamEnded("reset")
+            for _ in range(100):
+                if fails in ("half a list", "blanks"):
+                    yield LIST[:30] if fails == "half a list" else b"   "
+                await asyncio.sleep(min(1.0, max(0.001, until_s() - loop.time())))
+                if loop.time() >= until_s():
+                    raise StreamEnded("silent")
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(discovery, "parts", parts)
+            follower = discovery.Follower(cast(Any, copy), (examples.HOST, 1), random.Random(seed))
+            task = asyncio.create_task(follower.run(anew=anew))
+            await follower.heard.wait()
+            task.cancel()
+        assert len(calls) == 2
+        assert calls[1] + discovery.ANSWER_S <= calls[0] + within_s - discovery.MARGIN_S / 2
+
+    for seed in range(20):
+        Jumping().run(test(seed))
+
+
+@pytest.mark.parametrize("must_ask", [False, True])
+def test_what_a_silent_watch_misses_is_known_in_time(must_ask: bool) -> None:
+    """As above, from the last sign of life: empty lines count, the beginning of a list that never ends does
+    not."""
+
+    async def test(seed: int) -> None:
+        loop = asyncio.get_running_loop()
+        copy = FollowedCopy(must_ask)
+        calls: list[float] = []
+        alive_s = [0.0]
+
+        async def parts(_: object, __: str, until_s: Callable[[], float]) -> AsyncGenerator[bytes, None]:
+            calls.append(loop.time())
+            if len(calls) == 1:
+                yield LIST
+                for _ in range(4):
+                    await asyncio.sleep(2.0)
+                    assert loop.time() < until_s()
+                    alive_s[0] = loop.time()
+                    yield b"\n"
+                while loop.time() < until_s():
+                    await asyncio.sleep(min(0.3, max(0.001, until_s() - loop.time())))
+                    yield LIST[:30]
+                raise StreamEnded("silent")
+            yield LIST
+            called.set()
+            await asyncio.sleep(1000)
+
+        called = asyncio.Event()
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(discovery, "parts", parts)
+            follower = discovery.Follower(cast(Any, copy), (examples.HOST, 1), random.Random(seed))
+            task = asyncio.create_task(follower.run(anew=True))
+            await called.wait()
+            task.cancel()
+        assert alive_s[0] + 2.0 < calls[1]  # not called dead within the wait for the next empty line
+        assert calls[1] + discovery.ANSWER_S <= alive_s[0] + discovery.TOLD_S - discovery.MARGIN_S / 2
+
+    for seed in range(20):
+        Jumping().run(test(seed))
+
+
 def test_a_watch_that_falls_silent_is_opened_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against waiting for good on a connection whose other end is cut off: no reset ever comes."""
     monkeypatch.setattr(discovery, "SILENCE_S", 0.05)
@@ -192,7 +325,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against hearing late that discovery is back: what was asked meanwhile is never answered."""
-    monkeypatch.setattr(discovery, "FIRST_S", 0.05)
+    monkeypatch.setattr(discovery, "ANSWER_S", 0.05)
     monkeypatch.setattr(discovery, "SILENCE_S", 1000.0)
 
     async def test() -> None:
@@ -299,8 +432,8 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against what counts as told 4 s after SIGHUP, while a first question may wait for longer."""
-    for name in ("LEAST_UNASKED_S", "MOST_UNASKED_S"):
-        monkeypatch.setattr(discovery, name, 1000.0)
+    for name in ("TOLD_S", "TOLD_ANEW_S"):
+        monkeypatch.setattr(discovery, name, 10_000.0)
 
     async def test() -> None:
         new = Agent()
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -407,7 +407,7 @@
 
 
 def test_a_long_answer_that_pauses_behind_its_head_is_not_cut_off() -> None:
-    """Guards against the bound on short answers' pauses, which began to run before this was known for long."""
+    """Guards against the bound on short answers' pauses, which runs before this one is known to be long."""
 
     async def test() -> None:
         class Begun(Kept):
