Before a first byte it is asked whether the caller has left, and whether a repeat's window is over

Seen by reading: a caller's end was known only once the loop had read it, so not behind unread bytes (reading paused), nor between the decision and the first byte; the window was asked when the module decided, and a connection may take its whole time-out to come up after that.

Change: one place, where the first byte is written, for first attempts, further and second ones: the caller's socket is polled for its end, read or not, and a keyed one's window counts from the decision of the earliest attempt that may have run. A caller found gone ends its request as any other caller's leaving.

--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Awaitable, Mapping
 
 import msgspec
@@ -25,6 +26,7 @@
 from madderwind.routing.copy import Copy, LastWord
 from madderwind.transport.bodies import PASSING, READ_S, BadBody, Body
 from madderwind.transport.listening import CallersRequest
+from madderwind.transport.unread import has_left
 from madderwind.transport.upstreams import Answer, Letter, Upload
 
 # The host's own last word comes this long after the deadline, if the module has said none by then: the rules
@@ -76,6 +78,7 @@
         self.taken_ms: float | None = None  # when its last byte came
         self.let_go = False  # the beginning of its body: it cannot be sent again
         self.written_ms: dict[int, float] = {}  # when each attempt's last byte was written
+        self.may_have_run_ms: dict[int, float] = {}  # when those attempts were decided on
         self.passing: int | None = None  # the attempt whose answer passes on in pieces
         self.passing_ms = 0.0  # since when
         self.response: web.StreamResponse | None = None  # that answer
@@ -182,6 +185,8 @@
             self.copy.log("attempt_broke", trace_id=self.asked.trace_id, error=repr(error))
             outcome = Outcome.ERROR
         finally:
+            if known is not None and known.never_ran:
+                self.may_have_run_ms.pop(number, None)
             elapsed_ms = self.copy.clock.now_ms() - sent_ms
             self.copy.ended(upstream, (self.number, number), known, elapsed_ms)
         began_ms = self.written_ms.get(number, sent_ms) if self.body.is_long else sent_ms
@@ -214,7 +219,7 @@
             self.target,
             headers_onward(self.request.headers, left_ms, upload.length if upload is not None else None),
             body.held if upload is None else b"",
-            lambda: self._may_write(upstream, until_ms),
+            lambda: self._writes(number, upstream, until_ms, sent_ms),
             self.klass.effect is not Effect.UNSAFE,
             lambda: self._written(number, letter),
             upload,
@@ -244,13 +249,36 @@
 
     def _may_write(self, upstream: int, until_ms: float) -> bool:
         """Whether the attempt may still be written: asked again when its connection is up."""
+        now_ms = self.copy.clock.now_ms()
         return (
             not self.over
             and not self.let_go
-            and self.copy.clock.now_ms() < until_ms
+            and now_ms < until_ms
+            and now_ms < self._repeat_until_ms()
             and self.copy.directory.takes_new(upstream)
         )
 
+    def _repeat_until_ms(self) -> float:
+        """Guards against a repeat decided on within its class's window and written after it."""
+        if self.klass.effect is not Effect.KEYED or not self.may_have_run_ms:
+            return math.inf
+        return min(self.may_have_run_ms.values()) + self.klass.window_ms
+
+    def _writes(self, number: int, upstream: int, until_ms: float, sent_ms: float) -> bool:
+        """Whether its first byte is written now. The one place for first attempts, further and second ones.
+
+        Guards against work for a caller who has left where that is not yet read: behind bytes that nobody
+        takes, in a queue, or in the moment between the decision and this one.
+        """
+        if not self._may_write(upstream, until_ms):
+            return False
+        if has_left(self.request.transport):
+            if self.request.transport is not None:
+                self.request.transport.abort()  # which ends the request as any other caller's leaving
+            return False
+        self.may_have_run_ms[number] = sent_ms
+        return True
+
     # --- long messages ---
 
     async def _pieces(self) -> AsyncIterator[bytes]:
