--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -12,6 +12,7 @@
 
 from madderwind.eventlog import EventLog
 from madderwind.transport.accepting import LOOK_S, Acceptor
+from madderwind.transport.parting import Parting, PartingTransport
 from madderwind.transport.unread import has_unread
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -47,7 +48,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.made_s = self._loop.time()
-        super().connection_made(transport)
+        assert isinstance(self._manager, _Connections)
+        super().connection_made(PartingTransport.around(transport, self, self._manager.parting))
 
     @property
     def quiet_since_s(self) -> float:
@@ -64,16 +66,21 @@
 
     most = 0
 
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        self.parting: Parting = {}
+
     def __call__(self) -> RequestHandler:
         return _Caller(self, loop=self._loop, **self._kwargs)
 
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
-        self.make_room(self.over())
+        self.make_room(len(self._connections) - self.most)
 
     def over(self) -> int:
-        """How many more are open than there are descriptors for. Asked at every answer: copies nothing."""
-        return len(self._connections) - self.most
+        """How many more are open than there are descriptors for, less those that make way at once. Asked at
+        every answer: copies nothing."""
+        return len(self._connections) - len(self.parting) - self.most
 
     def make_room(self, count: int) -> None:
         """Close so many of those that are idle, the longest first; first requests have a moment to come.
@@ -83,14 +90,18 @@
         """
         if count <= 0:
             return
+        for parting in list(self.parting)[:count]:
+            parting.abort()
+            count -= 1
         newest_s = self._loop.time() - FRESH_S
         able = (c for c in self._callers() if c._request_count or c.made_s <= newest_s)
         for connection in sorted(able, key=lambda c: (not c._request_count, c.quiet_since_s)):
-            if is_idle(connection):
+            if count <= 0:
+                return
+            if is_idle(connection) and (transport := connection.transport) is not None:
                 connection.force_close()
+                transport.abort()  # its descriptor is wanted now
                 count -= 1
-                if not count:
-                    return
 
     def close_quiet(self) -> int:
         """Close those that have been idle for too long; how many of them had never asked.
--- /dev/null
+++ b/madderwind/transport/parting.py
@@ -0,0 +1,71 @@
+"""How a connection to a caller is ended from this side."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, cast
+
+# The other side has so long to end its own sending, and may send so much till then: it is read and dropped.
+LINGER_S, LINGER_BYTES = 1.0, 1024 * 1024
+
+
+class PartingTransport:
+    """A transport whose `close` ends the sending, drops what still comes, and goes once the other side has
+    ended too, within bounds of time and bytes.
+
+    Guards against a close over bytes that nobody read: that is a reset, and takes along what the system still
+    holds back of the last answer. What comes after the end of sending goes to nobody: it can't be answered.
+    """
+
+    def __init__(self, transport: asyncio.Transport, protocol: asyncio.Protocol, parting: Parting) -> None:
+        self._transport, self._protocol, self._parting = transport, protocol, parting
+
+    @classmethod
+    def around(
+        cls, transport: asyncio.BaseTransport, protocol: asyncio.Protocol, parting: Parting
+    ) -> asyncio.Transport:
+        return cast(asyncio.Transport, cls(cast(asyncio.Transport, transport), protocol, parting))
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+    def is_closing(self) -> bool:
+        return self in self._parting or self._transport.is_closing()
+
+    def close(self) -> None:
+        if self.is_closing():
+            return
+        self._parting[self] = None
+        self._transport.set_protocol(_Rest(self._transport, self._ended))
+        try:
+            self._transport.write_eof()  # behind all that is still to be written
+            self._transport.resume_reading()
+        except OSError:  # the other side has reset it
+            self._transport.abort()
+
+    def _ended(self, exc: Exception | None) -> None:
+        del self._parting[self]
+        self._protocol.connection_lost(exc)
+
+
+# Those that wait for the other side's end, the longest first: each still holds its descriptor.
+Parting = dict[PartingTransport, None]
+
+
+class _Rest(asyncio.Protocol):
+    """What comes after the end of sending."""
+
+    def __init__(self, transport: asyncio.Transport, on_end: Callable[[Exception | None], None]) -> None:
+        self._transport, self._on_end = transport, on_end
+        self._left = LINGER_BYTES
+        self._bound = asyncio.get_running_loop().call_later(LINGER_S, transport.abort)
+
+    def data_received(self, data: bytes) -> None:
+        self._left -= len(data)
+        if self._left < 0:
+            self._transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._bound.cancel()
+        self._on_end(exc)
--- a/tests/program/test_crossing.py
+++ b/tests/program/test_crossing.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from madderwind.transport import listening, parting
+from madderwind.transport.unread import has_unread
 from tests import examples
 from tests.program.harness import Running
 from tests.standins import Caller, Message, Upstream, Writer, answer, reset, run, says, within
@@ -43,12 +45,12 @@
 def test_nothing_is_begun_for_a_caller_who_has_left(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, number: int, leaves: str
 ) -> None:
-    """First attempts and further ones: the caller leaves as the connection comes up, and nobody has read it."""
+    """First attempts and further ones: the caller leaves as the connection comes up, before it is read."""
 
     async def test() -> None:
         upstream = Upstream(says(NEVER_RAN))
         async with Running(tmp_path, upstream) as running:
-            caller = socket.create_connection((examples.HOST, running.port))
+            caller = connected(running.port)
             crossed = asyncio.Event()
 
             async def leave() -> None:
@@ -66,10 +68,7 @@
                 crossed.set()
 
             held_up(monkeypatch, running, number, leave)
-            caller.sendall(
-                b"GET /lookup HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Customer: acme\r\n"
-                b"X-Expires-In-Ms: 30000\r\n\r\n"
-            )
+            caller.sendall(lookup("X-Trace-Id: 1"))
             await within(crossed.wait())
             await within(running.settled())
             assert len(upstream.asked) == number
@@ -115,3 +114,110 @@
             assert not running.broken
 
     run(test())
+
+
+def connected(port: int, receives: int | None = None) -> socket.socket:
+    """A caller's socket that blocks: what it does is done before anything here goes on."""
+    caller = socket.socket()
+    if receives is not None:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receives)
+    caller.connect((examples.HOST, port))
+    return caller
+
+
+def lookup(*more: str) -> bytes:
+    lines = ["GET /lookup HTTP/1.1", "Host: x", "X-Customer: acme", "X-Expires-In-Ms: 30000", *more]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+async def read_on(caller: socket.socket) -> bytes:
+    """All that comes until the other side's end; a reset is an error."""
+    loop, said = asyncio.get_running_loop(), b""
+    caller.setblocking(False)
+    while part := await within(loop.sock_recv(caller, 65536)):
+        said += part
+    return said
+
+
+def test_a_close_over_unread_bytes_takes_nothing_of_the_last_answer_along(tmp_path: Path) -> None:
+    """The caller takes its answer slowly, so that most of it still lies with the system as the connection is
+    closed, and has sent more, which nobody has read."""
+
+    async def test() -> None:
+        body = b"x" * 60_000
+
+        async def told(_: Message, writer: Writer) -> None:
+            (connection,) = running.service._listener._web.connections
+            assert connection.transport is not None
+            connection.transport.pause_reading()  # as for want of room
+            caller.sendall(lookup("X-Trace-Id: 2"))
+            writer.write(answer(200, body))
+
+        upstream = Upstream(told)
+        async with Running(tmp_path, upstream) as running:
+            caller = connected(running.port, receives=4096)
+            caller.sendall(lookup("X-Trace-Id: 1", "Connection: close"))
+            while not running.log.named("answered"):
+                await asyncio.sleep(0)
+            said = await read_on(caller)
+            assert said.endswith(b"\r\n\r\n" + body)
+            assert len(upstream.asked) == 1  # the second came behind the close
+            caller.close()
+            while running.service._listener._web.connections:
+                await asyncio.sleep(0)
+
+    run(test())
+
+
+@pytest.mark.parametrize("sends", [lookup("X-Trace-Id: 2"), b"GET /loo"])
+def test_what_comes_as_a_resting_connection_is_closed_is_neither_reset_nor_sent_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sends: bytes
+) -> None:
+    """Between the look at the connection and its close; the caller reads an end, and asks elsewhere."""
+
+    async def test() -> None:
+        upstream = Upstream(says(YES))
+        async with Running(tmp_path, upstream) as running:
+            caller = connected(running.port)
+            caller.sendall(lookup("X-Trace-Id: 1"))
+            while not running.log.named("answered"):
+                await asyncio.sleep(0)
+
+            def crossed(transport: asyncio.BaseTransport) -> bool:
+                found = has_unread(transport)
+                monkeypatch.setattr(listening, "has_unread", has_unread)
+                caller.sendall(sends)
+                return found
+
+            await asyncio.sleep(0)  # the answer's own task ends
+            monkeypatch.setattr(listening, "has_unread", crossed)
+            running.service._listener.close_idle()
+            said = await read_on(caller)
+            assert said.count(b"HTTP/1.1 200") == 1
+            assert len(upstream.asked) == 1
+            caller.close()
+            while running.service._listener._web.connections:
+                await asyncio.sleep(0)
+
+    run(test())
+
+
+def test_a_caller_that_never_ends_is_let_go_in_time(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """And at once where descriptors run short."""
+
+    async def test() -> None:
+        async with Running(tmp_path, Upstream(says(YES))) as running:
+            web = running.service._listener._web
+            for linger_s, short in ((0.05, False), (1000.0, True)):
+                monkeypatch.setattr(parting, "LINGER_S", linger_s)
+                caller = connected(running.port)
+                caller.sendall(b"nonsense\r\n\r\n")
+                assert b" 400 " in await read_on(caller)
+                if short:
+                    assert web.connections
+                    web.make_room(1)
+                while web.connections:
+                    await asyncio.sleep(0)
+                caller.close()
+
+    run(test())
