Callers leave the watch and the upstreams their descriptors, also before they are seen to be idle

Need: idle clients may fill the descriptors while discovery is down; the watch, first requests and upstreams still get theirs.

Change: before each accept it is asked whether one more leaves the other half an eighth to grow and a quarter in all; the rest waits in the system's queue, and an idle one makes way.

Test: a process with that limit, discovery mute: requests are served and the watch opens once discovery answers.

--- a/madderwind/program/service.py
+++ b/madderwind/program/service.py
@@ -70,7 +70,7 @@
         self._follower = Follower(self.copy, configuration.discovery, self._chance)
         self._following: asyncio.Task[None] | None = None
         self._reopening: asyncio.Task[None] | None = None
-        self._listener = Listener(self._answer, self._most, log)
+        self._listener = Listener(self._answer, self._most, log, self._upstreams.held)
         # An upgrade is for operators, who ask at the second address whether the new process serves.
         self._handover: Handover | None = None
         if configuration.admin is not None and folder:
--- a/madderwind/transport/accepting.py
+++ b/madderwind/transport/accepting.py
@@ -21,12 +21,16 @@
     queue and then accepts nothing for a second, while requests on waiting connections run out of time.
 
     `no_descriptor` is asked then: whether it has let one go, so that it may be tried again at once.
+    `has_room` is asked before each, with how many are being taken in: the rest waits in the system's queue.
     """
 
     def __init__(
-        self, protocol: Callable[[], asyncio.BaseProtocol], no_descriptor: Callable[[], bool]
+        self,
+        protocol: Callable[[], asyncio.BaseProtocol],
+        no_descriptor: Callable[[], bool],
+        has_room: Callable[[int], bool] = lambda _: True,
     ) -> None:
-        self._protocol, self._no_descriptor = protocol, no_descriptor
+        self._protocol, self._no_descriptor, self._has_room = protocol, no_descriptor, has_room
         self.listening: socket.socket | None = None
         self.paused = False
         self._taking_in: set[asyncio.Task[None]] = set()
@@ -64,6 +68,9 @@
         assert self.listening is not None
         loop = asyncio.get_running_loop()
         for _ in range(ACCEPTS):
+            if not self._has_room(len(self._taking_in)):
+                self._look_again()
+                return
             try:
                 accepted, _ = self.listening.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -73,14 +80,19 @@
                     raise
                 if self._no_descriptor():
                     continue
-                loop.remove_reader(self.listening)
-                loop.call_later(LOOK_S, self._listen)
+                self._look_again()
                 return
             accepted.setblocking(False)
             task = loop.create_task(self._take_in(accepted))
             self._taking_in.add(task)
             task.add_done_callback(self._taking_in.discard)
 
+    def _look_again(self) -> None:
+        assert self.listening is not None
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self.listening)
+        loop.call_later(LOOK_S, self._listen)
+
     async def _take_in(self, accepted: socket.socket) -> None:
         try:
             await asyncio.get_running_loop().connect_accepted_socket(self._protocol, accepted)
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -28,6 +28,9 @@
 # How often connections are looked through for those two.
 ROUND_S = 0.25
 BACKLOG = 1024
+# Beyond their half of the descriptors callers may take of the other half what leaves this part of it free for
+# more connections to upstreams, and this part of it for those in all.
+GROWTH, LEAST_SPARE = 0.125, 0.25
 # Requests that may wait behind another on one connection.
 MOST_BEHIND = 4
 # What is read ahead of a long body: twice this at most.
@@ -123,8 +126,11 @@
 class Listener:
     """Accepts callers' connections. A client that goes away cancels its handler."""
 
-    def __init__(self, handler: Handler, most_connections: int, log: EventLog) -> None:
-        self._handler = handler
+    def __init__(
+        self, handler: Handler, most_connections: int, log: EventLog, others: Callable[[], int] = lambda: 0
+    ) -> None:
+        """`others`: how many connections are held elsewhere, of which there may be as many as callers'."""
+        self._handler, self._others = handler, others
         self._log = log
         self._open = 0
         self._ending = False
@@ -140,7 +146,7 @@
             lingering_time=0,  # of a request answered before it was whole, nothing more is read
         )
         self._web.most = most_connections
-        self._acceptor = Acceptor(self._web, self._no_descriptor)
+        self._acceptor = Acceptor(self._web, self._no_descriptor, self._has_room)
 
     def _request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
         loop = asyncio.get_running_loop()
@@ -180,6 +186,19 @@
             self._log("silent_callers_closed", count=silent)
         self._round = asyncio.get_running_loop().call_later(ROUND_S, self._look_round)
 
+    def _has_room(self, taking_in: int) -> bool:
+        """Whether one more leaves the others what they need.
+
+        Guards against callers who connect by hundreds at once and say nothing: until they are seen to be idle
+        they would hold every descriptor, also those of the watch and of upstreams.
+        """
+        most, callers = self._web.most, len(self._web.connections) + taking_in
+        spare = max(self._others() + most * GROWTH, most * LEAST_SPARE)
+        if callers < most or callers + spare < 2 * most:
+            return True
+        self._web.make_room(1)
+        return False
+
     def _no_descriptor(self) -> bool:
         """An idle connection makes way; it takes a moment until its descriptor is free."""
         self._log("no_descriptor_to_accept_with", connections=len(self._web.connections))
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -209,7 +209,7 @@
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
         self._drop_unclean(req.connection_key)
-        if not self._conns.get(req.connection_key) and self._held() >= self.most and not self._drop_idle():
+        if not self._conns.get(req.connection_key) and self.held() >= self.most and not self._drop_idle():
             raise _NotWritten
         return await super().connect(req, traces, timeout)
 
@@ -228,7 +228,7 @@
             protocol.close()
         self._conns.pop(key, None)
 
-    def _held(self) -> int:
+    def held(self) -> int:
         return len(self._acquired) + sum(len(idle) for idle in self._conns.values())
 
     def _drop_idle(self) -> bool:
@@ -261,6 +261,10 @@
         # Guards against a second copy: the client resends a GET by itself when a kept connection breaks.
         self._session._retry_connection = False
 
+    def held(self) -> int:
+        """How many connections there are."""
+        return self._connector.held()
+
     def share(self, most: int) -> None:
         """How many connections it may hold from now on."""
         self._connector.most = most
--- a/tests/program/test_crossing.py
+++ b/tests/program/test_crossing.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
+import resource
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -15,7 +17,7 @@
 from madderwind.transport.unread import has_unread
 from tests import examples
 from tests.program.harness import Running
-from tests.standins import Caller, Message, Upstream, Writer, answer, reset, run, says, within
+from tests.standins import Agent, Caller, Message, Upstream, Writer, answer, reset, run, says, within
 
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 YES, NEVER_RAN = answer(200, b"yes"), answer(503, X_Never_Ran="1")
@@ -221,3 +223,71 @@
                 caller.close()
 
     run(test())
+
+
+def test_idle_callers_leave_the_watch_the_upstreams_and_first_requests_their_descriptors(
+    tmp_path: Path,
+) -> None:
+    """A process with few descriptors, which discovery does not answer, and callers that come again as soon as
+    they are closed, say nothing, and would hold far more than there are."""
+
+    async def test() -> None:
+        most = 160
+        silent: set[asyncio.Task[None]] = set()
+        closed: list[int] = []
+
+        async def idles(port: int) -> None:
+            while True:
+                caller = await Caller.connect(port)
+                await caller.at_end()
+                caller.close()
+                closed.append(port)
+
+        agent, upstream = Agent(), Upstream(says(YES))
+        async with agent, upstream:
+            told, agent.behave = agent.behave, quiet
+            async with Upstream(says(YES)) as free:
+                port = free.port
+            path = tmp_path / "config.json"
+            known = examples.listing(*(examples.member(f"s-{n}", upstream.port) for n in range(4)))
+            raw = examples.configuration(known, agent.port, sockets=most)
+            path.write_bytes(
+                raw.replace(f"{examples.HOST}:0".encode(), f"{examples.HOST}:{port}".encode(), 1)
+            )
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "madderwind", "serve", "--config", str(path)),
+                stdout=asyncio.subprocess.PIPE,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (most, most)),
+            )
+            assert process.stdout is not None
+            lines: list[str] = []
+
+            async def reads() -> None:
+                while line := await process.stdout.readline():  # type: ignore[union-attr]
+                    lines.append(json.loads(line)["event"])
+
+            reading = asyncio.create_task(reads())
+            try:
+                while "ready" not in lines:
+                    await asyncio.sleep(0.01)
+                silent |= {asyncio.create_task(idles(port)) for _ in range(2 * most)}
+                for turn in range(3):  # by then they hold all that they get
+                    while len(closed) < most * (turn + 1) // 2:
+                        await asyncio.sleep(0.01)
+                    caller = await within(Caller.connect(port))
+                    assert (await caller.ask(wait_ms=8000)).status == 200
+                    caller.close()
+                agent.behave = told
+                await within(agent.watches.get())
+                assert "no_descriptor_to_accept_with" not in lines
+            finally:
+                for task in (*silent, reading):
+                    task.cancel()
+                process.kill()
+                await process.wait()
+
+    run(test())
+
+
+async def quiet(_: Message, __: Writer) -> None:
+    """As discovery's agent while discovery is down."""
