A tenant keeps its own number through new settings, and what is under way its own limits

Need: one customer is never given another's settings. Seen by reading, shown by tests: where all tenants vanish at SIGHUP, requests of nobody's took number 0, a vanished tenant's, and used up its share; a tenant that vanished was turned away (400) at once, also by tiers further in that had heard first, for requests taken before; attempts and second copies under way followed looser new settings. Ruled out by the same test: numbers of classes and tenants removed, added, swapped and come back; they go by name.

Change: without tenants a request has the number after all; a tenant is served for a deadline more, as a class is; module and host hold a request to the stricter of the settings that it came with and those in force (attempts, second copies).

Tests: two in tests/program/test_reload.py, which fail without the mend.

--- a/madderwind/policy/balancer.py
+++ b/madderwind/policy/balancer.py
@@ -119,8 +119,9 @@
 
 
 class Request:
-    def __init__(self, event: api.RequestArrived, klass: api.RequestClass, now: float) -> None:
-        self.id, self.class_index, self.klass = event.request_id, event.class_index, klass
+    def __init__(self, event: api.RequestArrived, settings: api.Settings, now: float) -> None:
+        self.id, self.class_index, self.settings = event.request_id, event.class_index, settings  # as it came
+        klass = self.klass = settings.classes[event.class_index]
         self.key, self.deadline_ms = event.key, event.deadline_ms
         aim_ms = klass.aim_ms if klass.late_worth <= 0 else klass.deadline_ms
         self.useful_until_ms = min(event.deadline_ms, now + aim_ms)
@@ -139,8 +140,9 @@
 
 def may_be_resent(request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings) -> bool:
     """Whether another attempt at this upstream can have no second effect. The only such test."""
-    too_many = len(request.attempts) >= settings.max_attempts
-    if request.once_only or too_many or (request.open_attempts() and not settings.second_copies):
+    too_many = len(request.attempts) >= min(settings.max_attempts, request.settings.max_attempts)
+    beside = settings.second_copies and request.settings.second_copies
+    if request.once_only or too_many or (request.open_attempts() and not beside):
         return False
     ran, klass = [a for a in request.attempts if a.may_have_run()], request.klass
     if not ran or klass.effect is Effect.SAFE:
@@ -211,9 +213,7 @@
         self._place(ready)
         start, step = self._settings.me * GOLDEN % 1, 1 / max(1, self._near)
         at = {u: (self._places[u.entry.upstream][0] - start) % 1 % step for u in ready}
-        self._order = sorted(
-            ready, key=lambda u: (math.isinf(u.owed_ms), at[u])
-        )  # else it is never looked at
+        self._order = sorted(ready, key=lambda u: (math.isinf(u.owed_ms), at[u]))  # owed ones first
         self._usable_ms = float("-inf")
 
     def _place(self, ready: list[Upstream]) -> None:
@@ -540,8 +540,7 @@
         if not 0 <= event.class_index < len(self._settings.classes):
             self._out.append(api.Fail(event.request_id))  # its class is unknown, so nothing is promised
             return
-        klass = self._settings.classes[event.class_index]
-        request = self._requests[event.request_id] = Request(event, klass, now)
+        request = self._requests[event.request_id] = Request(event, self._settings, now)
         self._traffic.arrived(now)
         room = True
         if self._is_front:  # only: further in, a refusal wastes work already done
--- a/madderwind/protocol/requests.py
+++ b/madderwind/protocol/requests.py
@@ -59,16 +59,22 @@
 class RequestReader:
     """Reads requests by the names in the settings.
 
-    `served_until_ms`: until when a class that vanished is still served, by name. Tiers hear of new settings
-    at different moments, and a request that was taken before may still ask further in.
+    `served_until_ms`: until when a class that vanished is still served, by name, and `tenants_until_ms` a
+    tenant. Tiers hear of new settings at different moments, and a request that was taken before may still ask
+    further in.
     """
 
-    def __init__(self, host: HostSettings, served_until_ms: Mapping[str, float] = NOTHING) -> None:
+    def __init__(
+        self,
+        host: HostSettings,
+        served_until_ms: Mapping[str, float] = NOTHING,
+        tenants_until_ms: Mapping[str, float] = NOTHING,
+    ) -> None:
         self._classes = {name: number for number, name in enumerate(host.class_names)}
         self._effects = [c.effect for c in host.settings.classes]
-        tenants = {name: number for number, name in enumerate(host.tenant_names)}
-        self._tenants = {name: tenants[name] for name in tenants if name not in host.retired_tenants}
-        self._served_until_ms = served_until_ms
+        self._tenants = {name: number for number, name in enumerate(host.tenant_names)}
+        self._has_tenants = len(host.retired_tenants) < len(self._tenants)
+        self._served_until_ms, self._tenants_until_ms = served_until_ms, tenants_until_ms
 
     def read(self, method: str, target: str, headers: CIMultiDictProxy[str], now_ms: float = 0.0) -> Asked:
         """The request's fields; BadRequest where this protocol does not allow it."""
@@ -87,10 +93,11 @@
             raise BadRequest(f"method {method[:20]!r} for a class that takes {METHODS[effect]}")
         if (effect is Effect.KEYED) != bool(headers.get(KEY)):
             raise BadRequest(f"{KEY} goes with keyed classes, and only with those")
-        tenant_index = 0
-        if self._tenants:
+        # Guards against a request of nobody's that uses up what a tenant had who has vanished.
+        tenant_index = len(self._tenants)
+        if self._has_tenants:
             tenant = headers.get(TENANT, "")
-            if tenant not in self._tenants:
+            if tenant not in self._tenants or now_ms > self._tenants_until_ms.get(tenant, now_ms):
                 raise BadRequest(f"unknown tenant {tenant[:60]!r}")
             tenant_index = self._tenants[tenant]
         hint_ms, key, is_write, odd = read_props(headers.get(PROPS, ""))
--- a/madderwind/routing/copy.py
+++ b/madderwind/routing/copy.py
@@ -68,6 +68,7 @@
         self.invariants = Invariants(log)
         self.reader = RequestReader(host)
         self._served_until_ms: dict[str, float] = {}  # classes that vanished
+        self._tenants_until_ms: dict[str, float] = {}  # and tenants
         self.directory = Directory(host.zone_names, host.kind_names)
         self.tally = Tally(host.class_names)
         self.open: dict[int, Life] = {}
@@ -146,7 +147,7 @@
 
     def retune(self, host: HostSettings) -> None:
         """New settings, in which classes and tenants have the numbers of the old. The module keeps what it
-        knows. A class that vanished is served for one deadline more."""
+        knows. A class or tenant that vanished is served for one deadline more."""
         now_ms = self.clock.now_ms()
         deadlines_ms = dict(
             zip(host.class_names, (c.deadline_ms for c in host.settings.classes), strict=True)
@@ -155,7 +156,11 @@
             name: self._served_until_ms.get(name, now_ms + deadlines_ms[name]) for name in host.retired
         }
         self.host, self.settings = host, host.settings
-        self.reader = RequestReader(host, self._served_until_ms)
+        longest_ms = max(deadlines_ms.values())
+        self._tenants_until_ms = {
+            name: self._tenants_until_ms.get(name, now_ms + longest_ms) for name in host.retired_tenants
+        }
+        self.reader = RequestReader(host, self._served_until_ms, self._tenants_until_ms)
         self.tally.know(host.class_names)
         self.upstreams.retune(host.settings.connect_timeout_ms, host.idle_ms)
         self.happened(api.Retuned(host.settings))
--- a/madderwind/routing/exchange.py
+++ b/madderwind/routing/exchange.py
@@ -67,6 +67,7 @@
         self.category = copy.host.class_names[asked.class_index]
         # Its class as it came: new settings do not loosen what is under way.
         self.klass = copy.settings.classes[asked.class_index]
+        self.most_attempts = copy.settings.max_attempts
         self.inbox: asyncio.Queue[api.Event | LastWord] = asyncio.Queue()
         self.attempts: list[asyncio.Task[None]] = []
         self.withdrawn: set[int] = set()
@@ -209,7 +210,8 @@
     ) -> tuple[Outcome, tuple[float, ...]]:
         copy, body = self.copy, self.body
         address = copy.directory.address(upstream)
-        if address is None or number >= copy.settings.max_attempts or not self._may_write(upstream, until_ms):
+        too_many = number >= min(copy.settings.max_attempts, self.most_attempts)
+        if address is None or too_many or not self._may_write(upstream, until_ms):
             return Outcome.NOT_SENT, ()
         passage = _Passage(self, number, upstream)
         upload = None if body.whole else Upload(self._pieces(), body.length)
--- a/tests/program/test_reload.py
+++ b/tests/program/test_reload.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from madderwind.policy.api import Effect
+from madderwind.policy.api import Effect, RequestArrived
 from madderwind.program.configuration import ConfigurationError, read_configuration, read_successor
 from madderwind.routing.exchange import Exchange
 from tests import examples
@@ -173,3 +173,79 @@
             assert not running.broken
 
     run(test())
+
+
+def customer(name: str) -> dict[str, Any]:
+    return {"Name": name, "Fraction": 0.5, "QuotaPerS": 100.0}
+
+
+def test_no_tenant_is_given_the_number_of_another(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Removed, swapped, added, come back, and all gone: each keeps its number, by which the module counts what
+    it uses; who vanished is served for a deadline more, and nobody's requests use up what it had."""
+
+    async def test() -> None:
+        async with Running(tmp_path, Upstream(says(answer(200, b"yes")))) as running:
+            copy = running.service.copy
+            numbers: list[int] = []
+            handle = copy._balancer.handle
+
+            def seen(now: float, event: Any) -> Any:
+                if isinstance(event, RequestArrived):
+                    numbers.append(event.tenant_index)
+                return handle(now, event)
+
+            monkeypatch.setattr(copy._balancer, "handle", seen)
+            caller = await Caller.connect(running.port)
+
+            async def asked_as(name: str) -> int:
+                """The number that it has; -1 where it is turned away."""
+                nonlocal caller
+                got = await caller.ask(X_Customer=name)
+                if got.status == 400:
+                    caller = await Caller.connect(running.port)
+                    return -1
+                return numbers[-1]
+
+            def tenants(*names: str) -> None:
+                rewrite(tmp_path, Customers=[customer(name) for name in names])
+                running.service.reload()
+
+            assert [await asked_as("acme"), await asked_as("rueda, andina")] == [0, 1]
+            tenants("third", "acme")
+            assert [await asked_as(name) for name in ("acme", "third", "rueda, andina")] == [0, 2, 1]
+            copy._tenants_until_ms["rueda, andina"] = 0.0
+            assert await asked_as("rueda, andina") == -1
+            tenants("rueda, andina", "third")
+            assert [await asked_as(name) for name in ("acme", "third", "rueda, andina")] == [0, 2, 1]
+            tenants()
+            assert [await asked_as(name) for name in ("acme", "nobody")] == [3, 3]
+            tenants("acme")
+            assert [await asked_as(name) for name in ("acme", "nobody")] == [0, -1]
+
+    run(test())
+
+
+def test_looser_settings_do_not_loosen_what_is_under_way(tmp_path: Path) -> None:
+    """One attempt was allowed when the request came, then four; its upstreams turn it away each time."""
+
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def waits(_: Message, writer: Writer) -> None:
+            await go.wait()
+            writer.write(answer(503, X_Never_Ran="1"))
+
+        upstream = Upstream(waits)
+        async with Running(tmp_path, upstream, MaxAttempts=1) as running:
+            caller = await Caller.connect(running.port)
+            caller.write(wait_ms=20_000)
+            await within(upstream.arrivals.get())
+            rewrite(tmp_path, Ceilings__MaxAttempts=4)
+            running.service.reload()
+            go.set()
+            assert (await caller.read()).status == 503
+            assert len(upstream.asked) == 1
+            assert (await caller.ask(wait_ms=20_000)).status == 503
+            assert len(upstream.asked) > 2  # what comes since then may be sent again
+
+    run(test())
