--- a/tests/program/test_end.py
+++ b/tests/program/test_end.py
@@ -172,6 +172,45 @@
     return subprocess.run(command, capture_output=True, text=True, env={**env, **more}, timeout=60)
 
 
+def test_sigterm_before_ready_twice_and_beside_sighup(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Told to end before it listens, it serves what comes at its start and ends. Told again, and given a new
+    file while it ends, it answers what is open and ends once."""
+    monkeypatch.setattr(service, "TAKE_ON_S", 0.05)
+
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def waits(_: Message, writer: Writer) -> None:
+            await go.wait()
+            writer.write(answer(200, b"done"))
+
+        upstream = Upstream(waits)
+        async with Running(tmp_path, upstream) as running:
+            early, task = running.new()
+            early.end()
+            early.reload()
+            await within(task)
+
+            caller = await Caller.connect(running.port)
+            caller.write("POST /charge", b"1")
+            await within(upstream.arrivals.get())
+            running.service.end()
+            while running.service._listener._acceptor.listening is not None:
+                await asyncio.sleep(0)
+            running.service.end()
+            running.service.reload()
+            go.set()
+            assert (await caller.read()).body == b"done"
+            caller.close()
+            await within(running.task)
+            assert len(running.log.named("ended")) == 2
+            assert not running.broken
+
+    run(test())
+
+
 def test_the_version() -> None:
     done = program("version")
     assert (done.returncode, done.stdout) == (0, f"{__version__}\n")
