--- a/tests/program/test_crossing.py
+++ b/tests/program/test_crossing.py
@@ -81,6 +81,36 @@
     run(test())
 
 
+def test_no_second_copy_goes_out_for_a_caller_who_has_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its first attempt hangs; the caller leaves as the second copy's connection comes up."""
+
+    async def test() -> None:
+        upstreams = Upstream(says(YES)), Upstream(says(YES))
+        async with Running(tmp_path, *upstreams) as running:
+            usual = await Caller.connect(running.port)
+            for _ in range(12):  # the module learns what is usual
+                assert (await usual.ask()).status == 200
+            for upstream in upstreams:
+                upstream.behave = quiet
+            before = sum(len(upstream.asked) for upstream in upstreams)
+            caller, crossed = connected(running.port), asyncio.Event()
+
+            async def leave() -> None:
+                caller.close()
+                crossed.set()
+
+            held_up(monkeypatch, running, 1, leave)
+            caller.sendall(lookup("X-Trace-Id: 1"))
+            await within(crossed.wait())
+            await within(running.settled())
+            assert sum(len(upstream.asked) for upstream in upstreams) == before + 1
+            assert not running.broken
+
+    run(test())
+
+
 @pytest.mark.parametrize("late", [False, True])
 def test_a_repeat_is_not_written_past_its_window(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, late: bool
