System: design note, settings, messages and the boundary of replication

Cause: the users ask for a whole fleet; the parts have to be built side by side, so the boundaries come first. Ruled out: a majority's log (the users' word), grants of quota for lumpy tenants, redirects to the primary.

--- /dev/null
+++ b/madderwind/messages/distribution.py
@@ -0,0 +1,168 @@
+"""Messages between a control plane and a data plane, on the one connection that the data plane opens.
+
+The data plane subscribes to several control planes at once. Each tells which configuration version is committed
+(`Freshness`) and pushes registry changes; the data plane fetches a version from the first that offers it.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from madderwind.messages.codec import Codec
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """The base of all messages of this module; the tag is the class's name."""
+
+
+class UpstreamRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One upstream as the registry knows it. `silent_ms`: since its last heartbeat, when this was sent."""
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: str  # ready, draining, gone
+    sequence: int
+    cold_remaining_ms: float
+    silent_ms: float
+
+
+class OrderRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One operator's change as it came: `kind` is replace or update, `body` its JSON."""
+
+    version: int
+    base_version: int
+    kind: str
+    body: bytes
+
+
+# --- data plane to control plane ---
+
+
+class Subscribe(Message, frozen=True):
+    """First message of a connection. `life` is drawn anew at each start of the process."""
+
+    node: str
+    life: str
+    address: str
+    zone: str
+    version: int
+
+
+class FetchConfiguration(Message, frozen=True):
+    """Ask for what leads from `have` to the newest committed version."""
+
+    have: int
+
+
+class ConfigurationApplied(Message, frozen=True):
+    """The acknowledgement: this version is in force at the data plane."""
+
+    version: int
+
+
+class UsageReport(Message, frozen=True):
+    """Tokens (or requests) that this data plane admitted, by tenant, since its last report, and its rate of
+    demand by tenant. Sent to the primary alone."""
+
+    sequence: int
+    used: dict[str, float]
+    asked: dict[str, float]
+
+
+class LoadReport(Message, frozen=True):
+    """What this data plane has at upstreams now: instance to (prompt tokens waiting, sequences, tokens held)."""
+
+    load: dict[str, tuple[float, float, float]]
+
+
+class Farewell(Message, frozen=True):
+    """The data plane ends: it takes no more requests."""
+
+
+# --- control plane to data plane ---
+
+
+class Freshness(Message, frozen=True):
+    """What is committed. `age_ms`: since the primary of `epoch` was last known to hold its lease; None where
+    that is unknown. `data_planes`: how many there are, as far as is known."""
+
+    version: int
+    epoch: int
+    age_ms: float | None
+    is_primary: bool
+    data_planes: int
+
+
+class ConfigurationSnapshot(Message, frozen=True):
+    """A whole configuration document (JSON) and its version."""
+
+    version: int
+    document: bytes
+
+
+class ConfigurationDelta(Message, frozen=True):
+    """The orders that lead from `base_version` to `version`, in order."""
+
+    base_version: int
+    version: int
+    orders: tuple[OrderRecord, ...]
+
+
+class RegistrySnapshot(Message, frozen=True):
+    """All upstreams that this control plane knows. What is absent here is not gone for that."""
+
+    upstreams: tuple[UpstreamRecord, ...]
+
+
+class RegistryDelta(Message, frozen=True):
+    """Upstreams whose state changed."""
+
+    upstreams: tuple[UpstreamRecord, ...]
+
+
+class ControlPlanes(Message, frozen=True):
+    """Internal addresses of the control planes, the primary's first where it is known."""
+
+    addresses: tuple[str, ...]
+    primary: str
+
+
+class PeerSample(Message, frozen=True):
+    """Internal addresses of some other data planes."""
+
+    addresses: tuple[str, ...]
+
+
+class UsageOfOthers(Message, frozen=True):
+    """What all other data planes used, by tenant, since the last message of this kind on this connection, and
+    what they ask for a second. From the primary alone."""
+
+    used: dict[str, float]
+    asked: dict[str, float]
+
+
+class LoadOfOthers(Message, frozen=True):
+    """The sum of the other data planes' load reports, by instance."""
+
+    load: dict[str, tuple[float, float, float]]
+
+
+ToControlPlane = Subscribe | FetchConfiguration | ConfigurationApplied | UsageReport | LoadReport | Farewell
+ToDataPlane = (
+    Freshness
+    | ConfigurationSnapshot
+    | ConfigurationDelta
+    | RegistrySnapshot
+    | RegistryDelta
+    | ControlPlanes
+    | PeerSample
+    | UsageOfOthers
+    | LoadOfOthers
+)
+
+to_control_plane: Codec[ToControlPlane] = Codec(ToControlPlane)
+to_data_plane: Codec[ToDataPlane] = Codec(ToDataPlane)
--- /dev/null
+++ b/madderwind/replication/api.py
@@ -0,0 +1,185 @@
+"""What the host of a replica hands in and carries out. The replica itself does no input or output.
+
+The host calls `Replica.handle(now_ms, event)` with the steady clock's milliseconds and carries out the actions that
+come back, in order. `TimePassed` comes at least every 25 ms.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+
+from madderwind.messages.replication import ReplicationMessage
+
+
+class OrderKind(Enum):
+    """How an operator's order changes the configuration."""
+
+    REPLACE = "replace"
+    UPDATE = "update"
+
+
+class Order(msgspec.Struct, frozen=True):
+    """One order of the operator, as it came."""
+
+    kind: OrderKind
+    base_version: int
+    body: bytes
+
+
+class OrderOutcome(Enum):
+    """How an order ended."""
+
+    TAKEN = "taken"  # acknowledged: it is on disk at as many machines as the promise needs
+    STALE_BASE = "stale base"  # another version is current
+    INVALID = "invalid"
+    UNCLEAR = "unclear"  # this replica can't tell: the caller asks again elsewhere
+
+
+class OrderResult(msgspec.Struct, frozen=True):
+    """`version` is the current one; `field` and `reason` tell what is invalid."""
+
+    outcome: OrderOutcome
+    version: int = 0
+    field: str = ""
+    reason: str = ""
+
+
+class ReplicatedState(Protocol):
+    """The state machine that is replicated: madderwind.configuration.history implements it."""
+
+    def decide(self, order: Order) -> OrderResult | None:
+        """None: the order is valid on top of the present state and is to be appended. Else its result: TAKEN
+        where that very order was applied before, STALE_BASE or INVALID."""
+
+    def apply(self, order: Order) -> None:
+        """Change the state by an order that `decide` let pass on the same state."""
+
+    def snapshot(self) -> bytes:
+        """The whole state, history included."""
+
+    def copy(self) -> ReplicatedState:
+        """An independent copy (cheap: documents are never changed in place)."""
+
+
+# --- events ---
+
+
+class MessageReceived(msgspec.Struct, frozen=True):
+    """A message of another replica; `sender` is its internal address."""
+
+    sender: str
+    message: ReplicationMessage
+
+
+class WriteCompleted(msgspec.Struct, frozen=True):
+    """What `Write` or `Rewrite` asked for is on disk, synced."""
+
+    token: int
+
+
+class WriteFailed(msgspec.Struct, frozen=True):
+    """The disk refused it; nothing of it may be relied on."""
+
+    token: int
+
+
+class TimePassed(msgspec.Struct, frozen=True):
+    """Nothing happened but time."""
+
+
+class OrderSubmitted(msgspec.Struct, frozen=True):
+    """An operator's order reached this replica."""
+
+    token: int
+    order: Order
+
+
+class ReadSubmitted(msgspec.Struct, frozen=True):
+    """The operator asks for the newest configuration."""
+
+    token: int
+
+
+class LeaveRequested(msgspec.Struct, frozen=True):
+    """The process is about to end: hand the primary's role over where it is held."""
+
+
+Event = (
+    MessageReceived
+    | WriteCompleted
+    | WriteFailed
+    | TimePassed
+    | OrderSubmitted
+    | ReadSubmitted
+    | LeaveRequested
+)
+
+# --- actions ---
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Send to the replica at this internal address, best effort."""
+
+    address: str
+    message: ReplicationMessage
+
+
+class Write(msgspec.Struct, frozen=True):
+    """Append these records to the replica's file and sync; then WriteCompleted or WriteFailed. Writes are done
+    in order; records asked for while a sync is running may share the next one."""
+
+    token: int
+    records: tuple[bytes, ...]
+
+
+class Rewrite(msgspec.Struct, frozen=True):
+    """Replace the replica's file by one with just these records, atomically (new file, sync, rename, sync of the
+    folder); then WriteCompleted or WriteFailed. Also the way back after a failed write."""
+
+    token: int
+    records: tuple[bytes, ...]
+
+
+class OrderResolved(msgspec.Struct, frozen=True):
+    """The end of an order submitted here."""
+
+    token: int
+    result: OrderResult
+
+
+class ReadResolved(msgspec.Struct, frozen=True):
+    """The end of a read: whether `Replica.committed` is the newest there is, proven by a majority."""
+
+    token: int
+    is_newest: bool
+
+
+class Committed(msgspec.Struct, frozen=True):
+    """The committed configuration changed; it is `Replica.committed`."""
+
+    version: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Something for the log."""
+
+    event: str
+    fields: dict[str, str | int | float | bool]
+
+
+Action = Send | Write | Rewrite | OrderResolved | ReadResolved | Committed | Report
+
+
+class Standing(msgspec.Struct, frozen=True):
+    """How a replica stands: `primary` is the internal address of the primary it follows, empty if unknown;
+    `fresh_age_ms`: since that primary is known to have held its lease."""
+
+    is_primary: bool
+    primary: str
+    epoch: int
+    committed_version: int
+    fresh_age_ms: float | None
+    members: tuple[str, ...]  # internal addresses
