--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 tools: $(TOOLS)/built-from.txt
 
-$(TOOLS)/built-from.txt: requirements.txt requirements-lab.txt requirements-dev.txt
+$(TOOLS)/built-from.txt: requirements.txt requirements-system.txt requirements-lab.txt requirements-dev.txt
 	python3 -m venv $(TOOLS)
 	$(TOOLS)/bin/pip -q install --disable-pip-version-check -r requirements-dev.txt
 	cat $^ > $@
