--- a/madderwind/replication/api.py
+++ b/madderwind/replication/api.py
@@ -1,7 +1,7 @@
 """What the host of a replica hands in and carries out. The replica itself does no input or output.
 
-The host calls `Replica.handle(now_ms, event)` with the steady clock's milliseconds and carries out the actions that
-come back, in order. `TimePassed` comes at least every 25 ms.
+The host calls `Replica.handle(now_ms, event)` with the steady clock's milliseconds and carries out the actions
+that come back, in order. `TimePassed` comes at least every 25 ms.
 """
 
 from __future__ import annotations
@@ -128,16 +128,16 @@
 
 
 class Write(msgspec.Struct, frozen=True):
-    """Append these records to the replica's file and sync; then WriteCompleted or WriteFailed. Writes are done
-    in order; records asked for while a sync is running may share the next one."""
+    """Append these records to the replica's file and sync; then WriteCompleted or WriteFailed. Writes are
+    done in order; records asked for while a sync is running may share the next one."""
 
     token: int
     records: tuple[bytes, ...]
 
 
 class Rewrite(msgspec.Struct, frozen=True):
-    """Replace the replica's file by one with just these records, atomically (new file, sync, rename, sync of the
-    folder); then WriteCompleted or WriteFailed. Also the way back after a failed write."""
+    """Replace the replica's file by one with just these records, atomically (new file, sync, rename, sync
+    of the folder); then WriteCompleted or WriteFailed. Also the way back after a failed write."""
 
     token: int
     records: tuple[bytes, ...]
