--- a/madderwind/messages/distribution.py
+++ b/madderwind/messages/distribution.py
@@ -1,7 +1,8 @@
 """Messages between a control plane and a data plane, on the one connection that the data plane opens.
 
 The data plane subscribes to several control planes at once. Each tells which configuration version is
-committed (`Freshness`) and pushes registry changes; the data plane fetches a version from the first that offers it.
+committed (`Freshness`) and pushes registry changes; the data plane fetches a version from the first that
+offers it.
 """
 
 from __future__ import annotations
@@ -74,7 +75,7 @@
 
 
 class LoadReport(Message, frozen=True):
-    """What this data plane has at upstreams now, by instance: prompt tokens waiting, sequences, tokens held."""
+    """What this data plane has at upstreams now, by instance: prompt tokens waiting, sequences, tokens."""
 
     load: dict[str, tuple[float, float, float]]
 
--- a/madderwind/replication/api.py
+++ b/madderwind/replication/api.py
@@ -1,7 +1,7 @@
 """What the host of a replica hands in and carries out. The replica itself does no input or output.
 
-The host calls `Replica.handle(now_ms, event)` with the steady clock's milliseconds and carries out the actions
-that come back, in order. `TimePassed` comes at least every 25 ms.
+The host calls `Replica.handle(now_ms, event)` with the steady clock's milliseconds and carries out the
+actions that come back, in order. `TimePassed` comes at least every 25 ms.
 """
 
 from __future__ import annotations
