--- a/madderwind/errors.py
+++ b/madderwind/errors.py
@@ -29,3 +29,7 @@
     def __init__(self, field: str, reason: str) -> None:
         super().__init__(f"{field}: {reason}")
         self.field, self.reason = field, reason
+
+
+class InvalidHeartbeat(MadderwindError):
+    """An upstream's heartbeat cannot be read."""
--- /dev/null
+++ b/tests/registry/test_upstreams.py
@@ -0,0 +1,72 @@
+"""Stories of a data plane's view of the upstreams."""
+
+from __future__ import annotations
+
+import unittest
+
+from madderwind.messages.distribution import UpstreamRecord
+from madderwind.registry.upstreams import KnownUpstreams
+
+
+def record(
+    state: str = "ready",
+    sequence: int = 1,
+    silent_ms: float = 0.0,
+    instance: str = "i-1",
+    service: str = "s",
+    address: str = "10.0.0.1:80",
+) -> UpstreamRecord:
+    return UpstreamRecord(instance, service, address, "z", "v1", 4, state, sequence, 0.0, silent_ms)
+
+
+class AViewOfUpstreams(unittest.TestCase):
+    def setUp(self) -> None:
+        self.upstreams = KnownUpstreams(1000.0)
+
+    def test_a_told_upstream_takes_requests(self) -> None:
+        self.assertEqual(self.upstreams.merge(0.0, [record()]), ("i-1",))
+        self.assertTrue(self.upstreams.takes_new("i-1"))
+        self.assertEqual(self.upstreams.address("i-1"), "10.0.0.1:80")
+        self.assertEqual([known.instance for known in self.upstreams.of_service("s")], ["i-1"])
+        self.assertFalse(self.upstreams.takes_new("i-2"))
+
+    def test_draining_is_final_whoever_says_ready_later(self) -> None:
+        self.upstreams.merge(0.0, [record()])
+        self.assertEqual(self.upstreams.merge(1.0, [record("draining", 2)]), ("i-1",))
+        self.upstreams.merge(2.0, [record("ready", 3)])
+        self.assertFalse(self.upstreams.takes_new("i-1"))
+        self.assertEqual(self.upstreams.address("i-1"), "10.0.0.1:80")
+
+    def test_gone_is_final_and_known_by_no_service(self) -> None:
+        self.upstreams.merge(0.0, [record()])
+        self.assertEqual(self.upstreams.merge(1.0, [record("gone", 2)]), ("i-1",))
+        self.assertEqual(self.upstreams.merge(2.0, [record("ready", 3)]), ())
+        self.assertIsNone(self.upstreams.address("i-1"))
+        self.assertEqual(self.upstreams.of_service("s"), [])
+
+    def test_an_empty_registry_removes_nothing(self) -> None:
+        self.upstreams.merge(0.0, [record()])
+        self.upstreams.merge(99_000.0, [])
+        self.assertTrue(self.upstreams.takes_new("i-1"))
+
+    def test_silence_is_a_hint_that_an_answer_clears(self) -> None:
+        self.upstreams.merge(0.0, [record()])
+        self.upstreams.merge(5000.0, [record(silent_ms=4000.0)])
+        self.assertTrue(self.upstreams.is_silent("i-1"))
+        self.assertTrue(self.upstreams.takes_new("i-1"))
+        self.upstreams.answered("i-1")
+        self.assertFalse(self.upstreams.is_silent("i-1"))
+
+    def test_a_moved_service_is_found_under_its_new_name(self) -> None:
+        self.upstreams.merge(0.0, [record()])
+        self.upstreams.merge(1.0, [record(sequence=2, service="t")])
+        self.assertEqual(self.upstreams.of_service("s"), [])
+        self.assertEqual(len(self.upstreams.of_service("t")), 1)
+
+    def test_an_unknown_state_takes_no_requests(self) -> None:
+        self.upstreams.merge(0.0, [record("warming")])
+        self.assertFalse(self.upstreams.takes_new("i-1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
