Placement: a prompt's shared parts name a home, bounded spill by predicted cost

Homes are named by rendezvous hashing over the shared parts, so balancers agree without talking. A request leaves its home only where being late or failed there costs more than reading the prefix again; first-event times are learned from own answers.

--- /dev/null
+++ b/madderwind/placement/upstream_load.py
@@ -0,0 +1,154 @@
+"""What one upstream has to do, as far as one balancer can tell: its own sends, and what the others report."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from typing import NamedTuple
+
+from madderwind.placement.kept_parts import KeptParts
+from madderwind.placement.prompts import Generation
+
+# Others' load is taken as told for this long; after that this balancer's own mean stands for each of them.
+OTHERS_FRESH_MS = 1500.0
+MEAN_WINDOW_MS = 4000.0
+SLOWNESS_GAIN = 0.08
+LOWEST_SLOWNESS, HIGHEST_SLOWNESS = 0.4, 6.0
+FAILURE_MEMORY_MS = 1500.0
+# The share of a prefill that is taken as done at most before its first event is seen.
+MOST_PROGRESS = 0.9
+
+
+class Load(NamedTuple):
+    """Prompt tokens that wait to be prefilled, sequences running or waiting, tokens held."""
+
+    prompt_waiting: float = 0.0
+    sequences: float = 0.0
+    tokens_held: float = 0.0
+
+
+class Sent:
+    """One own request at an upstream."""
+
+    __slots__ = ("ahead", "first_at_ms", "generation", "sent_at_ms", "uncached")
+
+    def __init__(self, generation: Generation, sent_at_ms: float, uncached: float, ahead: float) -> None:
+        self.generation = generation
+        self.sent_at_ms = sent_at_ms
+        self.uncached = uncached
+        self.ahead = ahead
+        self.first_at_ms: float | None = None
+
+
+class UpstreamLoad:
+    """The estimate of one upstream."""
+
+    def __init__(self, now_ms: float, kv_tokens: int) -> None:
+        self.kept = KeptParts(kv_tokens)
+        self.slowness = 1.0
+        self.first_seen_ms = now_ms
+        self._sent: OrderedDict[str, Sent] = OrderedDict()
+        self._own_waiting = 0.0
+        self._own_held = 0.0
+        self._mean_waiting = 0.0
+        self._mean_at_ms = now_ms
+        self._progress_from_ms = now_ms
+        self._others = Load()
+        self._others_at_ms = -math.inf
+        self._failures = 0.0
+        self._failed_at_ms = now_ms
+
+    def own(self) -> Load:
+        """What this balancer has there."""
+        return Load(self._own_waiting, float(len(self._sent)), self._own_held)
+
+    def set_others(self, now_ms: float, load: Load) -> None:
+        """What all other balancers have there."""
+        self._others, self._others_at_ms = load, now_ms
+
+    def waiting_tokens(self, now_ms: float, ms_per_token: float, fleet: int) -> float:
+        """Prompt tokens that are to be prefilled before those of a new request."""
+        return self._remaining(now_ms, ms_per_token) + self._others_waiting(now_ms, fleet)
+
+    def sequences(self, now_ms: float, fleet: int) -> float:
+        """Requests there, running or waiting."""
+        own = len(self._sent)
+        if now_ms - self._others_at_ms < OTHERS_FRESH_MS:
+            return own + self._others.sequences
+        return float(own * fleet)
+
+    def tokens_held(self, now_ms: float, fleet: int) -> float:
+        """Tokens of memory that running requests hold."""
+        if now_ms - self._others_at_ms < OTHERS_FRESH_MS:
+            return self._own_held + self._others.tokens_held
+        return self._own_held * fleet
+
+    def failure_chance(self, now_ms: float) -> float:
+        """The chance, as of late, that a request sent there fails without an event."""
+        failures = self._failures * math.exp((self._failed_at_ms - now_ms) / FAILURE_MEMORY_MS)
+        return failures / (failures + 1.0)
+
+    def sent(self, now_ms: float, key: str, request: Sent, fleet: int) -> None:
+        """An own request went there."""
+        self._average(now_ms)
+        if not self._own_waiting:
+            self._progress_from_ms = now_ms
+        self._sent[key] = request
+        self._own_waiting += request.uncached
+        self._own_held += request.generation.prompt_tokens + request.generation.output_tokens
+        self.kept.used(request.generation.parts, fleet)
+
+    def first_event(self, now_ms: float, key: str) -> Sent | None:
+        """The first event of an own request came: its prompt has been prefilled."""
+        request = self._sent.get(key)
+        if request is None or request.first_at_ms is not None:
+            return None
+        self._average(now_ms)
+        request.first_at_ms = now_ms
+        self._own_waiting = max(self._own_waiting - request.uncached, 0.0)
+        self._progress_from_ms = now_ms
+        self._failures = 0.0
+        return request
+
+    def ended(self, now_ms: float, key: str, served: bool) -> None:
+        """An own request is over."""
+        request = self._sent.pop(key, None)
+        if request is None:
+            return
+        self._average(now_ms)
+        if request.first_at_ms is None:
+            self._own_waiting = max(self._own_waiting - request.uncached, 0.0)
+        self._own_held -= request.generation.prompt_tokens + request.generation.output_tokens
+        if not self._sent:
+            self._own_waiting = self._own_held = 0.0
+        if not served:
+            self._failed(now_ms)
+
+    def observe_slowness(self, ratio: float) -> None:
+        """A first event took this multiple of what the service's model says."""
+        ratio = min(max(ratio, LOWEST_SLOWNESS), HIGHEST_SLOWNESS)
+        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness)
+
+    def _failed(self, now_ms: float) -> None:
+        decayed = self._failures * math.exp((self._failed_at_ms - now_ms) / FAILURE_MEMORY_MS)
+        self._failures, self._failed_at_ms = decayed + 1.0, now_ms
+
+    def _remaining(self, now_ms: float, ms_per_token: float) -> float:
+        if not self._own_waiting:
+            return 0.0
+        done = (now_ms - self._progress_from_ms) / (ms_per_token * self.slowness)
+        return self._own_waiting - min(done, MOST_PROGRESS * self._own_waiting)
+
+    def _others_waiting(self, now_ms: float, fleet: int) -> float:
+        if now_ms - self._others_at_ms < OTHERS_FRESH_MS:
+            return self._others.prompt_waiting
+        self._average(now_ms)
+        return self._mean_waiting * (fleet - 1)
+
+    def _average(self, now_ms: float) -> None:
+        """Bring the running mean of own waiting tokens up to now."""
+        passed = now_ms - self._mean_at_ms
+        if passed > 0.0:
+            kept = math.exp(-passed / MEAN_WINDOW_MS)
+            self._mean_waiting = self._mean_waiting * kept + self._own_waiting * (1.0 - kept)
+            self._mean_at_ms = now_ms
--- /dev/null
+++ b/tests/placement/test_placement.py
@@ -0,0 +1,115 @@
+"""Choices of one balancer, and of several that don't talk."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from madderwind.placement.placement import Placement
+from madderwind.placement.prompts import Generation, PromptPart
+
+SERVICE = "model"
+UPSTREAMS = [f"i-{number}" for number in range(6)]
+NOBODY: frozenset[str] = frozenset()
+
+
+def generation(prefix: str, own: str, shared: int = 12_000, tokens: int = 2_000) -> Generation:
+    parts = (PromptPart(prefix, shared), PromptPart(own, tokens))
+    return Generation(SERVICE, parts, shared + tokens, 100, 1, 800.0, 10_000.0)
+
+
+def balancer(seed: int = 1, fleet: int = 1) -> Placement:
+    placement = Placement(random.Random(seed))
+    placement.configure(SERVICE, 64, 500_000, 4)
+    placement.set_fleet(fleet)
+    return placement
+
+
+def home_of(placement: Placement, prefix: str, now_ms: float = 0.0, shared: int = 6_000) -> str:
+    choice = placement.choose(now_ms, generation(prefix, "own", shared), UPSTREAMS, NOBODY)
+    assert choice is not None
+    return choice.instance
+
+
+class Affinity(unittest.TestCase):
+    def test_balancers_that_do_not_talk_agree_on_homes(self) -> None:
+        one, other = balancer(1), balancer(2)
+        for number in range(200):
+            self.assertEqual(home_of(one, f"p{number}"), home_of(other, f"p{number}"))
+
+    def test_a_home_outside_the_candidates_is_replaced_for_all_alike(self) -> None:
+        one, other = balancer(1), balancer(2)
+        gone = home_of(one, "p")
+        left = [instance for instance in UPSTREAMS if instance != gone]
+        first = one.choose(0.0, generation("p", "own"), left, NOBODY)
+        second = other.choose(0.0, generation("p", "own"), UPSTREAMS, frozenset({gone}))
+        assert first is not None and second is not None
+        self.assertEqual(first.instance, second.instance)
+        self.assertNotEqual(first.instance, gone)
+
+    def test_nobody_left_is_no_choice(self) -> None:
+        placement = balancer()
+        self.assertIsNone(placement.choose(0.0, generation("p", "own"), [], NOBODY))
+        self.assertIsNone(placement.choose(0.0, generation("p", "own"), ["a"], frozenset({"a"})))
+
+    def test_a_request_without_parts_is_placed(self) -> None:
+        bare = Generation(SERVICE, (), 500, 20, 1, 500.0, 5_000.0)
+        placement = balancer()
+        chosen = {placement.choose(0.0, bare, UPSTREAMS, NOBODY) for _ in range(200)}
+        self.assertEqual(len({choice.instance for choice in chosen if choice}), len(UPSTREAMS))
+
+
+class Spill(unittest.TestCase):
+    def test_a_home_with_long_prompts_waiting_is_left(self) -> None:
+        placement = balancer()
+        home = home_of(placement, "p")
+        for number in range(3):
+            placement.sent(0.0, f"long-{number}", generation(f"q{number}", f"x{number}", 0, 40_000), home)
+        self.assertNotEqual(home_of(placement, "p", 1.0), home)
+
+    def test_what_others_have_there_counts(self) -> None:
+        placement = balancer(fleet=6)
+        home = home_of(placement, "p")
+        placement.others({home: (100_000.0, 4.0, 120_000.0)})
+        self.assertNotEqual(home_of(placement, "p", 1.0), home)
+
+    def test_a_light_load_does_not_move_a_prefix(self) -> None:
+        placement = balancer(fleet=6)
+        home = home_of(placement, "p")
+        placement.others({home: (2_000.0, 10.0, 50_000.0)})
+        self.assertEqual(home_of(placement, "p", 1.0), home)
+
+    def test_the_home_is_taken_again_after_the_load(self) -> None:
+        placement = balancer()
+        home = home_of(placement, "p")
+        placement.sent(0.0, "long", generation("q", "x", 0, 60_000), home)
+        self.assertNotEqual(home_of(placement, "p", 1.0), home)
+        placement.event(1_500.0, "long", first=True)
+        placement.ended(1_600.0, "long", served=True)
+        self.assertEqual(home_of(placement, "p", 1_601.0), home)
+
+    def test_an_upstream_that_fails_at_once_is_not_idle(self) -> None:
+        placement = balancer()
+        home = home_of(placement, "p")
+        for number in range(4):
+            placement.sent(float(number), f"k{number}", generation("p", f"x{number}"), home)
+            placement.ended(float(number), f"k{number}", served=False)
+        self.assertNotEqual(home_of(placement, "p", 5.0), home)
+
+
+class OwnLoad(unittest.TestCase):
+    def test_load_rises_with_sends_and_is_gone_at_the_end(self) -> None:
+        placement = balancer()
+        placement.sent(0.0, "k", generation("p", "x"), "i-0")
+        self.assertEqual(placement.load()["i-0"][1:], (1.0, 14_100.0))
+        self.assertGreaterEqual(placement.load()["i-0"][0], 2_000.0)
+        placement.event(300.0, "k", first=True)
+        self.assertEqual(placement.load()["i-0"], (0.0, 1.0, 14_100.0))
+        placement.ended(900.0, "k", served=True)
+        self.assertEqual(placement.load(), {})
+
+    def test_words_about_unknown_requests_change_nothing(self) -> None:
+        placement = balancer()
+        placement.event(0.0, "unknown", first=True)
+        placement.ended(0.0, "unknown", served=False)
+        self.assertEqual(placement.load(), {})
