--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,7 +9,8 @@
 
 ROOT = Path(__file__).parents[1] / "madderwind"
 BELOW: dict[str, set[str]] = {
-    "policy": set(),
+    "balancing": set(),
+    "policy": {"balancing"},
     "settings": {"policy"},
     "clock": set(),
     "eventlog": set(),
@@ -42,6 +43,27 @@
     },
 }
 
+# The system's packages, from the ground up: each imports only from those before it. The present program's decisions
+# rest on `balancing`, which therefore stays free of all others.
+SYSTEM = (
+    "errors",
+    "node_settings",
+    "messages",
+    "storage",
+    "balancing",
+    "replication",
+    "configuration",
+    "registry",
+    "limits",
+    "placement",
+    "distribution",
+)
+BELOW |= {part: set(SYSTEM[:place]) for place, part in enumerate(SYSTEM) if part != "balancing"}
+# The two hosts know nothing of each other, and the control plane nothing of requests.
+SHARED_WITH_HOSTS = {"clock", "eventlog", "transport", "protocol"}
+BELOW["dataplane"] = {*SYSTEM, *SHARED_WITH_HOSTS}
+BELOW["controlplane"] = {*SYSTEM, *SHARED_WITH_HOSTS} - {"limits", "placement"}
+
 
 def imported_parts(path: Path) -> set[str]:
     """Parts of madderwind that a file imports, also inside functions."""
