--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -43,8 +43,8 @@
     },
 }
 
-# The system's packages, from the ground up: each imports only from those before it. The present program's decisions
-# rest on `balancing`, which therefore stays free of all others.
+# The system's packages, from the ground up: each imports only from those before it. The present program's
+# decisions rest on `balancing`, which therefore stays free of all others.
 SYSTEM = (
     "errors",
     "node_settings",
