Configuration: documents, checks with the exact place, history of orders, routing table

Cause: the operator's configuration needs a typed, checked form and a replicated state machine. Ruled out: decoding whole documents to dictionaries, which loses the spelling of numbers and costs a full check for each update.

--- /dev/null
+++ b/madderwind/configuration/history.py
@@ -0,0 +1,156 @@
+"""The replicated state machine of the configuration: the document in force and the orders that led to it.
+
+The digests of orders that were taken are part of the state, so that an order whose answer was lost is
+acknowledged again by whichever replica it reaches. Recent orders are kept whole for data planes that lag.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+from itertools import islice
+
+import msgspec
+
+from madderwind.configuration.reading import Document, read_document
+from madderwind.errors import InvalidConfiguration, MessageError
+from madderwind.messages.distribution import OrderRecord
+from madderwind.replication.api import Order, OrderKind, OrderOutcome, OrderResult
+
+KEPT_DIGESTS = 4_000
+KEPT_ORDERS = 256
+KEPT_ORDER_BYTES = 2 * 1024 * 1024
+DIGEST_BYTES = 16
+NO_VERSION = 0
+
+
+class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    document: bytes  # empty before the first order
+    digests: tuple[bytes, ...]
+    orders: tuple[OrderRecord, ...]
+
+
+class _Prepared(msgspec.Struct, frozen=True):
+    """The document that an order makes of its base, kept so that checking and applying read it once."""
+
+    base: Document | None
+    order: Order
+    document: Document
+
+
+class _LastPrepared:
+    """The last order's document, shared by a history and its copies: a replica checks an order, appends it
+    and commits it, each on a copy of its own."""
+
+    def __init__(self) -> None:
+        self._last: _Prepared | None = None
+
+    def document(self, base: Document | None, order: Order) -> Document:
+        """What the order makes of the base; raises InvalidConfiguration."""
+        last = self._last
+        if last is None or last.base is not base or last.order != order:
+            last = _Prepared(base, order, _ordered(base, order))
+            self._last = last
+        return last.document
+
+
+class ConfigurationHistory:
+    """Implements replication.api.ReplicatedState."""
+
+    def __init__(self) -> None:
+        self.document: Document | None = None
+        self._digests: dict[bytes, None] = {}  # in the order in which they came
+        self._orders: deque[OrderRecord] = deque()
+        self._order_bytes = 0
+        self._prepared = _LastPrepared()
+
+    @property
+    def version(self) -> int:
+        """The current version; 0 before the first configuration."""
+        return NO_VERSION if self.document is None else self.document.version
+
+    def decide(self, order: Order) -> OrderResult | None:
+        """None where the order is valid on top of the present state, else its result."""
+        if _digest(order) in self._digests:
+            return OrderResult(OrderOutcome.TAKEN, self.version)
+        if order.base_version != self.version:
+            return OrderResult(OrderOutcome.STALE_BASE, self.version)
+        try:
+            self._prepared.document(self.document, order)
+        except InvalidConfiguration as error:
+            return OrderResult(OrderOutcome.INVALID, self.version, error.field, error.reason)
+        return None
+
+    def apply(self, order: Order) -> None:
+        """Change the state by an order that `decide` let pass on the same state."""
+        document = self._prepared.document(self.document, order)
+        record = OrderRecord(document.version, self.version, order.kind.value, order.body)
+        self.document = document
+        self._digests[_digest(order)] = None
+        if len(self._digests) > KEPT_DIGESTS:
+            del self._digests[next(iter(self._digests))]
+        self._keep(record)
+
+    def orders_since(self, version: int) -> tuple[OrderRecord, ...] | None:
+        """The orders that lead from a version to the current one; None where they are no longer all kept."""
+        if version == self.version:
+            return ()
+        for index, record in enumerate(self._orders):
+            if record.base_version == version:
+                return tuple(islice(self._orders, index, None))
+        return None
+
+    def snapshot(self) -> bytes:
+        """The whole state."""
+        document = b"" if self.document is None else self.document.raw
+        return msgspec.msgpack.encode(_Snapshot(document, tuple(self._digests), tuple(self._orders)))
+
+    @classmethod
+    def restore(cls, data: bytes) -> ConfigurationHistory:
+        """The state that `snapshot` wrote. Raises MessageError where the bytes are none."""
+        try:
+            snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
+        except msgspec.MsgspecError as error:
+            raise MessageError(f"no snapshot of the configuration: {error}") from None
+        history = cls()
+        if snapshot.document:
+            history.document = read_document(snapshot.document)
+        history._digests = dict.fromkeys(snapshot.digests)
+        for record in snapshot.orders:
+            history._keep(record)
+        return history
+
+    def copy(self) -> ConfigurationHistory:
+        """An independent copy; the document is shared, as it is never changed in place."""
+        duplicate = ConfigurationHistory()
+        duplicate.document = self.document
+        duplicate._digests = self._digests.copy()
+        duplicate._orders = self._orders.copy()
+        duplicate._order_bytes = self._order_bytes
+        duplicate._prepared = self._prepared
+        return duplicate
+
+    def _keep(self, record: OrderRecord) -> None:
+        self._orders.append(record)
+        self._order_bytes += len(record.body)
+        while len(self._orders) > KEPT_ORDERS or self._order_bytes > KEPT_ORDER_BYTES:
+            self._order_bytes -= len(self._orders.popleft().body)
+
+
+def _digest(order: Order) -> bytes:
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest.update(f"{order.kind.value} {order.base_version} ".encode())
+    digest.update(order.body)
+    return digest.digest()
+
+
+def _ordered(base: Document | None, order: Order) -> Document:
+    """The document that an order makes of the present one; raises InvalidConfiguration."""
+    if order.kind is OrderKind.UPDATE:
+        if base is None:
+            raise InvalidConfiguration("document", "there is no configuration yet that could be updated")
+        return base.updated(order.body)
+    document = read_document(order.body, base)
+    if base is not None and document.version <= base.version:
+        raise InvalidConfiguration("version", f"{document.version} is not above {base.version}")
+    return document
--- /dev/null
+++ b/madderwind/configuration/lookup.py
@@ -0,0 +1,73 @@
+"""Look-ups in a configuration for each request: its route, the tenant of its key, a service."""
+
+from __future__ import annotations
+
+from madderwind.configuration.documents import Configuration, Route, Service, Tenant
+
+
+class RoutingTable:
+    """Built once for a configuration; a look-up then costs a few dictionary accesses, however many routes."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._prefixes_of_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._prefixes_of_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        self._services = {service.name: service for service in configuration.services}
+        self._tenant_of_key = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
+
+    @property
+    def has_tenants(self) -> bool:
+        """Whether requests of routes that are not public need a key."""
+        return bool(self.configuration.tenants)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """The route with the longest prefix that begins the path, among those of the host. `host` is the Host
+        header, in any case, with or without a port; `path` may carry a query string, which doesn't count."""
+        prefixes = self._prefixes_of_host.get(without_port(host).lower())
+        if prefixes is None:
+            return None
+        end = _path_end(path)
+        while (slash := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: slash + 1])
+            if route is not None:
+                return route
+            end = slash
+        return None
+
+    def tenant_of(self, key: str) -> Tenant | None:
+        """The tenant that holds the key."""
+        return self._tenant_of_key.get(key)
+
+    def service(self, name: str) -> Service:
+        """A service that a route of this configuration names."""
+        return self._services[name]
+
+
+def choose_backend(route: Route, random_number: float) -> str:
+    """The service for one request of a route, by weight where it is split; `random_number` is in [0, 1)."""
+    if not route.backends:
+        assert route.service is not None  # checked as the route was made
+        return route.service
+    remaining = random_number * sum(backend.weight for backend in route.backends)
+    chosen = ""
+    for backend in route.backends:
+        if backend.weight > 0:
+            chosen = backend.service
+            if remaining < backend.weight:
+                break
+            remaining -= backend.weight
+    return chosen
+
+
+def without_port(host: str) -> str:
+    """The host of a Host header; the brackets of an IPv6 address stay."""
+    if host.endswith("]"):
+        return host
+    name, colon, port = host.rpartition(":")
+    return name if colon and (not port or port.isdigit()) else host
+
+
+def _path_end(path: str) -> int:
+    query = path.find("?")
+    return len(path) if query < 0 else query
--- /dev/null
+++ b/madderwind/configuration/structuring.py
@@ -0,0 +1,112 @@
+"""Turns decoded JSON into the typed classes of `documents`, by cattrs, with the exact place of an error."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, TypeVar, cast
+
+import attrs
+from cattrs import AttributeValidationNote, BaseValidationError, Converter, IterableValidationNote
+from cattrs.gen import make_dict_structure_fn
+
+from madderwind.configuration.documents import Backend
+from madderwind.errors import InvalidConfiguration
+
+ItemType = TypeVar("ItemType")
+
+
+class _WrongType(Exception):
+    """A value of another type than the field's; the text says which was expected."""
+
+
+def structure(value: object, item_type: type[ItemType], path: str) -> ItemType:
+    """The object that decoded JSON describes. InvalidConfiguration names the place, starting with `path`."""
+    try:
+        return _converter.structure(value, item_type)
+    except (BaseValidationError, InvalidConfiguration, _WrongType) as error:
+        raise _located(error, path) from None
+
+
+def _located(error: BaseException, path: str) -> InvalidConfiguration:
+    """The first thing that is wrong, with its place: cattrs notes on each nested error where it arose."""
+    while isinstance(error, BaseValidationError):
+        error = cast(BaseException, error.exceptions[0])
+        for note in getattr(error, "__notes__", ()):
+            if isinstance(note, AttributeValidationNote):
+                path = f"{path}.{note.name}"
+            elif isinstance(note, IterableValidationNote):
+                path = f"{path}[{note.index}]"
+    if isinstance(error, InvalidConfiguration):
+        return InvalidConfiguration(f"{path}.{error.field}", error.reason)
+    if isinstance(error, KeyError):
+        return InvalidConfiguration(path, "is missing")
+    return InvalidConfiguration(path, str(error))
+
+
+def _whole_number(value: Any, _: object) -> int:
+    if type(value) is int:
+        return value
+    if type(value) is float and value.is_integer():
+        return int(value)
+    raise _WrongType("must be a whole number")
+
+
+def _number(value: Any, _: object) -> float:
+    if type(value) not in (int, float):
+        raise _WrongType("must be a number")
+    try:
+        number = float(value)
+    except OverflowError:
+        number = math.inf
+    if not math.isfinite(number):
+        raise _WrongType("must be a finite number")
+    return number
+
+
+def _text(value: Any, _: object) -> str:
+    if type(value) is not str:
+        raise _WrongType("must be a string")
+    return value
+
+
+def _flag(value: Any, _: object) -> bool:
+    if type(value) is not bool:
+        raise _WrongType("must be true or false")
+    return value
+
+
+def _list_of(item_type: type[ItemType]) -> Any:
+    def structure_list(value: Any, _: object) -> tuple[ItemType, ...]:
+        if type(value) is not list:
+            raise _WrongType("must be a list")
+        return tuple(_converter.structure(value, list[item_type]))  # type: ignore[valid-type]
+
+    return structure_list
+
+
+def _object_of(item_type: type[ItemType]) -> Any:
+    """Structures an object into one of our classes; a field that is null counts as absent."""
+    structure_fields = make_dict_structure_fn(item_type, _converter)
+
+    def structure_object(value: Any, _: object) -> ItemType:
+        if type(value) is not dict:
+            raise _WrongType("must be an object")
+        present = {name: field for name, field in value.items() if field is not None}
+        return structure_fields(present, item_type)
+
+    return structure_object
+
+
+def _make_converter() -> Converter:
+    converter = Converter(detailed_validation=True)
+    converter.register_structure_hook(int, _whole_number)
+    converter.register_structure_hook(float, _number)
+    converter.register_structure_hook(str, _text)
+    converter.register_structure_hook(bool, _flag)
+    converter.register_structure_hook_factory(attrs.has, _object_of)
+    converter.register_structure_hook_func(lambda cls: cls == tuple[Backend, ...], _list_of(Backend))
+    converter.register_structure_hook_func(lambda cls: cls == tuple[str, ...], _list_of(str))
+    return converter
+
+
+_converter = _make_converter()
--- /dev/null
+++ b/tests/configuration/test_history.py
@@ -0,0 +1,202 @@
+"""The replicated state machine: decisions, repeated orders, snapshots, and orders for those who lag."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from madderwind.configuration import history as history_module
+from madderwind.configuration.history import ConfigurationHistory
+from madderwind.configuration.reading import Document
+from madderwind.errors import InvalidConfiguration, MessageError
+from madderwind.replication.api import Order, OrderKind, OrderOutcome
+from tests.configuration.samples import encoded, route, tenant, whole
+
+
+def replacement(base: int, version: int, **members: Any) -> Order:
+    return Order(OrderKind.REPLACE, base, encoded(whole(version, **members)))
+
+
+def update(base: int, version: int, **parts: Any) -> Order:
+    return Order(OrderKind.UPDATE, base, encoded({"version": version, **parts}))
+
+
+class HistoryCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.history = ConfigurationHistory()
+
+    def outcome(self, order: Order) -> OrderOutcome | None:
+        result = self.history.decide(order)
+        return None if result is None else result.outcome
+
+    def take(self, *orders: Order) -> None:
+        for order in orders:
+            self.assertIsNone(self.history.decide(order))
+            self.history.apply(order)
+
+
+class Deciding(HistoryCase):
+    def test_the_first_configuration_builds_on_nothing(self) -> None:
+        self.assertEqual(self.outcome(replacement(3, 7)), OrderOutcome.STALE_BASE)
+        self.take(replacement(0, 7))
+        self.assertEqual(self.history.version, 7)
+
+    def test_an_update_of_nothing_is_invalid(self) -> None:
+        self.assertEqual(self.outcome(update(0, 7)), OrderOutcome.INVALID)
+
+    def test_one_of_two_operators_on_the_same_base_wins(self) -> None:
+        self.take(replacement(0, 7), replacement(7, 9))
+        loser = self.history.decide(replacement(7, 9, routes=[route("x")]))
+        assert loser is not None
+        self.assertEqual((loser.outcome, loser.version), (OrderOutcome.STALE_BASE, 9))
+
+    def test_a_taken_order_is_acknowledged_again_also_after_others(self) -> None:
+        orders = [replacement(0, 7), update(7, 9, delete={"routes": ["a"]}), replacement(9, 12)]
+        self.take(*orders)
+        for order in orders:
+            result = self.history.decide(order)
+            assert result is not None
+            self.assertEqual((result.outcome, result.version), (OrderOutcome.TAKEN, 12))
+
+    def test_the_same_body_on_another_base_or_of_another_kind_is_another_order(self) -> None:
+        self.take(replacement(0, 7))
+        body = replacement(0, 7).body
+        self.assertEqual(self.outcome(Order(OrderKind.REPLACE, 7, body)), OrderOutcome.INVALID)
+        self.assertEqual(self.outcome(Order(OrderKind.UPDATE, 0, body)), OrderOutcome.STALE_BASE)
+
+    def test_invalid_orders_name_the_place_and_change_nothing(self) -> None:
+        self.take(replacement(0, 7))
+        for order, field in (
+            (replacement(7, 7), "version"),
+            (replacement(7, 5), "version"),
+            (update(7, 7), "version"),
+            (replacement(7, 9, routes=[route("a", timeout_ms=0)]), "routes[0].timeout_ms"),
+            (update(7, 9, upsert={"tenants": [tenant("red", "key-1")]}), "tenants[2].api_keys[0]"),
+            (Order(OrderKind.REPLACE, 7, replacement(7, 9).body[:-9]), "document"),
+        ):
+            with self.subTest(field):
+                result = self.history.decide(order)
+                assert result is not None
+                self.assertEqual((result.outcome, result.field), (OrderOutcome.INVALID, field))
+                self.assertTrue(result.reason)
+        self.assertEqual(self.history.version, 7)
+
+    def test_a_base_that_was_not_given_is_never_right(self) -> None:
+        self.assertEqual(self.outcome(replacement(-1, 7)), OrderOutcome.STALE_BASE)
+
+    def test_an_invalid_order_cannot_be_applied(self) -> None:
+        with self.assertRaises(InvalidConfiguration):
+            self.history.apply(update(0, 7))
+
+
+class Copies(HistoryCase):
+    def test_a_copy_goes_its_own_way(self) -> None:
+        self.take(replacement(0, 7))
+        ahead = self.history.copy()
+        order = update(7, 9, delete={"routes": ["a"]})
+        self.assertIsNone(ahead.decide(order))
+        ahead.apply(order)
+        self.assertEqual((self.history.version, ahead.version), (7, 9))
+        self.assertIsNone(self.history.decide(order))
+        self.assertEqual(self.history.orders_since(7), ())
+
+    def test_two_branches_on_the_same_number_are_told_apart(self) -> None:
+        # A primary's unacknowledged version 9 is lost and another version 9 is committed in its place.
+        self.take(replacement(0, 7))
+        other = self.history.copy()
+        self.take(replacement(7, 9))
+        first = replacement(7, 9, routes=[route("a"), route("z")])
+        self.assertIsNone(other.decide(first))
+        other.apply(first)
+        second = update(9, 11, delete={"routes": ["b"]})
+        self.take(second)
+        self.assertIsNone(other.decide(second))
+        other.apply(second)
+        self.assertEqual([r.name for r in _configuration(self.history).routes], ["a", "c"])
+        self.assertEqual([r.name for r in _configuration(other).routes], ["a", "z"])
+
+    def test_an_order_is_read_once_for_all_copies(self) -> None:
+        self.take(replacement(0, 7))
+        committed = self.history.copy()
+        order = replacement(7, 9)
+        self.take(order)
+        committed.apply(order)
+        self.assertIs(committed.document, self.history.document)
+
+
+class Snapshots(HistoryCase):
+    def test_a_restored_history_decides_as_the_first_did(self) -> None:
+        orders = [replacement(0, 7, note=1.50), update(7, 9, delete={"routes": ["a"]})]
+        self.take(*orders)
+        restored = ConfigurationHistory.restore(self.history.snapshot())
+        self.assertEqual(restored.version, 9)
+        for order in orders:
+            result = restored.decide(order)
+            assert result is not None
+            self.assertEqual(result.outcome, OrderOutcome.TAKEN)
+        self.assertEqual(_document(restored).raw, _document(self.history).raw)
+        self.assertEqual(_configuration(restored), _configuration(self.history))
+        self.assertEqual(restored.orders_since(7), self.history.orders_since(7))
+        self.assertEqual(restored.snapshot(), self.history.snapshot())
+
+    def test_an_empty_history(self) -> None:
+        restored = ConfigurationHistory.restore(self.history.snapshot())
+        self.assertEqual((restored.version, restored.document), (0, None))
+
+    def test_bytes_that_are_no_snapshot(self) -> None:
+        for data in (b"", b"\x93", b"hello", self.history.snapshot()[:-1]):
+            with self.subTest(data), self.assertRaises(MessageError):
+                ConfigurationHistory.restore(data)
+
+
+class OrdersForThoseWhoLag(HistoryCase):
+    def grow(self, count: int, padding: int = 0) -> None:
+        self.take(replacement(0, 1))
+        for version in range(1, count):
+            changed = route("a", note="x" * padding, number=version)
+            self.take(update(version, version + 1, upsert={"routes": [changed]}))
+
+    def test_the_orders_from_a_version_on(self) -> None:
+        self.grow(5)
+        records = self.history.orders_since(3)
+        assert records is not None
+        self.assertEqual(
+            [(r.base_version, r.version, r.kind) for r in records], [(3, 4, "update"), (4, 5, "update")]
+        )
+        everything = self.history.orders_since(0)
+        assert everything is not None
+        self.assertEqual(everything[0].kind, "replace")
+        self.assertEqual(self.history.orders_since(5), ())
+        self.assertIsNone(self.history.orders_since(99))
+
+    def test_kept_by_count(self) -> None:
+        self.grow(history_module.KEPT_ORDERS + 10)
+        self.assertIsNone(self.history.orders_since(3))
+        kept = self.history.orders_since(self.history.version - history_module.KEPT_ORDERS)
+        assert kept is not None
+        self.assertEqual(len(kept), history_module.KEPT_ORDERS)
+
+    def test_kept_by_bytes(self) -> None:
+        self.grow(30, padding=history_module.KEPT_ORDER_BYTES // 10)
+        self.assertIsNone(self.history.orders_since(10))
+        kept = self.history.orders_since(25)
+        assert kept is not None
+        self.assertLessEqual(sum(len(record.body) for record in kept), history_module.KEPT_ORDER_BYTES)
+
+    def test_digests_are_kept_much_longer_but_not_for_ever(self) -> None:
+        self.grow(history_module.KEPT_ORDERS + 10)
+        self.assertEqual(self.outcome(replacement(0, 1)), OrderOutcome.TAKEN)
+        for number in range(history_module.KEPT_DIGESTS):
+            self.history._digests[number.to_bytes(16, "big")] = None
+        version = self.history.version
+        self.take(update(version, version + 1))
+        self.assertEqual(self.outcome(replacement(0, 1)), OrderOutcome.STALE_BASE)
+
+
+def _document(history: ConfigurationHistory) -> Document:
+    assert history.document is not None
+    return history.document
+
+
+def _configuration(history: ConfigurationHistory) -> Any:
+    return _document(history).configuration
