--- /dev/null
+++ b/madderwind/messages/replication.py
@@ -0,0 +1,219 @@
+"""Messages between replicas of the configuration.
+
+Every message names the incarnation that sends it and, where it is known, the one that it is meant for: a
+machine whose disk was lost is another incarnation at the same address, and has no part in what its forerunner
+promised.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from madderwind.messages.codec import Codec
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """One replica: `incarnation` is drawn when its file is founded and lasts as long as its disk."""
+
+    incarnation: str
+    address: str  # internal, ip:port
+    control_address: str
+    zone: str
+
+
+class View(msgspec.Struct, frozen=True, array_like=True):
+    """Who is primary, in sync and a member from this epoch on; `primary` and `in_sync` are incarnations."""
+
+    epoch: int
+    primary: str
+    in_sync: tuple[str, ...]
+    members: tuple[Member, ...]
+
+    def member(self, incarnation: str) -> Member | None:
+        """The member of that incarnation."""
+        return next((member for member in self.members if member.incarnation == incarnation), None)
+
+    def has_member(self, incarnation: str) -> bool:
+        """Whether that incarnation has a vote in this view."""
+        return self.member(incarnation) is not None
+
+    def majority(self) -> int:
+        """How many members decide what the next view is."""
+        return len(self.members) // 2 + 1
+
+
+class Ballot(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Orders proposals for one epoch. `life` is drawn at each start, so that no ballot is ever used twice."""
+
+    round: int
+    incarnation: str
+    life: str
+
+
+NO_BALLOT = Ballot(0, "", "")
+
+
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One operator's order in the log: index and epoch together name it."""
+
+    index: int
+    epoch: int
+    kind: str
+    base_version: int
+    body: bytes
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """The base of all messages: incarnations of sender and receiver; `target` is empty if unknown."""
+
+    sender: str
+    target: str
+
+
+# --- finding each other ---
+
+
+class Announce(Message, frozen=True):
+    """Told to known addresses by a replica that follows no primary. `epoch` is the newest it knows (0: none);
+    `bootstrap`: its file was founded at the very first start of the system."""
+
+    member: Member
+    epoch: int
+    bootstrap: bool
+
+
+class ViewNotice(Message, frozen=True):
+    """A view that was chosen."""
+
+    view: View
+
+
+# --- the register of views ---
+
+
+class Prepare(Message, frozen=True):
+    """Asks the members of `base`, the newest chosen view, for a promise about the epoch that follows it.
+    `handed_over`: the primary of `base` gave its role up."""
+
+    base: View
+    ballot: Ballot
+    handed_over: bool
+
+
+class Promise(Message, frozen=True):
+    """No lower ballot will be accepted for this epoch; with what was accepted for it so far."""
+
+    epoch: int
+    ballot: Ballot
+    accepted_ballot: Ballot
+    accepted_view: View | None
+
+
+class Accept(Message, frozen=True):
+    """Asks the members of `base` to accept `view` as what follows it."""
+
+    base: View
+    ballot: Ballot
+    view: View
+
+
+class Accepted(Message, frozen=True):
+    """The view proposed under this ballot is on this witness's disk."""
+
+    epoch: int
+    ballot: Ballot
+
+
+class Refused(Message, frozen=True):
+    """This witness does not go along. `promised` is the highest ballot it knows; `hears_primary`: the primary
+    is at work, as far as it can tell."""
+
+    epoch: int
+    ballot: Ballot
+    promised: Ballot
+    hears_primary: bool
+
+
+# --- the primary and the others ---
+
+
+class Heartbeat(Message, frozen=True):
+    """The primary is at work. `committed`: index of the newest committed entry; `fresh_age_ms`: since the
+    start of its last round of heartbeats that a majority answered."""
+
+    epoch: int
+    round: int
+    committed: int
+    fresh_age_ms: float
+
+
+class HeartbeatAnswer(Message, frozen=True):
+    """`accepted_epoch`: of the newest view that this witness has accepted or knows to be chosen; `matched`: up
+    to where its synced log is the primary's."""
+
+    epoch: int
+    round: int
+    accepted_epoch: int
+    matched: int
+    disk_in_trouble: bool
+    leaving: bool
+
+
+class Append(Message, frozen=True):
+    """Entries that follow the entry named by `previous_index` and `previous_epoch`."""
+
+    epoch: int
+    previous_index: int
+    previous_epoch: int
+    entries: tuple[LogEntry, ...]
+    committed: int
+
+
+class Appended(Message, frozen=True):
+    """Up to `matched`, this replica's synced log is the primary's of `epoch`."""
+
+    epoch: int
+    matched: int
+
+
+class AppendRefused(Message, frozen=True):
+    """The entry before these is not in this replica's log, which is sure up to `committed`."""
+
+    epoch: int
+    previous_index: int
+    committed: int
+
+
+class InstallSnapshot(Message, frozen=True):
+    """The whole state as it is after the committed entry `index`, which has `entry_epoch`."""
+
+    epoch: int
+    index: int
+    entry_epoch: int
+    state: bytes
+
+
+class HandOver(Message, frozen=True):
+    """The primary of `epoch` gives its role up: the receiver is to take it at once."""
+
+    epoch: int
+
+
+ReplicationMessage = (
+    Announce
+    | ViewNotice
+    | Prepare
+    | Promise
+    | Accept
+    | Accepted
+    | Refused
+    | Heartbeat
+    | HeartbeatAnswer
+    | Append
+    | Appended
+    | AppendRefused
+    | InstallSnapshot
+    | HandOver
+)
+
+replication_messages: Codec[ReplicationMessage] = Codec(ReplicationMessage)
--- a/madderwind/replication/api.py
+++ b/madderwind/replication/api.py
@@ -50,6 +50,10 @@
 class ReplicatedState(Protocol):
     """The state machine that is replicated: madderwind.configuration.history implements it."""
 
+    @property
+    def version(self) -> int:
+        """The current version; 0 before the first order."""
+
     def decide(self, order: Order) -> OrderResult | None:
         """None: the order is valid on top of the present state and is to be appended. Else its result: TAKEN
         where that very order was applied before, STALE_BASE or INVALID."""
@@ -103,6 +107,12 @@
     token: int
 
 
+class SeedsChanged(msgspec.Struct, frozen=True):
+    """The settings file names other control planes now (internal addresses)."""
+
+    seeds: tuple[str, ...]
+
+
 class LeaveRequested(msgspec.Struct, frozen=True):
     """The process is about to end: hand the primary's role over where it is held."""
 
@@ -114,6 +124,7 @@
     | TimePassed
     | OrderSubmitted
     | ReadSubmitted
+    | SeedsChanged
     | LeaveRequested
 )
 
--- /dev/null
+++ b/madderwind/storage/disk.py
@@ -0,0 +1,111 @@
+"""The few operations on a folder that durable state needs, and their form on a real file system.
+
+All of them wait for the disk; the host calls them from a thread. A failure is a StorageError.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Protocol
+
+from madderwind.errors import StorageError
+
+
+class Disk(Protocol):
+    """A flat folder of files."""
+
+    def names(self) -> tuple[str, ...]:
+        """The files that are there."""
+
+    def read(self, name: str) -> bytes:
+        """A file's bytes."""
+
+    def create(self, name: str, data: bytes) -> None:
+        """A new file with these bytes, itself and its name synced; one of that name is replaced."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Bytes at the end of a file, synced."""
+
+    def remove(self, name: str) -> None:
+        """Remove a file; the removal need not last through a loss of power."""
+
+
+class FileDisk:
+    """A folder of a real file system."""
+
+    def __init__(self, folder: str) -> None:
+        self._folder = Path(folder)
+        self._open_name = ""
+        self._descriptor = -1
+
+    def names(self) -> tuple[str, ...]:
+        """The files that are there."""
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            return tuple(sorted(os.listdir(self._folder)))
+        except OSError as error:
+            raise StorageError(f"{self._folder}: {error}") from error
+
+    def read(self, name: str) -> bytes:
+        """A file's bytes."""
+        try:
+            return (self._folder / name).read_bytes()
+        except OSError as error:
+            raise StorageError(f"{name}: {error}") from error
+
+    def create(self, name: str, data: bytes) -> None:
+        """A new file with these bytes, itself and its name synced."""
+        try:
+            self._open(name, os.O_CREAT | os.O_TRUNC)
+            self._write_all(data)
+            os.fsync(self._descriptor)
+            self._sync_folder()
+        except OSError as error:
+            raise StorageError(f"{name}: {error}") from error
+
+    def append(self, name: str, data: bytes) -> None:
+        """Bytes at the end of a file, synced."""
+        try:
+            self._open(name)
+            self._write_all(data)
+            os.fdatasync(self._descriptor)
+        except OSError as error:
+            raise StorageError(f"{name}: {error}") from error
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        try:
+            if name == self._open_name:
+                self.close()
+            (self._folder / name).unlink(missing_ok=True)
+        except OSError as error:
+            raise StorageError(f"{name}: {error}") from error
+
+    def close(self) -> None:
+        """Let go of the file that is held open."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+        self._open_name, self._descriptor = "", -1
+
+    def _open(self, name: str, more_flags: int = 0) -> None:
+        """Hold this file open, for writes at its end."""
+        if name == self._open_name and not more_flags:
+            return
+        self.close()
+        path = self._folder / name
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC | more_flags, 0o644)
+        self._open_name = name
+
+    def _write_all(self, data: bytes) -> None:
+        remaining = memoryview(data)
+        while remaining:
+            written = os.write(self._descriptor, remaining)
+            remaining = remaining[written:]
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
--- /dev/null
+++ b/madderwind/storage/records.py
@@ -0,0 +1,65 @@
+"""Encoding of records in a file: length, checksum, payload. Decoding stops at the first that is not whole.
+
+After a loss of power, what was written after the last sync may be present, missing or torn. The checksum
+covers the length as well, so that neither a run of zeros nor half a record is taken for one.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections.abc import Iterable
+
+import msgspec
+
+_HEADER = struct.Struct("<II")  # length of the payload, checksum
+# Longer than any record; a torn length must not lead to a read beyond reason.
+LONGEST_RECORD = 64 * 1024 * 1024
+
+
+class DecodedRecords(msgspec.Struct, frozen=True):
+    """The whole records at the start of some bytes, and how many bytes they take."""
+
+    records: tuple[bytes, ...]
+    length: int
+
+
+def encode_record(payload: bytes) -> bytes:
+    """One record's bytes."""
+    return _HEADER.pack(len(payload), _checksum(payload)) + payload
+
+
+def encode_records(payloads: Iterable[bytes]) -> bytes:
+    """The bytes of several records, one after the other."""
+    return b"".join(encode_record(payload) for payload in payloads)
+
+
+def decode_records(data: bytes) -> DecodedRecords:
+    """All records up to the first that is torn, damaged or missing."""
+    records: list[bytes] = []
+    position = 0
+    while (payload := _record_at(data, position)) is not None:
+        records.append(payload)
+        position += _HEADER.size + len(payload)
+    return DecodedRecords(tuple(records), position)
+
+
+def encoded_length(payload: bytes) -> int:
+    """How many bytes the record of this payload takes in a file."""
+    return _HEADER.size + len(payload)
+
+
+def _record_at(data: bytes, position: int) -> bytes | None:
+    start = position + _HEADER.size
+    if start > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, position)
+    if length > LONGEST_RECORD or start + length > len(data):
+        return None
+    payload = data[start : start + length]
+    return payload if _checksum(payload) == checksum else None
+
+
+def _checksum(payload: bytes) -> int:
+    # Seeded by the length, and never 0 for an empty payload: zeros are no record.
+    return zlib.crc32(payload, len(payload) ^ 0x5EED) ^ 0xFFFFFFFF
