--- /dev/null
+++ b/madderwind/controlplane/effects.py
@@ -0,0 +1,42 @@
+"""What the control plane's core asks of its host."""
+
+from __future__ import annotations
+
+import msgspec
+
+from madderwind.distribution.publisher import Close, SendTo, SendToAll
+from madderwind.messages.peering import PeerFrame
+from madderwind.replication.api import OrderResult, Rewrite, Write
+
+
+class SendToPeer(msgspec.Struct, frozen=True):
+    """Send to the control plane at this internal address, best effort."""
+
+    address: str
+    message: PeerFrame
+
+
+class OrderEnded(msgspec.Struct, frozen=True):
+    """Answer an operator's order that reached this machine."""
+
+    call: int
+    result: OrderResult
+
+
+class ReadEnded(msgspec.Struct, frozen=True):
+    """Answer an operator's read. `document` is None where no newest configuration could be proven; `version`
+    is 0 where there is none yet."""
+
+    call: int
+    version: int
+    document: bytes | None
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """Something for the log."""
+
+    event: str
+    fields: dict[str, str | int | float | bool]
+
+
+Effect = SendToPeer | SendTo | SendToAll | Close | OrderEnded | ReadEnded | Write | Rewrite | LogLine
--- /dev/null
+++ b/madderwind/distribution/exchange.py
@@ -0,0 +1,166 @@
+"""What data planes tell each other through the primary: what tenants used, and what is at the upstreams.
+
+A participant is one life of a data plane, whatever its connection.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Hashable
+
+import attrs
+
+from madderwind.messages.distribution import LoadOfOthers, LoadReport, UsageOfOthers, UsageReport
+
+# A tenant's rate of demand is told again once it changed by this part.
+RATE_CHANGE = 0.05
+MOST_TENANTS = 10_000
+# What a participant that is away has at upstreams and asks for counts for so long.
+AWAY_COUNTS_MS = 2_000.0
+# For so long its sequence and what it was told are kept, so that it goes on where it was.
+FORGET_AFTER_MS = 10_000.0
+
+Load = dict[str, tuple[float, float, float]]
+
+
+@attrs.define
+class _UsageAccount:
+    """One participant's usage: all it ever reported, and all that it was told of the others."""
+
+    sequence: int = -1
+    used: dict[str, float] = attrs.field(factory=dict)
+    told: dict[str, float] = attrs.field(factory=dict)
+    asked: dict[str, float] = attrs.field(factory=dict)
+    told_asked: dict[str, float] = attrs.field(factory=dict)
+
+
+class UsageExchange:
+    """Sums the usage of all participants, and tells each what the others used since it was last told."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[Hashable, _UsageAccount] = {}
+        self._used: dict[str, float] = {}
+        self._asked: dict[str, float] = {}
+
+    def join(self, participant: Hashable) -> None:
+        """A new participant is owed nothing of what was before it; one that comes back goes on."""
+        if participant not in self._accounts:
+            self._accounts[participant] = _UsageAccount(told=dict(self._used))
+
+    def report(self, participant: Hashable, report: UsageReport) -> None:
+        """Take a report; one that was taken before counts once."""
+        account = self._accounts.get(participant)
+        if account is None or report.sequence <= account.sequence:
+            return
+        account.sequence = report.sequence
+        for tenant, amount in report.used.items():
+            if amount > 0 and (tenant in self._used or len(self._used) < MOST_TENANTS):
+                self._used[tenant] = self._used.get(tenant, 0.0) + amount
+                account.used[tenant] = account.used.get(tenant, 0.0) + amount
+        account.asked = {tenant: rate for tenant, rate in report.asked.items() if rate > 0}
+        self._sum_asked()
+
+    def pause(self, participant: Hashable) -> None:
+        """A participant that is away asks for nothing."""
+        if (account := self._accounts.get(participant)) is not None and account.asked:
+            account.asked = {}
+            self._sum_asked()
+
+    def forget(self, participant: Hashable) -> None:
+        """The participant won't come back; what it used stays owed to the others."""
+        self.pause(participant)
+        self._accounts.pop(participant, None)
+
+    def owed(self, participant: Hashable) -> UsageOfOthers | None:
+        """What the others used since the last call, unless there is nothing new."""
+        account = self._accounts[participant]
+        used = {}
+        for tenant, total in self._used.items():
+            others = total - account.used.get(tenant, 0.0)
+            if (amount := others - account.told.get(tenant, 0.0)) > 0:
+                used[tenant] = amount
+                account.told[tenant] = others
+        asked = {
+            tenant: rate
+            for tenant, total in self._asked.items()
+            if (rate := total - account.asked.get(tenant, 0.0)) > 0
+        }
+        if not used and not _rates_differ(asked, account.told_asked):
+            return None
+        account.told_asked = asked
+        return UsageOfOthers(used, asked)
+
+    def _sum_asked(self) -> None:
+        total: defaultdict[str, float] = defaultdict(float)
+        for account in self._accounts.values():
+            for tenant, rate in account.asked.items():
+                total[tenant] += rate
+        self._asked = dict(total)
+
+
+@attrs.define
+class _LoadAccount:
+    own: Load = attrs.field(factory=dict)
+    told: Load = attrs.field(factory=dict)
+
+
+class LoadExchange:
+    """Sums what all participants have at the upstreams, and tells each the sum of the others."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[Hashable, _LoadAccount] = {}
+        self._total: Load = {}
+        self._stale = False
+
+    def join(self, participant: Hashable) -> None:
+        """A participant that is new or comes back is told the whole sum."""
+        self._accounts.setdefault(participant, _LoadAccount()).told = {}
+
+    def report(self, participant: Hashable, report: LoadReport) -> None:
+        """Take the participant's present load in place of its last."""
+        account = self._accounts.get(participant)
+        if account is not None and account.own != report.load:
+            account.own = report.load
+            self._stale = True
+
+    def pause(self, participant: Hashable) -> None:
+        """What a participant that is away had at upstreams no longer counts."""
+        if (account := self._accounts.get(participant)) is not None and account.own:
+            account.own = {}
+            self._stale = True
+
+    def forget(self, participant: Hashable) -> None:
+        """The participant won't come back."""
+        self.pause(participant)
+        self._accounts.pop(participant, None)
+
+    def owed(self, participant: Hashable) -> LoadOfOthers | None:
+        """The sum of the others' loads, unless it is what the participant was told last."""
+        if self._stale:
+            self._sum()
+        account = self._accounts[participant]
+        others: Load = {}
+        for instance, total in self._total.items():
+            own = account.own.get(instance, (0.0, 0.0, 0.0))
+            rest = (round(total[0] - own[0]), round(total[1] - own[1]), round(total[2] - own[2]))
+            if any(rest):
+                others[instance] = rest
+        if others == account.told:
+            return None
+        account.told = others
+        return LoadOfOthers(others)
+
+    def _sum(self) -> None:
+        total: Load = {}
+        for account in self._accounts.values():
+            for instance, (waiting, sequences, held) in account.own.items():
+                before = total.get(instance, (0.0, 0.0, 0.0))
+                total[instance] = (before[0] + waiting, before[1] + sequences, before[2] + held)
+        self._total = total
+        self._stale = False
+
+
+def _rates_differ(now: dict[str, float], told: dict[str, float]) -> bool:
+    if now.keys() != told.keys():
+        return True
+    return any(abs(rate - told[tenant]) > RATE_CHANGE * told[tenant] for tenant, rate in now.items())
--- /dev/null
+++ b/madderwind/distribution/publisher.py
@@ -0,0 +1,348 @@
+"""The control plane's side of the stream to data planes, as a state machine without input or output.
+
+Each call returns the messages to send, in order. Connections are named by numbers that the host draws.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import Enum
+from random import Random
+from typing import Protocol
+
+import attrs
+import msgspec
+
+from madderwind.distribution.exchange import (
+    AWAY_COUNTS_MS,
+    FORGET_AFTER_MS,
+    LoadExchange,
+    UsageExchange,
+)
+from madderwind.messages.distribution import (
+    ConfigurationApplied,
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    ControlPlanes,
+    Farewell,
+    FetchConfiguration,
+    Freshness,
+    LoadReport,
+    OrderRecord,
+    PeerSample,
+    RegistryDelta,
+    RegistrySnapshot,
+    Subscribe,
+    ToControlPlane,
+    ToDataPlane,
+    UpstreamRecord,
+    UsageReport,
+)
+
+FRESHNESS_INTERVAL_MS = 250.0
+EXCHANGE_INTERVAL_MS = 200.0
+SAMPLE_INTERVAL_MS = 10_000.0
+PEERS_IN_A_SAMPLE = 8
+# A data plane that asks again for what was just sent to it has that under way.
+FETCH_REPEAT_MS = 500.0
+# Data planes whose connection ended count for so long among those that are known.
+COUNTED_AFTER_MS = 10_000.0
+
+
+class PublishedDocument(Protocol):
+    """A whole configuration as JSON."""
+
+    @property
+    def raw(self) -> bytes:
+        """The document's bytes."""
+
+
+class PublishedConfiguration(Protocol):
+    """The committed configuration with its history; configuration.history implements it."""
+
+    @property
+    def version(self) -> int:
+        """The committed version, 0 where there is none."""
+
+    @property
+    def document(self) -> PublishedDocument | None:
+        """The whole document of that version."""
+
+    def orders_since(self, version: int) -> Sequence[OrderRecord] | None:
+        """What leads from a version to the committed one; None where the history does not reach back."""
+
+
+class PublishedStanding(msgspec.Struct, frozen=True):
+    """What the replica of this control plane knows of the others."""
+
+    epoch: int
+    fresh_age_ms: float | None
+    is_primary: bool
+    primary: str
+    members: tuple[str, ...]
+
+
+class SendTo(msgspec.Struct, frozen=True):
+    """Send to one connection."""
+
+    connection: int
+    message: ToDataPlane
+
+
+class SendToAll(msgspec.Struct, frozen=True):
+    """Send to every subscribed connection: one encoding for all."""
+
+    message: ToDataPlane
+
+
+class Close(msgspec.Struct, frozen=True):
+    """End a connection: its data plane has a newer one."""
+
+    connection: int
+
+
+Delivery = SendTo | SendToAll | Close
+
+
+class SubscriberState(Enum):
+    """`FOLLOWING`: orders wait for it; `LAGGING`: it kept one waiting too long, and none waits until it has
+    acknowledged again; `LEAVING`: it said farewell."""
+
+    FOLLOWING = "following"
+    LAGGING = "lagging"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Participant:
+    """One life of a data plane."""
+
+    node: str
+    life: str
+
+
+@attrs.define
+class _Subscriber:
+    participant: Participant
+    address: str
+    applied_version: int
+    state: SubscriberState = SubscriberState.FOLLOWING
+    answered_version: int = -1
+    answered_ms: float = 0.0
+
+    def enter(self, state: SubscriberState) -> None:
+        """Change state; who leaves stays leaving."""
+        if self.state is not SubscriberState.LEAVING:
+            self.state = state
+
+
+_UNKNOWN_STANDING = PublishedStanding(0, None, False, "", ())
+
+
+class Publisher:
+    """Tells all subscribed data planes of the configuration, the upstreams and each other."""
+
+    def __init__(self, configuration: PublishedConfiguration, rng: Random) -> None:
+        self._configuration = configuration
+        self._rng = rng
+        self._standing = _UNKNOWN_STANDING
+        self._told_version = configuration.version
+        self._subscribers: dict[int, _Subscriber] = {}
+        self._away_since_ms: dict[Participant, float] = {}
+        self._usage, self._load = UsageExchange(), LoadExchange()
+        self._freshness_due_ms = self._exchange_due_ms = self._sample_due_ms = 0.0
+
+    # --- what the control plane itself learns ---
+
+    def update(
+        self, now_ms: float, standing: PublishedStanding, configuration: PublishedConfiguration
+    ) -> list[Delivery]:
+        """Take what is committed and how the replica stands; changes are told at once."""
+        before, self._standing, self._configuration = self._standing, standing, configuration
+        if before.is_primary is not standing.is_primary:
+            self._restart_exchanges()
+        deliveries: list[Delivery] = []
+        if (before.members, before.primary) != (standing.members, standing.primary):
+            deliveries.append(SendToAll(self._control_planes()))
+        if configuration.version != self._told_version:
+            deliveries.append(SendToAll(self._freshness(now_ms)))
+        return deliveries if self._subscribers else []
+
+    def upstreams_changed(self, records: Sequence[UpstreamRecord]) -> list[Delivery]:
+        """Tell all of changed upstreams."""
+        if not records or not self._subscribers:
+            return []
+        return [SendToAll(RegistryDelta(tuple(records)))]
+
+    def tick(self, now_ms: float) -> list[Delivery]:
+        """What is due by time."""
+        self._forget_those_away(now_ms)
+        deliveries: list[Delivery] = []
+        if now_ms >= self._freshness_due_ms and self._subscribers:
+            deliveries.append(SendToAll(self._freshness(now_ms)))
+        if now_ms >= self._exchange_due_ms and self._standing.is_primary:
+            self._exchange_due_ms = now_ms + EXCHANGE_INTERVAL_MS
+            deliveries += self._exchange()
+        if now_ms >= self._sample_due_ms:
+            self._sample_due_ms = now_ms + SAMPLE_INTERVAL_MS
+            deliveries += [SendTo(connection, self._sample(connection)) for connection in self._subscribers]
+        return deliveries
+
+    # --- what data planes say ---
+
+    def subscribe(
+        self, now_ms: float, connection: int, message: Subscribe, upstreams: tuple[UpstreamRecord, ...]
+    ) -> list[Delivery]:
+        """A data plane's connection begins; it is told all there is."""
+        participant = Participant(message.node, message.life)
+        replaced = [Close(older) for older in self._connections_of(participant) if older != connection]
+        for close in replaced:
+            del self._subscribers[close.connection]
+        self._subscribers[connection] = _Subscriber(participant, message.address, message.version)
+        self._away_since_ms.pop(participant, None)
+        self._usage.join(participant)
+        self._load.join(participant)
+        first = (
+            self._control_planes(),
+            RegistrySnapshot(upstreams),
+            self._freshness_message(now_ms),
+            self._sample(connection),
+        )
+        return [*replaced, *(SendTo(connection, part) for part in first)]
+
+    def receive(self, now_ms: float, connection: int, message: ToControlPlane) -> list[Delivery]:
+        """A message on a subscribed connection."""
+        subscriber = self._subscribers.get(connection)
+        if subscriber is None:
+            return []
+        if isinstance(message, FetchConfiguration):
+            return self._answer_fetch(now_ms, connection, subscriber, message.have)
+        if isinstance(message, ConfigurationApplied):
+            subscriber.applied_version = max(subscriber.applied_version, message.version)
+            subscriber.enter(SubscriberState.FOLLOWING)
+        elif isinstance(message, UsageReport):
+            self._usage.report(subscriber.participant, message)
+        elif isinstance(message, LoadReport):
+            self._load.report(subscriber.participant, message)
+        elif isinstance(message, Farewell):
+            self._leave(now_ms, subscriber)
+        return []
+
+    def disconnect(self, now_ms: float, connection: int) -> None:
+        """A connection ended."""
+        subscriber = self._subscribers.pop(connection, None)
+        if subscriber is None:
+            return
+        if subscriber.state is SubscriberState.LEAVING:
+            self._usage.forget(subscriber.participant)
+            self._load.forget(subscriber.participant)
+        else:
+            self._away_since_ms[subscriber.participant] = now_ms
+
+    # --- what orders wait for ---
+
+    def is_applied_by_all(self, version: int) -> bool:
+        """Whether each data plane that is connected and keeps up has this version or a later one in force."""
+        return not any(self._lacks(subscriber, version) for subscriber in self._subscribers.values())
+
+    def stop_waiting_for(self, version: int) -> int:
+        """Wait no more for those that lack a version, until they acknowledge again; how many they are."""
+        lacking = [other for other in self._subscribers.values() if self._lacks(other, version)]
+        for subscriber in lacking:
+            subscriber.enter(SubscriberState.LAGGING)
+        return len(lacking)
+
+    def data_planes(self) -> int:
+        """How many data planes are known."""
+        nodes = {
+            subscriber.participant.node
+            for subscriber in self._subscribers.values()
+            if subscriber.state is not SubscriberState.LEAVING
+        }
+        return len(nodes | {participant.node for participant in self._away_since_ms})
+
+    # --- parts ---
+
+    def _connections_of(self, participant: Participant) -> list[int]:
+        return [
+            connection
+            for connection, subscriber in self._subscribers.items()
+            if subscriber.participant == participant
+        ]
+
+    def _lacks(self, subscriber: _Subscriber, version: int) -> bool:
+        return subscriber.state is SubscriberState.FOLLOWING and subscriber.applied_version < version
+
+    def _leave(self, now_ms: float, subscriber: _Subscriber) -> None:
+        subscriber.enter(SubscriberState.LEAVING)
+        self._usage.pause(subscriber.participant)
+
+    def _answer_fetch(
+        self, now_ms: float, connection: int, subscriber: _Subscriber, have: int
+    ) -> list[Delivery]:
+        version = self._configuration.version
+        is_repeat = subscriber.answered_version == version
+        if version <= have or (is_repeat and now_ms - subscriber.answered_ms < FETCH_REPEAT_MS):
+            return []
+        subscriber.answered_version, subscriber.answered_ms = version, now_ms
+        return [SendTo(connection, self._leading_from(have))]
+
+    def _leading_from(self, have: int) -> ConfigurationDelta | ConfigurationSnapshot:
+        document = self._configuration.document
+        raw = document.raw if document is not None else b""
+        version = self._configuration.version
+        orders = self._configuration.orders_since(have) if have else None
+        if orders is None or sum(len(order.body) for order in orders) > len(raw):
+            return ConfigurationSnapshot(version, raw)
+        return ConfigurationDelta(have, version, tuple(orders))
+
+    def _freshness(self, now_ms: float) -> Freshness:
+        self._freshness_due_ms = now_ms + FRESHNESS_INTERVAL_MS
+        self._told_version = self._configuration.version
+        return self._freshness_message(now_ms)
+
+    def _freshness_message(self, now_ms: float) -> Freshness:
+        age_ms = self._standing.fresh_age_ms
+        return Freshness(
+            version=self._configuration.version,
+            epoch=self._standing.epoch,
+            age_ms=round(age_ms) if age_ms is not None else None,
+            is_primary=self._standing.is_primary,
+            data_planes=self.data_planes(),
+        )
+
+    def _control_planes(self) -> ControlPlanes:
+        primary = self._standing.primary
+        others = [member for member in self._standing.members if member != primary]
+        return ControlPlanes(tuple([primary, *others] if primary else others), primary)
+
+    def _sample(self, connection: int) -> PeerSample:
+        own = self._subscribers[connection].address
+        others = {subscriber.address for subscriber in self._subscribers.values()} - {own, ""}
+        count = min(PEERS_IN_A_SAMPLE, len(others))
+        return PeerSample(tuple(self._rng.sample(sorted(others), count)))
+
+    def _exchange(self) -> list[Delivery]:
+        deliveries: list[Delivery] = []
+        for connection, subscriber in self._subscribers.items():
+            if (usage := self._usage.owed(subscriber.participant)) is not None:
+                deliveries.append(SendTo(connection, usage))
+            if (load := self._load.owed(subscriber.participant)) is not None:
+                deliveries.append(SendTo(connection, load))
+        return deliveries
+
+    def _restart_exchanges(self) -> None:
+        self._usage, self._load = UsageExchange(), LoadExchange()
+        for subscriber in self._subscribers.values():
+            self._usage.join(subscriber.participant)
+            self._load.join(subscriber.participant)
+
+    def _forget_those_away(self, now_ms: float) -> None:
+        for participant, since_ms in list(self._away_since_ms.items()):
+            if now_ms - since_ms > AWAY_COUNTS_MS:
+                self._usage.pause(participant)
+                self._load.pause(participant)
+            if now_ms - since_ms > FORGET_AFTER_MS:
+                del self._away_since_ms[participant]
+                self._usage.forget(participant)
+                self._load.forget(participant)
--- a/madderwind/messages/peering.py
+++ b/madderwind/messages/peering.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+from typing import Literal
+
 import msgspec
 
+from madderwind.messages.codec import Codec
 from madderwind.messages.distribution import UpstreamRecord
+from madderwind.messages.replication import ReplicationMessage
 
 
-class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class PeeringBase(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """The base of all messages of this module; the tag is the class's name."""
 
 
@@ -23,55 +27,55 @@
     silent_ms: float
 
 
-class Hello(Message, frozen=True):
+class Hello(PeeringBase, frozen=True):
     """First message of a connection: the internal address of who dialled it, where answers go."""
 
     sender: str
 
 
-class RegistryGossip(Message, frozen=True):
+class RegistryGossip(PeeringBase, frozen=True):
     """Upstreams of which something changed; on a new connection all that are known."""
 
     upstreams: tuple[UpstreamRecord, ...]
 
 
-class RegistryRequested(Message, frozen=True):
+class RegistryRequested(PeeringBase, frozen=True):
     """The sender lacks some upstream: all are to be told again."""
 
 
-class LivenessReport(Message, frozen=True):
+class LivenessReport(PeeringBase, frozen=True):
     """Upstreams that the sender heard since its last report; sent also when there are none."""
 
     heard: tuple[Liveness, ...]
 
 
-class ForwardOrder(Message, frozen=True):
+class ForwardOrder(PeeringBase, frozen=True):
     """An operator's order that reached a control plane which is not the primary. `token` is unique over the
     sender's lives."""
 
     token: int
-    kind: str
+    kind: Literal["replace", "update"]
     base_version: int
     body: bytes
 
 
-class OrderReply(Message, frozen=True):
+class OrderReply(PeeringBase, frozen=True):
     """How a forwarded order ended; the fields are those of `OrderResult`."""
 
     token: int
-    outcome: str
+    outcome: Literal["taken", "stale base", "invalid", "unclear"]
     version: int
     field: str
     reason: str
 
 
-class ForwardRead(Message, frozen=True):
+class ForwardRead(PeeringBase, frozen=True):
     """The operator asks for the newest configuration."""
 
     token: int
 
 
-class ReadReply(Message, frozen=True):
+class ReadReply(PeeringBase, frozen=True):
     """The newest configuration where `is_newest`; else the sender could not prove that it is."""
 
     token: int
@@ -90,3 +94,8 @@
     | ForwardRead
     | ReadReply
 )
+
+# All that goes over the connection.
+PeerFrame = ReplicationMessage | PeeringMessage
+
+peer_frames: Codec[PeerFrame] = Codec(PeerFrame)
