--- /dev/null
+++ b/madderwind/standin/__main__.py
@@ -0,0 +1,39 @@
+"""`python -m madderwind.standin FILE...`: play experiments of placement and print their figures."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import fire
+
+from madderwind.standin.experiment import Experiment, read_experiment
+from madderwind.standin.fleet import Fleet, Served
+from madderwind.standin.report import Figures, figures, table
+
+
+def play(*files: str, cores: int = 4, seeds: int = 0, policies: str = "") -> None:
+    """Play each file's experiment with each of its policies and seeds."""
+    for file in files:
+        experiment = read_experiment(Path(file))
+        names = policies.split(",") if policies else experiment.policies
+        runs = [(name, seed) for name in names for seed in range(seeds or experiment.seeds)]
+        with ProcessPoolExecutor(cores) as pool:
+            results = list(pool.map(_run, [experiment] * len(runs), *zip(*runs, strict=True)))
+        print(f"{experiment.name}: {experiment.question}")
+        print(table([_of_policy(name, experiment, runs, results) for name in names]))
+
+
+def _run(experiment: Experiment, policy: str, seed: int) -> list[Served]:
+    return Fleet(experiment, policy, seed).run()
+
+
+def _of_policy(
+    policy: str, experiment: Experiment, runs: list[tuple[str, int]], results: list[list[Served]]
+) -> Figures:
+    served = [one for (name, _), run in zip(runs, results, strict=True) if name == policy for one in run]
+    return figures(policy, experiment, served)
+
+
+if __name__ == "__main__":
+    fire.Fire(play)
--- /dev/null
+++ b/madderwind/standin/experiment.py
@@ -0,0 +1,67 @@
+"""An experiment with placements, as an operator writes it in YAML: fleet, engines, traffic, troubles."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import attrs
+import cattrs
+import msgspec
+import yaml
+
+from madderwind.standin.engine import EngineSettings
+from madderwind.standin.workload import Burst, Kind
+
+
+@attrs.frozen
+class Crash:
+    """From `at_s`, for `for_s`, `count` upstreams are down; they return empty, as other instances."""
+
+    at_s: float
+    for_s: float
+    count: int = 1
+
+
+@attrs.frozen
+class Release:
+    """From `at_s`, one upstream each `gap_s` is replaced by an empty one, `count` in all."""
+
+    at_s: float
+    gap_s: float
+    count: int
+
+
+@attrs.frozen
+class Experiment:
+    """One experiment. `report_ms` is how often data planes hear of each other's load (0: never)."""
+
+    name: str
+    question: str
+    data_planes: int
+    upstreams: int
+    kinds: list[Kind]
+    zones: int = 3
+    slowness: list[float] = attrs.field(factory=lambda: [1.0])
+    engine: dict[str, Any] = attrs.field(factory=dict)
+    bursts: list[Burst] = attrs.field(factory=list)
+    crashes: list[Crash] = attrs.field(factory=list)
+    releases: list[Release] = attrs.field(factory=list)
+    policies: list[str] = attrs.field(factory=lambda: ["placement", "random"])
+    for_s: float = 34.0
+    seeds: int = 3
+    load: float = 1.0
+    report_ms: float = 250.0
+    delay_ms: float = 0.5
+    again_s: float = 10.0
+    reread_price_per_k: float = 0.09
+
+    @property
+    def engine_settings(self) -> EngineSettings:
+        """The engine's settings, the rest at their defaults."""
+        return msgspec.convert(self.engine, EngineSettings)
+
+
+def read_experiment(path: Path) -> Experiment:
+    """The experiment in a YAML file."""
+    return cattrs.Converter(forbid_extra_keys=True).structure(yaml.safe_load(path.read_text()), Experiment)
