Control plane: host, servers, disk thread, links between control planes

Cause: the core needs sockets, timers and a disk. Writes that wait together share a sync on a thread of their own; a peer's queue drops the oldest, a data plane that does not read is dropped; sockets end by themselves behind a cut.

--- /dev/null
+++ b/madderwind/controlplane/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m madderwind.controlplane`."""
+
+from madderwind.controlplane.process import main
+
+main()
--- /dev/null
+++ b/madderwind/controlplane/frames.py
@@ -0,0 +1,53 @@
+"""A bounded queue of frames before a connection: whoever sends never waits."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+
+class _Frame(NamedTuple):
+    data: bytes
+    offered_s: float
+
+
+class FrameQueue:
+    """Frames in order, bounded in bytes; `offer` tells whether the bound is passed."""
+
+    def __init__(self, most_bytes: int) -> None:
+        self._most_bytes = most_bytes
+        self._frames: deque[_Frame] = deque()
+        self._bytes = 0
+        self._ready = asyncio.Event()
+
+    def __len__(self) -> int:
+        return len(self._frames)
+
+    def offer(self, now_s: float, data: bytes) -> bool:
+        """Add a frame; False where there is more now than the bound, one frame aside."""
+        self._frames.append(_Frame(data, now_s))
+        self._bytes += len(data)
+        self._ready.set()
+        return self._bytes <= self._most_bytes or len(self._frames) == 1
+
+    def drop_oldest(self) -> None:
+        """Give up on the frame that waited longest."""
+        if self._frames:
+            self._bytes -= len(self._frames.popleft().data)
+
+    def drop_older_than(self, offered_s: float) -> None:
+        """Give up on frames that were offered before that moment."""
+        while self._frames and self._frames[0].offered_s < offered_s:
+            self.drop_oldest()
+
+    async def send_all(self, send: Callable[[bytes], Awaitable[None]]) -> None:
+        """Send frames as they come, until cancelled or `send` fails."""
+        while True:
+            while self._frames:
+                frame = self._frames.popleft()
+                self._bytes -= len(frame.data)
+                await send(frame.data)
+            self._ready.clear()
+            await self._ready.wait()
--- /dev/null
+++ b/madderwind/controlplane/host.py
@@ -0,0 +1,170 @@
+"""The host of the control plane's core: its clock, timer, disk thread, links and subscribers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from madderwind.controlplane.core import TICK_MS, ControlPlaneCore
+from madderwind.controlplane.disk_thread import Completion, DiskThread
+from madderwind.controlplane.effects import Effect, LogLine, OrderEnded, ReadEnded, SendToPeer
+from madderwind.controlplane.peer_links import PeerLinks
+from madderwind.controlplane.subscriber_streams import SubscriberStreams
+from madderwind.distribution.publisher import Close, SendTo, SendToAll
+from madderwind.messages.distribution import Subscribe, ToControlPlane
+from madderwind.messages.peering import PeerFrame, peer_frames
+from madderwind.replication.api import LeaveRequested, Order, OrderResult, Rewrite, Write
+from madderwind.storage.record_file import RecordFile
+from madderwind.structured_log import Log
+
+UNUSED_LINKS_INTERVAL_S = 5.0
+
+
+class ControlPlaneHost:
+    """Hands events to the core and carries its effects out, all on the event loop."""
+
+    def __init__(self, core: ControlPlaneCore, record_file: RecordFile, own_address: str, log: Log) -> None:
+        self._core = core
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._links = PeerLinks(own_address, self._peer_connected)
+        self._streams = SubscriberStreams()
+        self._disk = DiskThread(record_file, self._report_from_thread)
+        self._orders: dict[int, asyncio.Future[OrderResult]] = {}
+        self._reads: dict[int, asyncio.Future[ReadEnded]] = {}
+        self._last_call = 0
+        self._ticker: asyncio.TimerHandle | None = None
+        self._links_checked_s = 0.0
+        self._encoded_message: PeerFrame | None = None
+        self._encoded = b""
+        self._carriers: dict[type[Effect], Callable[..., None]] = {
+            SendToPeer: self._send_to_peer,
+            SendTo: self._streams.send_to,
+            SendToAll: self._streams.send_to_all,
+            Close: self._streams.close,
+            OrderEnded: self._end_order,
+            ReadEnded: self._end_read,
+            Write: self._disk.submit,
+            Rewrite: self._disk.submit,
+            LogLine: self._write_log,
+        }
+
+    @property
+    def streams(self) -> SubscriberStreams:
+        """The subscribed data planes' connections."""
+        return self._streams
+
+    @property
+    def is_at_rest(self) -> bool:
+        """Whether this process may end."""
+        return self._core.is_at_rest
+
+    def start(self) -> None:
+        """Begin to let time pass."""
+        self._disk.start()
+        self._tick()
+
+    async def stop(self) -> None:
+        """End the timer and all connections of this host."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        self._streams.close_all()
+        await self._links.close()
+
+    # --- what the servers hand in ---
+
+    def peer_message(self, sender: str, message: PeerFrame) -> None:
+        """A message of another control plane."""
+        self._carry_out(self._core.peer_message(self._now_ms(), sender, message))
+
+    def subscribe(self, connection: int, message: Subscribe) -> None:
+        """A data plane's stream begins; `connection` is known to `streams`."""
+        self._carry_out(self._core.subscribe(self._now_ms(), connection, message))
+
+    def data_plane_message(self, connection: int, message: ToControlPlane) -> None:
+        """A message of a data plane."""
+        self._carry_out(self._core.data_plane_message(self._now_ms(), connection, message))
+
+    def data_plane_closed(self, connection: int) -> None:
+        """A data plane's stream ended."""
+        self._carry_out(self._core.data_plane_closed(self._now_ms(), connection))
+
+    def heartbeat(self, instance: str, body: bytes) -> None:
+        """An upstream's heartbeat; raises InvalidHeartbeat."""
+        self._carry_out(self._core.heartbeat(self._now_ms(), instance, body))
+
+    def deregister(self, instance: str) -> None:
+        """An upstream ends."""
+        self._carry_out(self._core.deregister(self._now_ms(), instance))
+
+    async def order(self, order: Order) -> OrderResult:
+        """Bring an operator's order to its end."""
+        call = self._draw_call()
+        ended: asyncio.Future[OrderResult] = self._loop.create_future()
+        self._orders[call] = ended
+        self._carry_out(self._core.submit(self._now_ms(), call, order))
+        return await ended
+
+    async def read(self) -> ReadEnded:
+        """Bring an operator's read to its end."""
+        call = self._draw_call()
+        ended: asyncio.Future[ReadEnded] = self._loop.create_future()
+        self._reads[call] = ended
+        self._carry_out(self._core.submit(self._now_ms(), call, None))
+        return await ended
+
+    def leave(self) -> None:
+        """The process is about to end."""
+        self._carry_out(self._core.replica_event(self._now_ms(), LeaveRequested()))
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """The settings file names other seeds."""
+        self._carry_out(self._core.set_seeds(self._now_ms(), seeds))
+
+    # --- parts ---
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def _draw_call(self) -> int:
+        self._last_call += 1
+        return self._last_call
+
+    def _tick(self) -> None:
+        self._ticker = self._loop.call_later(TICK_MS / 1000.0, self._tick)
+        self._carry_out(self._core.tick(self._now_ms()))
+        if self._loop.time() - self._links_checked_s > UNUSED_LINKS_INTERVAL_S:
+            self._links_checked_s = self._loop.time()
+            self._links.drop_unused()
+
+    def _peer_connected(self, address: str) -> None:
+        self._carry_out(self._core.peer_connected(self._now_ms(), address))
+
+    def _report_from_thread(self, completions: list[Completion]) -> None:
+        self._loop.call_soon_threadsafe(self._writes_ended, completions)
+
+    def _writes_ended(self, completions: list[Completion]) -> None:
+        for completion in completions:
+            self._carry_out(self._core.replica_event(self._now_ms(), completion))
+
+    def _carry_out(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            self._carriers[type(effect)](effect)
+
+    def _send_to_peer(self, effect: SendToPeer) -> None:
+        if effect.message is not self._encoded_message:  # one message to many peers is encoded once
+            self._encoded_message, self._encoded = effect.message, peer_frames.encode(effect.message)
+        self._links.send(effect.address, self._encoded)
+
+    def _end_order(self, effect: OrderEnded) -> None:
+        ended = self._orders.pop(effect.call)
+        if not ended.done():
+            ended.set_result(effect.result)
+
+    def _end_read(self, effect: ReadEnded) -> None:
+        ended = self._reads.pop(effect.call)
+        if not ended.done():
+            ended.set_result(effect)
+
+    def _write_log(self, effect: LogLine) -> None:
+        self._log.info(effect.event, **effect.fields)
--- /dev/null
+++ b/madderwind/controlplane/internal_server.py
@@ -0,0 +1,117 @@
+"""The server for the system's own processes: other control planes and data planes, each on a WebSocket."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TypeVar
+
+from aiohttp import WSMsgType, web
+
+from madderwind.controlplane.host import ControlPlaneHost
+from madderwind.controlplane.sockets import set_options
+from madderwind.errors import MessageError
+from madderwind.messages.codec import LONGEST_MESSAGE, Codec
+from madderwind.messages.distribution import Subscribe, to_control_plane
+from madderwind.messages.peering import Hello, peer_frames
+from madderwind.structured_log import Log
+
+FIRST_MESSAGE_WITHIN_S = 2.0
+CLOSE_TIMEOUT_S = 0.2
+
+MessageType = TypeVar("MessageType")
+
+
+class InternalServer:
+    """Takes connections at /replica and /subscribe."""
+
+    def __init__(self, host: ControlPlaneHost, log: Log) -> None:
+        self._host, self._log = host, log
+        self._peers: dict[str, asyncio.Transport] = {}
+
+    def application(self) -> web.Application:
+        """The application to be served."""
+        application = web.Application()
+        application.router.add_get("/replica", self._replica)
+        application.router.add_get("/subscribe", self._subscribe)
+        return application
+
+    async def _replica(self, request: web.Request) -> web.WebSocketResponse:
+        connection = await _accepted(request)
+        try:
+            hello = await _next_message(connection, peer_frames, FIRST_MESSAGE_WITHIN_S)
+            if isinstance(hello, Hello):
+                self._replace_connection(hello.sender, _transport(request))
+                while (message := await _next_message(connection, peer_frames)) is not None:
+                    self._host.peer_message(hello.sender, message)
+        except MessageError as error:
+            self._log.warning("odd message of a control plane", peer=request.remote, reason=str(error))
+        finally:
+            await connection.close()
+        return connection
+
+    def _replace_connection(self, sender: str, transport: asyncio.Transport) -> None:
+        """A peer has one connection; an older one is dead to it."""
+        older = self._peers.get(sender)
+        if older is not None:
+            older.abort()
+        self._peers[sender] = transport
+
+    async def _subscribe(self, request: web.Request) -> web.WebSocketResponse:
+        connection = await _accepted(request)
+        try:
+            first = await _next_message(connection, to_control_plane, FIRST_MESSAGE_WITHIN_S)
+            if isinstance(first, Subscribe):
+                await self._serve_data_plane(_transport(request), connection, first)
+        except MessageError as error:
+            self._log.warning("odd message of a data plane", peer=request.remote, reason=str(error))
+        finally:
+            await connection.close()
+        return connection
+
+    async def _serve_data_plane(
+        self, transport: asyncio.Transport, connection: web.WebSocketResponse, first: Subscribe
+    ) -> None:
+        streams = self._host.streams
+        number = streams.open(transport)
+        sending = asyncio.create_task(streams.send_queued(number, connection))
+        try:
+            self._host.subscribe(number, first)
+            while (message := await _next_message(connection, to_control_plane)) is not None:
+                self._host.data_plane_message(number, message)
+        finally:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+            streams.forget(number)
+            self._host.data_plane_closed(number)
+            self._log.info("data plane unsubscribed", node=first.node)
+
+
+async def _accepted(request: web.Request) -> web.WebSocketResponse:
+    tcp_socket = _transport(request).get_extra_info("socket")
+    if tcp_socket is not None:
+        set_options(tcp_socket)
+    connection = web.WebSocketResponse(compress=False, max_msg_size=LONGEST_MESSAGE, timeout=CLOSE_TIMEOUT_S)
+    await connection.prepare(request)
+    return connection
+
+
+def _transport(request: web.Request) -> asyncio.Transport:
+    transport = request.transport
+    if transport is None:
+        raise web.HTTPBadRequest
+    return transport
+
+
+async def _next_message(
+    connection: web.WebSocketResponse, codec: Codec[MessageType], timeout_s: float | None = None
+) -> MessageType | None:
+    """The next message, None once the connection has ended; raises MessageError."""
+    try:
+        frame = await connection.receive(timeout_s)
+    except TimeoutError:
+        return None
+    if frame.type is WSMsgType.BINARY:
+        return codec.decode(frame.data)
+    if frame.type is WSMsgType.TEXT:
+        raise MessageError("a text frame")
+    return None
--- /dev/null
+++ b/madderwind/controlplane/process.py
@@ -0,0 +1,197 @@
+"""The process of a control plane: settings, signals, servers, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+from typing import cast
+
+from aiohttp import web
+
+from madderwind.configuration.history import ConfigurationHistory
+from madderwind.controlplane.core import ControlPlaneCore
+from madderwind.controlplane.host import ControlPlaneHost
+from madderwind.controlplane.internal_server import InternalServer
+from madderwind.controlplane.public_server import PublicServer
+from madderwind.errors import SettingsError, StorageError
+from madderwind.node_settings import CONTROL_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, read_settings
+from madderwind.replication.api import Action, Event, Standing
+from madderwind.replication.replica import Replica
+from madderwind.replication.times import ReplicationTimes
+from madderwind.storage.disk import FileDisk
+from madderwind.storage.record_file import RecordFile, RecoveredFile
+from madderwind.structured_log import BatchedOutput, Log, open_log
+
+SETTINGS_CHECK_S = 1.0
+# What stays of the grace period for closing connections and for the start of the last write.
+END_RESERVE_S = 1.5
+LONGEST_HANDOVER_S = 4.0
+REST_CHECK_S = 0.05
+CLOSE_TIMEOUT_S = 0.3
+BACKLOG = 1024
+
+
+class ConfigurationReplica:
+    """The replica whose state is the operator's configuration."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    @property
+    def committed(self) -> ConfigurationHistory:
+        """The committed configuration."""
+        return cast(ConfigurationHistory, self._replica.committed)
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """Take an event; what comes back is to be carried out in order."""
+        return self._replica.handle(now_ms, event)
+
+    def standing(self, now_ms: float) -> Standing:
+        """How this replica stands."""
+        return self._replica.standing(now_ms)
+
+
+class ControlPlaneProcess:
+    """One control plane from its start to its end."""
+
+    def __init__(self, settings: NodeSettings, record_file: RecordFile, recovered: RecoveredFile) -> None:
+        self._settings = settings
+        self._record_file, self._recovered = record_file, recovered
+        self._output = BatchedOutput()
+        self._log: Log = open_log(settings.node, self._output)
+        self._end_requested = asyncio.Event()
+        self._settings_changed = asyncio.Event()
+        self._runners: list[web.AppRunner] = []
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then hand over and end."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._end_requested.set)
+        loop.add_signal_handler(signal.SIGINT, self._end_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._settings_changed.set)
+        host = self._host()
+        public_server = PublicServer(host, self._log)
+        await self._serve(InternalServer(host, self._log).application(), self._own_address())
+        await self._serve(public_server.application(), self._settings.listen["control"])
+        host.start()
+        watching = asyncio.create_task(self._watch_settings(host))
+        self._log.info("control plane started", address=self._own_address())
+        gc.collect()
+        gc.freeze()
+        await self._end_requested.wait()
+        watching.cancel()
+        public_server.refuse_new_calls()
+        await self._hand_over(host)
+        await self._close(host)
+
+    def _own_address(self) -> str:
+        return self._settings.internal_address(CONTROL_PLANE_PORT)
+
+    def _host(self) -> ControlPlaneHost:
+        settings = self._settings
+        rng = random.Random()
+        replica = Replica(
+            identity_address=self._own_address(),
+            zone=settings.zone,
+            control_address=settings.listen["control"],
+            seeds=settings.seed_addresses(),
+            bootstrap=settings.bootstrap,
+            tolerance=settings.fault_tolerance.machines,
+            recovered=self._recovered,
+            empty_state=ConfigurationHistory,
+            restore_state=ConfigurationHistory.restore,
+            rng=rng,
+            now_ms=asyncio.get_running_loop().time() * 1000.0,
+            times=ReplicationTimes.from_bounds(settings.bounds.ack_ms),
+        )
+        core = ControlPlaneCore(
+            ConfigurationReplica(replica),
+            self._own_address(),
+            settings.seed_addresses(),
+            settings.heartbeat_ms,
+            rng,
+        )
+        return ControlPlaneHost(core, self._record_file, self._own_address(), self._log)
+
+    async def _serve(self, application: web.Application, address: str) -> None:
+        runner = web.AppRunner(
+            application, access_log=None, handle_signals=False, shutdown_timeout=CLOSE_TIMEOUT_S
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        ip, _, port = address.rpartition(":")
+        await web.TCPSite(runner, ip, int(port), backlog=BACKLOG, reuse_address=True).start()
+
+    async def _watch_settings(self, host: ControlPlaneHost) -> None:
+        """Take over new seeds on SIGHUP, or once the file changed without a signal."""
+        path = os.environ.get(SETTINGS_VARIABLE, "")
+        seen = _modified_ns(path)
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_CHECK_S):
+                    await self._settings_changed.wait()
+            except TimeoutError:
+                if _modified_ns(path) == seen:
+                    continue
+            self._settings_changed.clear()
+            seen = _modified_ns(path)
+            self._read_settings_again(host)
+
+    def _read_settings_again(self, host: ControlPlaneHost) -> None:
+        try:
+            settings = read_settings()
+        except SettingsError as error:
+            self._log.error("settings unreadable, the former stay", field=error.field, reason=error.reason)
+            return
+        self._settings = settings
+        host.set_seeds(settings.seed_addresses())
+        self._log.info("settings read again", seeds=list(settings.seeds))
+
+    async def _hand_over(self, host: ControlPlaneHost) -> None:
+        """Give the primary's role up where it is held, and answer the calls under way."""
+        self._log.info("asked to end")
+        host.leave()
+        grace_s = self._settings.bounds.grace_s - END_RESERVE_S
+        deadline_s = asyncio.get_running_loop().time() + min(max(grace_s, 0.0), LONGEST_HANDOVER_S)
+        while not host.is_at_rest and asyncio.get_running_loop().time() < deadline_s:
+            await asyncio.sleep(REST_CHECK_S)
+        await asyncio.sleep(REST_CHECK_S)  # the last messages leave
+
+    async def _close(self, host: ControlPlaneHost) -> None:
+        await host.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        self._log.info("control plane ended")
+        self._output.flush()
+
+
+def _modified_ns(path: str) -> int:
+    try:
+        return Path(path).stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
+async def _run(settings: NodeSettings, record_file: RecordFile, recovered: RecoveredFile) -> None:
+    await ControlPlaneProcess(settings, record_file, recovered).run()
+
+
+def main() -> None:
+    """Run the control plane that the settings file describes; exits with 1 where it can't be used."""
+    try:
+        settings = read_settings()
+        if "control" not in settings.listen or not settings.data_dir:
+            raise SettingsError("listen.control, data_dir", "a control plane needs both")
+        record_file = RecordFile(FileDisk(settings.data_dir))
+        recovered = record_file.recover()
+    except (SettingsError, StorageError) as error:
+        print(f"control plane: {error}", file=sys.stderr)
+        sys.exit(1)
+    asyncio.run(_run(settings, record_file, recovered))
+    # Threads that wait for a disk in trouble must not hold the end up.
+    os._exit(0)
--- /dev/null
+++ b/madderwind/controlplane/public_server.py
@@ -0,0 +1,142 @@
+"""The server for operators and upstreams: configurations and heartbeats, in JSON over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from madderwind.controlplane.host import ControlPlaneHost
+from madderwind.errors import InvalidHeartbeat
+from madderwind.registry.heartbeats import LONGEST_HEARTBEAT_BYTES
+from madderwind.replication.api import Order, OrderKind, OrderOutcome, OrderResult
+from madderwind.structured_log import Log
+
+LONGEST_ORDER_BYTES = 4 * 1024 * 1024
+BASE_VERSION_HEADER = "X-Base-Version"
+# An upstream takes its heartbeat elsewhere after a second, an operator's large body takes longer.
+HEARTBEAT_BODY_WITHIN_S, ORDER_BODY_WITHIN_S = 1.0, 10.0
+RETRY_AFTER_S = "0.1"
+
+_STATUS = {
+    OrderOutcome.TAKEN: 200,
+    OrderOutcome.STALE_BASE: 412,
+    OrderOutcome.INVALID: 400,
+    OrderOutcome.UNCLEAR: 503,
+}
+
+
+class PublicServer:
+    """The operator's API and the upstreams' registration."""
+
+    def __init__(self, host: ControlPlaneHost, log: Log) -> None:
+        self._host, self._log = host, log
+        self._is_leaving = False
+
+    def application(self) -> web.Application:
+        """The application to be served."""
+        application = web.Application(client_max_size=LONGEST_ORDER_BYTES)
+        router = application.router
+        router.add_post("/instances/{instance}/heartbeat", self._heartbeat)
+        router.add_post("/instances/{instance}/deregister", self._deregister)
+        router.add_post("/config/replace", self._replace)
+        router.add_post("/config/update", self._update)
+        router.add_get("/config/read", self._read)
+        return application
+
+    def refuse_new_calls(self) -> None:
+        """From now on callers are sent elsewhere: this process is about to end."""
+        self._is_leaving = True
+
+    async def _heartbeat(self, request: web.Request) -> web.Response:
+        if self._is_leaving:
+            return _unavailable("this process is about to end")
+        body = await _body(request, LONGEST_HEARTBEAT_BYTES, HEARTBEAT_BODY_WITHIN_S)
+        instance = request.match_info["instance"]
+        try:
+            self._host.heartbeat(instance, body)
+        except InvalidHeartbeat as error:
+            self._log.warning("invalid heartbeat", instance=instance, reason=str(error))
+            return _json(400, {"error": str(error)})
+        return _json(200, {})
+
+    async def _deregister(self, request: web.Request) -> web.Response:
+        if self._is_leaving:
+            return _unavailable("this process is about to end")
+        self._host.deregister(request.match_info["instance"])
+        return _json(200, {})
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        return await self._order(request, OrderKind.REPLACE)
+
+    async def _update(self, request: web.Request) -> web.Response:
+        return await self._order(request, OrderKind.UPDATE)
+
+    async def _order(self, request: web.Request, kind: OrderKind) -> web.Response:
+        if self._is_leaving:
+            return _unavailable("this process is about to end")
+        base = request.headers.get(BASE_VERSION_HEADER, "")
+        if not (base.isascii() and base.isdigit()):
+            return _json(400, {"error": "a whole number is expected", "field": BASE_VERSION_HEADER})
+        body = await _body(request, LONGEST_ORDER_BYTES, ORDER_BODY_WITHIN_S)
+        result = await self._host.order(Order(kind, int(base), body))
+        self._log.info(
+            "order ended",
+            kind=kind.value,
+            base_version=int(base),
+            outcome=result.outcome.value,
+            version=result.version,
+            field=result.field,
+            reason=result.reason,
+        )
+        return _answer_to_order(result)
+
+    async def _read(self, request: web.Request) -> web.Response:
+        if self._is_leaving:
+            return _unavailable("this process is about to end")
+        ended = await self._host.read()
+        if ended.document is None:
+            return _unavailable("no newest configuration could be proven here and now")
+        if not ended.version:
+            return _json(404, {"error": "there is no configuration yet"})
+        return web.Response(body=ended.document, content_type="application/json")
+
+
+async def _body(request: web.Request, most_bytes: int, within_s: float) -> bytes:
+    """The whole body; answers 413 where it is too long and 408 where it does not come."""
+    if (request.content_length or 0) > most_bytes:
+        raise web.HTTPRequestEntityTooLarge(most_bytes, request.content_length or 0)
+    try:
+        async with asyncio.timeout(within_s):
+            body = await request.read()
+    except TimeoutError:
+        raise web.HTTPRequestTimeout from None
+    if len(body) > most_bytes:
+        raise web.HTTPRequestEntityTooLarge(most_bytes, len(body))
+    return body
+
+
+def _answer_to_order(result: OrderResult) -> web.Response:
+    if result.outcome is OrderOutcome.UNCLEAR:
+        return _unavailable("no clear answer here and now")
+    if result.outcome is OrderOutcome.TAKEN:
+        return _json(200, {"version": result.version})
+    return _json(
+        _STATUS[result.outcome],
+        {
+            "error": result.reason or result.outcome.value,
+            "field": result.field,
+            "current_version": result.version,
+        },
+    )
+
+
+def _unavailable(reason: str) -> web.Response:
+    response = _json(503, {"error": reason})
+    response.headers["Retry-After"] = RETRY_AFTER_S
+    return response
+
+
+def _json(status: int, content: dict[str, str | int]) -> web.Response:
+    return web.Response(status=status, body=msgspec.json.encode(content), content_type="application/json")
