--- a/madderwind/controlplane/calls.py
+++ b/madderwind/controlplane/calls.py
@@ -9,11 +9,12 @@
 
 from collections.abc import Callable
 from enum import Enum
+from typing import Protocol
 
 import attrs
 import msgspec
 
-from madderwind.controlplane.effects import Effect, OrderEnded, ReadEnded, SendToPeer
+from madderwind.controlplane.effects import Effect, LogLine, OrderEnded, ReadEnded, SendToPeer
 from madderwind.messages.peering import ForwardOrder, ForwardRead, OrderReply, ReadReply
 from madderwind.replication.api import (
     Order,
@@ -111,6 +112,16 @@
         self.state = state
 
 
+class AppliedVersions(Protocol):
+    """Which versions the connected data planes have in force; distribution.publisher implements it."""
+
+    def is_applied_by_all(self, version: int) -> bool:
+        """Whether all that keep up have this version."""
+
+    def stop_waiting_for(self, version: int) -> int:
+        """Wait no more for those that lack it; how many they are."""
+
+
 Output = Effect | OrderSubmitted | ReadSubmitted
 
 
@@ -122,12 +133,12 @@
         self,
         first_token: int,
         standing: Callable[[], Standing],
-        is_applied_by_all: Callable[[int], bool],
+        data_planes: AppliedVersions,
         newest: Callable[[], NewestDocument],
     ) -> None:
         self._last_token = first_token
         self._standing = standing
-        self._is_applied_by_all = is_applied_by_all
+        self._data_planes = data_planes
         self._newest = newest
         self._calls: dict[int, _Call] = {}
 
@@ -206,8 +217,7 @@
 
     def _advance(self, now_ms: float, call: _Call) -> list[Output]:
         if call.state is CallState.WAITING_FOR_DATA_PLANES:
-            is_over = now_ms >= call.wait_until_ms or self._is_applied_by_all(call.result.version)
-            return self._end(call) if is_over else []
+            return self._wait_for_data_planes(now_ms, call)
         if now_ms >= call.deadline_ms:
             return self._end(call)
         if call.state is CallState.FORWARDED and call.destination != self._destination():
@@ -241,6 +251,15 @@
         call.enter(CallState.WAITING_FOR_PRIMARY)
         return self._advance(now_ms, call)
 
+    def _wait_for_data_planes(self, now_ms: float, call: _Call) -> list[Output]:
+        if self._data_planes.is_applied_by_all(call.result.version):
+            return self._end(call)
+        if now_ms < call.wait_until_ms:
+            return []
+        count = self._data_planes.stop_waiting_for(call.result.version)
+        line = LogLine("data planes lag", {"version": call.result.version, "count": count})
+        return [line, *self._end(call)]
+
     def _end(self, call: _Call) -> list[Output]:
         call.enter(CallState.ENDED)
         del self._calls[call.token]
--- a/madderwind/controlplane/core.py
+++ b/madderwind/controlplane/core.py
@@ -93,7 +93,7 @@
         self._peers = Peers(own_address, seeds)
         self._standing = replica.standing(0.0)
         self._calls = OperatorCalls(
-            rng.getrandbits(62), lambda: self._standing, self._publisher.is_applied_by_all, self._newest
+            rng.getrandbits(62), lambda: self._standing, self._publisher, self._newest
         )
         self._liveness_due_ms = self._silence_due_ms = 0.0
         self._snapshot_told_ms: dict[str, float] = {}
--- a/madderwind/distribution/publisher.py
+++ b/madderwind/distribution/publisher.py
@@ -45,8 +45,6 @@
 PEERS_IN_A_SAMPLE = 8
 # A data plane that asks again for what was just sent to it has that under way.
 FETCH_REPEAT_MS = 500.0
-# Data planes whose connection ended count for so long among those that are known.
-COUNTED_AFTER_MS = 10_000.0
 
 
 class PublishedDocument(Protocol):
--- /dev/null
+++ b/tests/distribution/test_exchange.py
@@ -0,0 +1,90 @@
+"""Stories of what data planes tell each other through the primary."""
+
+from __future__ import annotations
+
+import unittest
+
+from madderwind.distribution.exchange import LoadExchange, UsageExchange
+from madderwind.messages.distribution import LoadOfOthers, LoadReport, UsageOfOthers, UsageReport
+
+
+class UsageIsSummedOverTheOthers(unittest.TestCase):
+    def setUp(self) -> None:
+        self.exchange = UsageExchange()
+        for name in ("a", "b", "c"):
+            self.exchange.join(name)
+
+    def used(self, participant: str) -> dict[str, float]:
+        owed = self.exchange.owed(participant)
+        return owed.used if owed is not None else {}
+
+    def test_each_is_told_what_the_others_used_once(self) -> None:
+        self.exchange.report("a", UsageReport(1, {"t": 10.0}, {}))
+        self.exchange.report("b", UsageReport(1, {"t": 5.0, "u": 1.0}, {}))
+        self.assertEqual(self.used("a"), {"t": 5.0, "u": 1.0})
+        self.assertEqual(self.used("b"), {"t": 10.0})
+        self.assertEqual(self.used("c"), {"t": 15.0, "u": 1.0})
+        self.assertIsNone(self.exchange.owed("c"))
+
+    def test_a_report_sent_twice_counts_once(self) -> None:
+        self.exchange.report("a", UsageReport(1, {"t": 10.0}, {}))
+        self.exchange.report("a", UsageReport(1, {"t": 10.0}, {}))
+        self.assertEqual(self.used("b"), {"t": 10.0})
+
+    def test_a_newcomer_is_owed_nothing_of_the_past(self) -> None:
+        self.exchange.report("a", UsageReport(1, {"t": 10.0}, {"t": 3.0}))
+        self.exchange.join("d")
+        self.assertEqual(self.exchange.owed("d"), UsageOfOthers({}, {"t": 3.0}))
+
+    def test_who_comes_back_gets_what_it_missed(self) -> None:
+        self.exchange.pause("b")
+        self.exchange.report("a", UsageReport(1, {"t": 10.0}, {}))
+        self.exchange.join("b")
+        self.assertEqual(self.used("b"), {"t": 10.0})
+
+    def test_what_one_used_stays_owed_after_it_is_forgotten(self) -> None:
+        self.exchange.report("a", UsageReport(1, {"t": 10.0}, {"t": 4.0}))
+        self.exchange.forget("a")
+        self.assertEqual(self.exchange.owed("b"), UsageOfOthers({"t": 10.0}, {}))
+
+    def test_rates_of_demand_are_told_when_they_change(self) -> None:
+        self.exchange.report("a", UsageReport(1, {}, {"t": 100.0}))
+        self.assertEqual(self.exchange.owed("b"), UsageOfOthers({}, {"t": 100.0}))
+        self.exchange.report("a", UsageReport(2, {}, {"t": 101.0}))
+        self.assertIsNone(self.exchange.owed("b"))
+        self.exchange.report("a", UsageReport(3, {}, {"t": 150.0}))
+        self.assertEqual(self.exchange.owed("b"), UsageOfOthers({}, {"t": 150.0}))
+        self.exchange.pause("a")
+        self.assertEqual(self.exchange.owed("b"), UsageOfOthers({}, {}))
+        self.assertIsNone(self.exchange.owed("a"))
+
+
+class LoadIsSummedOverTheOthers(unittest.TestCase):
+    def setUp(self) -> None:
+        self.exchange = LoadExchange()
+        for name in ("a", "b"):
+            self.exchange.join(name)
+
+    def test_each_is_told_the_sum_of_the_others_when_it_changes(self) -> None:
+        self.exchange.join("c")
+        self.exchange.report("a", LoadReport({"i": (100.0, 1.0, 500.0)}))
+        self.exchange.report("b", LoadReport({"i": (10.0, 2.0, 50.0), "j": (0.0, 1.0, 5.0)}))
+        self.assertEqual(self.exchange.owed("c"), LoadOfOthers({"i": (110, 3, 550), "j": (0, 1, 5)}))
+        self.assertEqual(self.exchange.owed("a"), LoadOfOthers({"i": (10, 2, 50), "j": (0, 1, 5)}))
+        self.assertIsNone(self.exchange.owed("c"))
+
+    def test_who_is_away_has_nothing_at_upstreams(self) -> None:
+        self.exchange.report("a", LoadReport({"i": (100.0, 1.0, 500.0)}))
+        self.assertIsNotNone(self.exchange.owed("b"))
+        self.exchange.pause("a")
+        self.assertEqual(self.exchange.owed("b"), LoadOfOthers({}))
+
+    def test_who_comes_back_is_told_the_whole_sum(self) -> None:
+        self.exchange.report("a", LoadReport({"i": (100.0, 1.0, 500.0)}))
+        self.exchange.owed("b")
+        self.exchange.join("b")
+        self.assertEqual(self.exchange.owed("b"), LoadOfOthers({"i": (100, 1, 500)}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/distribution/test_publisher.py
@@ -0,0 +1,241 @@
+"""Stories of the control plane's side of the stream to data planes."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TypeVar
+
+from madderwind.configuration.history import ConfigurationHistory
+from madderwind.distribution.exchange import FORGET_AFTER_MS
+from madderwind.distribution.publisher import (
+    FETCH_REPEAT_MS,
+    FRESHNESS_INTERVAL_MS,
+    Close,
+    Delivery,
+    PublishedStanding,
+    Publisher,
+    SendTo,
+    SendToAll,
+)
+from madderwind.messages.distribution import (
+    ConfigurationApplied,
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    ControlPlanes,
+    Farewell,
+    FetchConfiguration,
+    Freshness,
+    LoadOfOthers,
+    LoadReport,
+    PeerSample,
+    RegistryDelta,
+    RegistrySnapshot,
+    Subscribe,
+    ToDataPlane,
+    UpstreamRecord,
+    UsageOfOthers,
+    UsageReport,
+)
+from tests.controlplane.configurations import replacement, update
+
+UPSTREAM = UpstreamRecord("i-1", "s", "10.0.0.1:80", "z", "v1", 4, "ready", 1, 0.0, 0.0)
+PRIMARY = PublishedStanding(3, 20.4, True, "10.0.0.1:7500", ("10.0.0.2:7500", "10.0.0.1:7500"))
+BACKUP = PublishedStanding(3, 20.4, False, "10.0.0.1:7500", ("10.0.0.2:7500", "10.0.0.1:7500"))
+
+MessageType = TypeVar("MessageType", bound=ToDataPlane)
+
+
+def sent(
+    deliveries: list[Delivery], kind: type[MessageType], connection: int | None = None
+) -> list[MessageType]:
+    """Messages of a kind, to one connection or to all where none is given."""
+    return [
+        delivery.message
+        for delivery in deliveries
+        if not isinstance(delivery, Close)
+        and isinstance(delivery.message, kind)
+        and (isinstance(delivery, SendToAll) if connection is None else delivery.connection == connection)  # type: ignore[union-attr]
+    ]
+
+
+class PublisherStory(unittest.TestCase):
+    def setUp(self) -> None:
+        self.history = ConfigurationHistory()
+        self.publisher = Publisher(self.history, random.Random(1))
+        self.publisher.update(0.0, PRIMARY, self.history)
+        self.publisher.tick(0.0)
+
+    def subscribed(self, connection: int, node: str, life: str = "1", now_ms: float = 0.0) -> list[Delivery]:
+        message = Subscribe(node, life, f"{node}:7501", "z", 0)
+        return self.publisher.subscribe(now_ms, connection, message, (UPSTREAM,))
+
+    def commit(self, now_ms: float, version: int) -> list[Delivery]:
+        self.history = self.history.copy()
+        self.history.apply(replacement(self.history.version, version, routes=20))
+        return self.publisher.update(now_ms, PRIMARY, self.history)
+
+
+class ADataPlaneSubscribes(PublisherStory):
+    def test_it_is_told_all_there_is(self) -> None:
+        told = self.subscribed(1, "front-1")
+        self.assertEqual(
+            sent(told, ControlPlanes, 1),
+            [ControlPlanes(("10.0.0.1:7500", "10.0.0.2:7500"), "10.0.0.1:7500")],
+        )
+        self.assertEqual(sent(told, RegistrySnapshot, 1), [RegistrySnapshot((UPSTREAM,))])
+        self.assertEqual(sent(told, Freshness, 1), [Freshness(0, 3, 20, True, 1)])
+        self.assertEqual(sent(told, PeerSample, 1), [PeerSample(())])
+
+    def test_it_hears_of_others(self) -> None:
+        self.subscribed(1, "front-1")
+        told = self.subscribed(2, "front-2")
+        self.assertEqual(sent(told, PeerSample, 2), [PeerSample(("front-1:7501",))])
+        self.assertEqual(sent(told, Freshness, 2)[0].data_planes, 2)
+
+    def test_its_newer_connection_replaces_the_older(self) -> None:
+        self.subscribed(1, "front-1")
+        self.assertIn(Close(1), self.subscribed(2, "front-1"))
+        self.publisher.disconnect(1.0, 1)
+        self.assertEqual(self.publisher.data_planes(), 1)
+
+    def test_changed_upstreams_go_to_all_at_once(self) -> None:
+        self.assertEqual(self.publisher.upstreams_changed([UPSTREAM]), [])
+        self.subscribed(1, "front-1")
+        self.assertEqual(
+            self.publisher.upstreams_changed([UPSTREAM]), [SendToAll(RegistryDelta((UPSTREAM,)))]
+        )
+
+    def test_new_control_planes_are_told(self) -> None:
+        self.subscribed(1, "front-1")
+        moved = PublishedStanding(4, None, False, "10.0.0.2:7500", PRIMARY.members)
+        told = sent(self.publisher.update(1.0, moved, self.history), ControlPlanes)
+        self.assertEqual([message.primary for message in told], ["10.0.0.2:7500"])
+
+
+class VersionsAreTold(PublisherStory):
+    def test_a_committed_version_is_told_at_once_and_again_by_time(self) -> None:
+        self.subscribed(1, "front-1")
+        self.assertEqual([f.version for f in sent(self.commit(10.0, 5), Freshness)], [5])
+        self.assertEqual(self.publisher.tick(11.0), [])
+        later = self.publisher.tick(10.0 + FRESHNESS_INTERVAL_MS)
+        self.assertEqual([f.version for f in sent(later, Freshness)], [5])
+
+    def test_a_fetch_from_nothing_gets_the_whole_document(self) -> None:
+        self.subscribed(1, "front-1")
+        self.commit(10.0, 5)
+        told = self.publisher.receive(11.0, 1, FetchConfiguration(0))
+        assert self.history.document is not None
+        self.assertEqual(told, [SendTo(1, ConfigurationSnapshot(5, self.history.document.raw))])
+
+    def test_a_fetch_from_the_version_before_gets_the_order(self) -> None:
+        self.subscribed(1, "front-1")
+        self.commit(10.0, 5)
+        self.history = self.history.copy()
+        self.history.apply(update(5, 9))
+        self.publisher.update(20.0, PRIMARY, self.history)
+        told = self.publisher.receive(21.0, 1, FetchConfiguration(5))
+        deltas = sent(told, ConfigurationDelta, 1)
+        self.assertEqual([(delta.base_version, delta.version) for delta in deltas], [(5, 9)])
+        self.assertEqual([order.kind for order in deltas[0].orders], ["update"])
+
+    def test_an_unknown_version_gets_the_whole_document(self) -> None:
+        self.subscribed(1, "front-1")
+        self.commit(10.0, 5)
+        self.assertEqual(
+            len(sent(self.publisher.receive(11.0, 1, FetchConfiguration(4)), ConfigurationSnapshot, 1)), 1
+        )
+
+    def test_a_fetch_repeated_at_once_is_under_way_already(self) -> None:
+        self.subscribed(1, "front-1")
+        self.commit(10.0, 5)
+        self.assertTrue(self.publisher.receive(11.0, 1, FetchConfiguration(0)))
+        self.assertEqual(self.publisher.receive(12.0, 1, FetchConfiguration(0)), [])
+        self.assertTrue(self.publisher.receive(11.0 + FETCH_REPEAT_MS, 1, FetchConfiguration(0)))
+
+    def test_who_has_it_is_sent_nothing(self) -> None:
+        self.subscribed(1, "front-1")
+        self.commit(10.0, 5)
+        self.assertEqual(self.publisher.receive(11.0, 1, FetchConfiguration(5)), [])
+
+
+class OrdersWaitForDataPlanes(PublisherStory):
+    def test_until_all_have_acknowledged(self) -> None:
+        self.subscribed(1, "front-1")
+        self.subscribed(2, "front-2")
+        self.publisher.receive(1.0, 1, ConfigurationApplied(5))
+        self.assertFalse(self.publisher.is_applied_by_all(5))
+        self.publisher.receive(2.0, 2, ConfigurationApplied(7))
+        self.assertTrue(self.publisher.is_applied_by_all(5))
+
+    def test_but_not_again_for_one_that_lags(self) -> None:
+        self.subscribed(1, "front-1")
+        self.assertEqual(self.publisher.stop_waiting_for(5), 1)
+        self.assertTrue(self.publisher.is_applied_by_all(9))
+        self.publisher.receive(1.0, 1, ConfigurationApplied(5))
+        self.assertFalse(self.publisher.is_applied_by_all(9))
+
+    def test_nor_for_one_that_leaves_or_is_gone(self) -> None:
+        self.subscribed(1, "front-1")
+        self.subscribed(2, "front-2")
+        self.publisher.receive(1.0, 1, Farewell())
+        self.publisher.disconnect(1.0, 2)
+        self.assertTrue(self.publisher.is_applied_by_all(5))
+
+
+class DataPlanesAreCounted(PublisherStory):
+    def test_one_that_is_away_counts_for_a_while(self) -> None:
+        self.subscribed(1, "front-1")
+        self.publisher.disconnect(100.0, 1)
+        self.publisher.tick(200.0)
+        self.assertEqual(self.publisher.data_planes(), 1)
+        self.publisher.tick(101.0 + FORGET_AFTER_MS)
+        self.assertEqual(self.publisher.data_planes(), 0)
+
+    def test_a_restarted_one_counts_once_and_one_that_said_farewell_not(self) -> None:
+        self.subscribed(1, "front-1", life="1")
+        self.publisher.disconnect(100.0, 1)
+        self.subscribed(2, "front-1", life="2", now_ms=200.0)
+        self.assertEqual(self.publisher.data_planes(), 1)
+        self.publisher.receive(300.0, 2, Farewell())
+        self.publisher.disconnect(400.0, 2)
+        self.publisher.tick(101.0 + FORGET_AFTER_MS)
+        self.assertEqual(self.publisher.data_planes(), 0)
+
+
+class TheOthersUsageIsPassedOn(PublisherStory):
+    def test_by_the_primary_to_each_other_data_plane(self) -> None:
+        for connection, node in ((1, "front-1"), (2, "front-2")):
+            self.subscribed(connection, node)
+        self.publisher.receive(1.0, 1, UsageReport(1, {"t": 10.0}, {"t": 2.0}))
+        self.publisher.receive(1.0, 1, LoadReport({"i-1": (5.0, 1.0, 9.0)}))
+        told = self.publisher.tick(1000.0)
+        self.assertEqual(sent(told, UsageOfOthers, 2), [UsageOfOthers({"t": 10.0}, {"t": 2.0})])
+        self.assertEqual(sent(told, LoadOfOthers, 2), [LoadOfOthers({"i-1": (5, 1, 9)})])
+        self.assertEqual(sent(told, UsageOfOthers, 1), [])
+
+    def test_over_a_new_connection_of_the_same_life(self) -> None:
+        for connection, node in ((1, "front-1"), (2, "front-2")):
+            self.subscribed(connection, node)
+        self.publisher.disconnect(1.0, 2)
+        self.publisher.receive(2.0, 1, UsageReport(1, {"t": 10.0}, {}))
+        self.publisher.tick(1000.0)
+        self.subscribed(3, "front-2", now_ms=1100.0)
+        self.assertEqual(
+            sent(self.publisher.tick(2000.0), UsageOfOthers, 3), [UsageOfOthers({"t": 10.0}, {})]
+        )
+
+    def test_never_by_a_backup_and_from_zero_by_a_new_primary(self) -> None:
+        for connection, node in ((1, "front-1"), (2, "front-2")):
+            self.subscribed(connection, node)
+        self.publisher.receive(1.0, 1, UsageReport(1, {"t": 10.0}, {}))
+        self.publisher.update(2.0, BACKUP, self.history)
+        self.assertEqual(sent(self.publisher.tick(1000.0), UsageOfOthers, 2), [])
+        self.publisher.update(1001.0, PRIMARY, self.history)
+        self.assertEqual(sent(self.publisher.tick(2000.0), UsageOfOthers, 2), [])
+        self.publisher.receive(2001.0, 1, UsageReport(2, {"t": 4.0}, {}))
+        self.assertEqual(sent(self.publisher.tick(3000.0), UsageOfOthers, 2), [UsageOfOthers({"t": 4.0}, {})])
+
+
+if __name__ == "__main__":
+    unittest.main()
