Control plane: stories over an in-memory fleet; a forwarded call sees the present role

Cause: a forwarded order was judged by the role as of the last tick. Now the standing is read before each message of a peer.

--- a/madderwind/controlplane/core.py
+++ b/madderwind/controlplane/core.py
@@ -141,7 +141,8 @@
         """A message from the control plane at this internal address."""
         self._peers.spoke(now_ms, sender)
         if isinstance(message, PeeringBase):
-            return self._run(now_ms, self._peering(now_ms, sender, message))
+            outputs = self._refresh_standing(now_ms)
+            return self._run(now_ms, outputs + self._peering(now_ms, sender, message))
         return self._run(now_ms, self._handle(now_ms, MessageReceived(sender, message)))
 
     # --- data planes ---
--- /dev/null
+++ b/tests/controlplane/fleet.py
@@ -0,0 +1,123 @@
+"""Control planes in memory: messages are carried by the test's own network, time is the test's."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from madderwind.configuration.history import ConfigurationHistory
+from madderwind.controlplane.core import TICK_MS, ControlPlaneCore
+from madderwind.controlplane.effects import Effect, LogLine, OrderEnded, ReadEnded, SendToPeer
+from madderwind.distribution.publisher import Close, SendTo, SendToAll
+from madderwind.messages.distribution import Subscribe, ToControlPlane, ToDataPlane
+from madderwind.messages.peering import PeerFrame, peer_frames
+from madderwind.replication.api import Order
+from tests.controlplane.scripted_replica import ScriptedReplica
+
+HEARTBEAT_MS = 1000.0
+
+
+def heartbeat(sequence: int, state: str = "ready") -> bytes:
+    """An upstream's heartbeat."""
+    return (
+        f'{{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"{state}",'
+        f'"cold_remaining_ms":0,"sequence":{sequence}}}'
+    ).encode()
+
+
+class ControlPlaneInMemory:
+    """One control plane, and what came out of it."""
+
+    def __init__(self, address: str, members: tuple[str, ...], history: ConfigurationHistory) -> None:
+        self.address = address
+        self.replica = ScriptedReplica(address, members, history)
+        self.core = ControlPlaneCore(self.replica, address, members, HEARTBEAT_MS, random.Random(address))
+        self.orders: dict[int, OrderEnded] = {}
+        self.reads: dict[int, ReadEnded] = {}
+        self.told: dict[int, list[ToDataPlane]] = {}
+        self.log: list[LogLine] = []
+
+
+class FleetInMemory:
+    """Control planes that share one configuration, as if replication took no time."""
+
+    def __init__(self, count: int = 3) -> None:
+        members = tuple(f"10.0.0.{number}:7500" for number in range(1, count + 1))
+        history = ConfigurationHistory()
+        self.now_ms = 0.0
+        self.planes = [ControlPlaneInMemory(address, members, history) for address in members]
+        self.cut: set[str] = set()
+        self._by_address = {plane.address: plane for plane in self.planes}
+        self._on_the_way: deque[tuple[str, str, bytes]] = deque()
+        for plane in self.planes:
+            for peer in members:
+                if peer != plane.address:
+                    self.carry_out(plane, plane.core.peer_connected(self.now_ms, peer))
+        self.deliver()
+
+    def make_primary(self, plane: ControlPlaneInMemory | None, epoch: int = 2) -> None:
+        """All take this one for the primary from now on, or know of none."""
+        for other in self.planes:
+            other.replica.primary = plane.address if plane is not None else ""
+            other.replica.epoch = epoch
+
+    def run(self, duration_ms: float) -> None:
+        """Let time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            for plane in self.planes:
+                if plane.address not in self.cut:
+                    self.carry_out(plane, plane.core.tick(self.now_ms))
+            self.deliver()
+
+    def submit(self, plane: ControlPlaneInMemory, call: int, order: Order | None) -> None:
+        """The operator calls a control plane."""
+        self.carry_out(plane, plane.core.submit(self.now_ms, call, order))
+        self.deliver()
+
+    def heartbeat(self, plane: ControlPlaneInMemory, sequence: int, state: str = "ready") -> None:
+        """The upstream i-1 calls a control plane."""
+        self.carry_out(plane, plane.core.heartbeat(self.now_ms, "i-1", heartbeat(sequence, state)))
+        self.deliver()
+
+    def subscribe(self, plane: ControlPlaneInMemory, connection: int, node: str, version: int = 0) -> None:
+        """A data plane connects."""
+        plane.told[connection] = []
+        message = Subscribe(node, "1", f"{node}:7501", "z", version)
+        self.carry_out(plane, plane.core.subscribe(self.now_ms, connection, message))
+
+    def say(self, plane: ControlPlaneInMemory, connection: int, message: ToControlPlane) -> None:
+        """A data plane sends a message."""
+        self.carry_out(plane, plane.core.data_plane_message(self.now_ms, connection, message))
+        self.deliver()
+
+    def deliver(self) -> None:
+        """Carry all messages between control planes, those they cause included."""
+        while self._on_the_way:
+            sender, receiver, frame = self._on_the_way.popleft()
+            plane = self._by_address.get(receiver)
+            if plane is None or sender in self.cut or receiver in self.cut:
+                continue
+            message: PeerFrame = peer_frames.decode(frame)
+            self.carry_out(plane, plane.core.peer_message(self.now_ms, sender, message))
+
+    def carry_out(self, plane: ControlPlaneInMemory, effects: list[Effect]) -> None:
+        """Be the host of a control plane."""
+        for effect in effects:
+            if isinstance(effect, SendToPeer):
+                frame = peer_frames.encode(effect.message)
+                self._on_the_way.append((plane.address, effect.address, frame))
+            elif isinstance(effect, SendTo):
+                plane.told[effect.connection].append(effect.message)
+            elif isinstance(effect, SendToAll):
+                for told in plane.told.values():
+                    told.append(effect.message)
+            elif isinstance(effect, Close):
+                del plane.told[effect.connection]
+            elif isinstance(effect, OrderEnded):
+                plane.orders[effect.call] = effect
+            elif isinstance(effect, ReadEnded):
+                plane.reads[effect.call] = effect
+            elif isinstance(effect, LogLine):
+                plane.log.append(effect)
--- /dev/null
+++ b/tests/controlplane/scripted_replica.py
@@ -0,0 +1,69 @@
+"""A replica whose role the test sets; it decides on a real configuration and commits at once."""
+
+from __future__ import annotations
+
+from madderwind.configuration.history import ConfigurationHistory
+from madderwind.replication.api import (
+    Action,
+    Committed,
+    Event,
+    Order,
+    OrderOutcome,
+    OrderResolved,
+    OrderResult,
+    OrderSubmitted,
+    ReadResolved,
+    ReadSubmitted,
+    Standing,
+)
+
+
+class ScriptedReplica:
+    """`primary` is the address that it takes for the primary; `mute` keeps orders without an end."""
+
+    def __init__(self, address: str, members: tuple[str, ...], history: ConfigurationHistory) -> None:
+        self.address, self.members = address, members
+        self.primary = ""
+        self.epoch = 1
+        self.mute = False
+        self.history = history
+        self.events: list[Event] = []
+
+    @property
+    def committed(self) -> ConfigurationHistory:
+        """The committed configuration."""
+        return self.history
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """Take an event."""
+        self.events.append(event)
+        if isinstance(event, OrderSubmitted) and not self.mute:
+            return self._order(event.token, event.order)
+        if isinstance(event, ReadSubmitted) and not self.mute:
+            return [ReadResolved(event.token, self._is_primary())]
+        return []
+
+    def standing(self, now_ms: float) -> Standing:
+        """The role that the test set."""
+        return Standing(
+            is_primary=self._is_primary(),
+            primary=self.primary,
+            epoch=self.epoch,
+            committed_version=self.history.version,
+            fresh_age_ms=10.0,
+            members=self.members,
+        )
+
+    def _is_primary(self) -> bool:
+        return self.primary == self.address
+
+    def _order(self, token: int, order: Order) -> list[Action]:
+        if not self._is_primary():
+            return [OrderResolved(token, OrderResult(OrderOutcome.UNCLEAR))]
+        result = self.history.decide(order)
+        if result is not None:
+            return [OrderResolved(token, result)]
+        self.history.apply(order)
+        version = self.history.version
+        taken = OrderResult(OrderOutcome.TAKEN, version)
+        return [Committed(version), OrderResolved(token, taken)]
--- /dev/null
+++ b/tests/controlplane/test_core.py
@@ -0,0 +1,239 @@
+"""Stories of control planes together: the operator's calls, upstreams and data planes."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TypeVar
+
+from madderwind.controlplane.calls import APPLY_WAIT_MS, CALL_DEADLINE_MS
+from madderwind.messages.distribution import (
+    ConfigurationApplied,
+    ConfigurationSnapshot,
+    FetchConfiguration,
+    Freshness,
+    RegistryDelta,
+    RegistrySnapshot,
+    ToDataPlane,
+)
+from madderwind.messages.peering import OrderReply
+from madderwind.replication.api import OrderOutcome
+from tests.controlplane.configurations import replacement, replacement_body
+from tests.controlplane.fleet import ControlPlaneInMemory, FleetInMemory
+
+MessageType = TypeVar("MessageType", bound=ToDataPlane)
+
+
+def told(plane: ControlPlaneInMemory, connection: int, kind: type[MessageType]) -> list[MessageType]:
+    return [message for message in plane.told[connection] if isinstance(message, kind)]
+
+
+class FleetStory(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = FleetInMemory()
+        self.first, self.second, self.third = self.fleet.planes
+
+    def outcome(self, plane: ControlPlaneInMemory, call: int) -> OrderOutcome:
+        return plane.orders[call].result.outcome
+
+
+class TheOperatorCalls(FleetStory):
+    def test_the_primary_takes_an_order_and_a_read_gives_it_back(self) -> None:
+        self.fleet.make_primary(self.first)
+        self.fleet.submit(self.first, 1, replacement(0, 5))
+        self.assertEqual(self.outcome(self.first, 1), OrderOutcome.TAKEN)
+        self.fleet.submit(self.first, 2, None)
+        self.assertEqual(self.first.reads[2].document, replacement_body(5))
+
+    def test_another_forwards_the_order_and_the_read(self) -> None:
+        self.fleet.make_primary(self.first)
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        self.assertEqual(self.outcome(self.second, 1), OrderOutcome.TAKEN)
+        self.fleet.submit(self.third, 1, None)
+        self.assertEqual(
+            (self.third.reads[1].version, self.third.reads[1].document), (5, replacement_body(5))
+        )
+
+    def test_the_result_comes_back_whole(self) -> None:
+        self.fleet.make_primary(self.first)
+        self.fleet.submit(self.second, 1, replacement(0, 5, timeout_ms=0))
+        result = self.second.orders[1].result
+        self.assertEqual(result.outcome, OrderOutcome.INVALID)
+        self.assertIn("timeout_ms", result.field)
+        self.fleet.submit(self.second, 2, replacement(3, 9))
+        self.assertEqual(self.outcome(self.second, 2), OrderOutcome.STALE_BASE)
+
+    def test_an_order_sent_again_elsewhere_is_taken_again(self) -> None:
+        self.fleet.make_primary(self.first)
+        for plane in self.fleet.planes:
+            self.fleet.submit(plane, 1, replacement(0, 5))
+            self.assertEqual(self.outcome(plane, 1), OrderOutcome.TAKEN)
+
+    def test_a_call_waits_for_a_primary(self) -> None:
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        self.fleet.submit(self.third, 1, None)
+        self.fleet.run(CALL_DEADLINE_MS / 2)
+        self.assertEqual((self.second.orders, self.third.reads), ({}, {}))
+        self.fleet.make_primary(self.first)
+        self.fleet.run(100.0)
+        self.assertEqual(self.outcome(self.second, 1), OrderOutcome.TAKEN)
+        self.assertIsNotNone(self.third.reads[1].document)
+
+    def test_but_not_beyond_its_deadline(self) -> None:
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        self.fleet.submit(self.second, 2, None)
+        self.fleet.run(CALL_DEADLINE_MS + 25.0)
+        self.assertEqual(self.outcome(self.second, 1), OrderOutcome.UNCLEAR)
+        self.assertIsNone(self.second.reads[2].document)
+
+    def test_a_large_body_is_given_longer(self) -> None:
+        self.fleet.submit(self.second, 1, replacement(0, 5, routes=4000))
+        self.fleet.run(CALL_DEADLINE_MS + 25.0)
+        self.assertEqual(self.second.orders, {})
+
+    def test_a_call_goes_on_at_the_next_primary(self) -> None:
+        self.fleet.make_primary(self.first)
+        self.fleet.cut.add(self.first.address)
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        self.fleet.run(200.0)
+        self.fleet.make_primary(self.third, epoch=3)
+        self.fleet.run(100.0)
+        self.assertEqual(self.outcome(self.second, 1), OrderOutcome.TAKEN)
+
+    def test_a_call_forwarded_to_what_is_no_primary_tries_again(self) -> None:
+        self.second.replica.primary = self.first.address
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        self.assertEqual(self.second.orders, {})
+        self.fleet.run(100.0)
+        self.first.replica.primary = self.first.address
+        self.fleet.run(100.0)
+        self.assertEqual(self.outcome(self.second, 1), OrderOutcome.TAKEN)
+
+    def test_a_call_at_a_primary_that_hangs_ends_unclear(self) -> None:
+        self.fleet.make_primary(self.first)
+        self.first.replica.mute = True
+        self.fleet.submit(self.first, 1, replacement(0, 5))
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        self.fleet.run(CALL_DEADLINE_MS + 100.0)
+        self.assertEqual(self.outcome(self.first, 1), OrderOutcome.UNCLEAR)
+        self.assertEqual(self.outcome(self.second, 1), OrderOutcome.UNCLEAR)
+
+    def test_a_reply_to_a_former_life_fits_no_call(self) -> None:
+        self.fleet.make_primary(self.first)
+        self.first.replica.mute = True
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        for token in range(100):
+            reply = OrderReply(token, "taken", 5, "", "")
+            effects = self.second.core.peer_message(self.fleet.now_ms, self.first.address, reply)
+            self.fleet.carry_out(self.second, effects)
+        self.assertEqual(self.second.orders, {})
+
+
+class AnOrderWaitsForDataPlanes(FleetStory):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet.make_primary(self.first)
+        self.fleet.run(25.0)
+        self.fleet.subscribe(self.first, 1, "front-1")
+
+    def test_until_they_have_the_version(self) -> None:
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        self.assertEqual(self.second.orders, {})
+        self.assertEqual(told(self.first, 1, Freshness)[-1].version, 5)
+        self.fleet.say(self.first, 1, FetchConfiguration(0))
+        self.assertEqual(told(self.first, 1, ConfigurationSnapshot)[0].document, replacement_body(5))
+        self.fleet.say(self.first, 1, ConfigurationApplied(5))
+        self.assertEqual(self.outcome(self.second, 1), OrderOutcome.TAKEN)
+
+    def test_at_most_for_a_while_and_once(self) -> None:
+        self.fleet.submit(self.first, 1, replacement(0, 5))
+        self.fleet.run(APPLY_WAIT_MS - 50.0)
+        self.assertEqual(self.first.orders, {})
+        self.fleet.run(75.0)
+        self.assertEqual(self.outcome(self.first, 1), OrderOutcome.TAKEN)
+        self.fleet.submit(self.first, 2, replacement(5, 6))
+        self.assertEqual(self.outcome(self.first, 2), OrderOutcome.TAKEN)
+
+    def test_not_for_one_whose_connection_ends(self) -> None:
+        self.fleet.submit(self.first, 1, replacement(0, 5))
+        self.fleet.carry_out(self.first, self.first.core.data_plane_closed(self.fleet.now_ms, 1))
+        self.assertEqual(self.outcome(self.first, 1), OrderOutcome.TAKEN)
+
+
+class UpstreamsAreKnownEverywhere(FleetStory):
+    def setUp(self) -> None:
+        super().setUp()
+        for connection, plane in enumerate(self.fleet.planes):
+            self.fleet.subscribe(plane, connection, "front-1")
+
+    def states(self) -> list[list[str]]:
+        return [
+            [record.state for delta in told(plane, number, RegistryDelta) for record in delta.upstreams]
+            for number, plane in enumerate(self.fleet.planes)
+        ]
+
+    def test_at_once_and_without_a_primary(self) -> None:
+        self.fleet.heartbeat(self.second, 1)
+        self.assertEqual(self.states(), [["ready"]] * 3)
+
+    def test_draining_reaches_all_with_the_acknowledgement(self) -> None:
+        self.fleet.heartbeat(self.second, 1)
+        self.fleet.heartbeat(self.third, 2, "draining")
+        self.assertEqual(self.states(), [["ready", "draining"]] * 3)
+        self.fleet.heartbeat(self.first, 3)
+        self.fleet.carry_out(self.first, self.first.core.deregister(self.fleet.now_ms, "i-1"))
+        self.fleet.deliver()
+        self.assertEqual(self.states(), [["ready", "draining", "gone"]] * 3)
+
+    def test_plain_heartbeats_are_told_to_nobody(self) -> None:
+        for sequence in range(1, 9):
+            self.fleet.heartbeat(self.second, sequence)
+            self.fleet.run(1000.0)
+        self.assertEqual(self.states(), [["ready"]] * 3)
+
+    def test_silence_is_told_by_all(self) -> None:
+        self.fleet.heartbeat(self.second, 1)
+        self.fleet.run(5000.0)
+        self.assertEqual(self.states(), [["ready", "ready"]] * 3)
+        last = told(self.first, 0, RegistryDelta)[-1].upstreams[0]
+        self.assertGreater(last.silent_ms, 3500.0)
+
+    def test_a_control_plane_that_is_cut_off_tells_no_silence(self) -> None:
+        self.fleet.heartbeat(self.second, 1)
+        self.fleet.cut.add(self.third.address)
+        for sequence in range(2, 10):
+            self.fleet.run(1000.0)
+            self.fleet.heartbeat(self.third, sequence)
+        self.assertEqual(self.states(), [["ready"]] * 3)
+
+    def test_what_was_missed_is_told_after_a_cut(self) -> None:
+        self.fleet.cut.add(self.third.address)
+        self.fleet.heartbeat(self.first, 1)
+        self.assertEqual(self.states()[2], [])
+        self.fleet.cut.clear()
+        for sequence in range(2, 5):
+            self.fleet.run(1000.0)
+            self.fleet.heartbeat(self.first, sequence)
+        self.assertEqual(self.states()[2], ["ready"])
+
+    def test_a_new_data_plane_gets_all(self) -> None:
+        self.fleet.heartbeat(self.second, 1)
+        self.fleet.subscribe(self.third, 9, "front-2")
+        snapshot = told(self.third, 9, RegistrySnapshot)[0]
+        self.assertEqual([record.instance for record in snapshot.upstreams], ["i-1"])
+
+
+class TheEndOfAProcess(FleetStory):
+    def test_it_may_end_once_it_is_no_primary_and_all_are_answered(self) -> None:
+        self.fleet.make_primary(self.first)
+        self.fleet.run(25.0)
+        self.assertFalse(self.first.core.is_at_rest)
+        self.assertTrue(self.second.core.is_at_rest)
+        self.fleet.make_primary(None)
+        self.fleet.submit(self.second, 1, None)
+        self.fleet.run(25.0)
+        self.assertTrue(self.first.core.is_at_rest)
+        self.assertFalse(self.second.core.is_at_rest)
+
+
+if __name__ == "__main__":
+    unittest.main()
