Transport: an answer can be taken from its head on; what differs between the programs is a parameter

Cause: the system's data plane passes every stream on event by event, keeps connections as long as an upstream tells (Keep-Alive), and lets callers rest for as long as the configuration says. The present program held answers of up to 64 KB or 1 s and had those times as constants. Ruled out: a second client and server beside it. Change: Upstreams.exchange with a receiver, ConnectionOptions, CallerTimes, the longest line of a head; Outcome moved to balancing, below both programs; answers to HEAD have no body.

--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from madderwind.balancing.outcomes import Outcome as Outcome
+
 
 class Effect(Enum):
     """What running a request twice would do."""
@@ -28,24 +30,6 @@
     CELL = "cell"
 
 
-class Outcome(Enum):
-    """How an attempt ended."""
-
-    OK = "ok"
-    ERROR = "error"
-    FULL = "full"
-    TIMEOUT = "timeout"
-    CONNECT_FAILED = "connect_failed"
-    RESET = "reset"
-    CANCELLED = "cancelled"
-    NOT_SENT = "not_sent"
-
-    @property
-    def never_ran(self) -> bool:
-        """True where the outcome proves that the upstream did no part of the request."""
-        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
-
-
 class ListKind(Enum):
     """What a list of upstreams holds."""
 
--- a/madderwind/registry/upstreams.py
+++ b/madderwind/registry/upstreams.py
@@ -42,11 +42,14 @@
         self._silent_after_ms = SILENT_AFTER_HEARTBEATS * heartbeat_ms
         self._known: dict[str, KnownUpstream] = {}
         self._by_service: dict[str, dict[str, KnownUpstream]] = {}
+        self._ready: dict[str, tuple[str, ...]] = {}  # by service, as it was last asked for
         self._gone: dict[str, float] = {}  # instance: when it was told, oldest first
 
     def merge(self, now_ms: float, records: Iterable[UpstreamRecord]) -> tuple[str, ...]:
         """Take records of a control plane; the instances of which something other than silence changed."""
         changed = tuple(record.instance for record in records if self._take(now_ms, record))
+        if changed:
+            self._ready.clear()
         self._forget_gone(now_ms)
         return changed
 
@@ -73,6 +76,19 @@
         """The service's upstreams that are not gone, draining ones included."""
         return list(self._by_service.get(service, {}).values())
 
+    def ready_of_service(self, service: str) -> tuple[str, ...]:
+        """The instances of a service that take new requests; the same object until something changes."""
+        ready = self._ready.get(service)
+        if ready is None:
+            known = self._by_service.get(service, {}).values()
+            ready = self._ready[service] = tuple(u.instance for u in known if u.state is UpstreamState.READY)
+        return ready
+
+    def prove_gone(self, now_ms: float, instance: str) -> bool:
+        """Its address answers for another instance, so it has ended. Whether that was news."""
+        self._ready.clear()
+        return self._enter_gone(now_ms, instance)
+
     def all(self) -> list[KnownUpstream]:
         """All upstreams that are not gone."""
         return list(self._known.values())
--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from enum import Enum
 from typing import Any
 
@@ -24,6 +25,10 @@
 PASSING_STALL_S = 10.0
 
 
+# What an upstream tells of how long it keeps a connection.
+KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*(\d{1,6})")
+
+
 class _Awaits(Enum):
     NOTHING = "nothing"
     HEAD = "head"
@@ -38,13 +43,18 @@
     `stall_s` without another byte make it unreadable, and its request need not wait for its deadline.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, stall_s: float) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, stall_s: float, passing_stall_s: float = PASSING_STALL_S
+    ) -> None:
+        """`passing_stall_s`: as `stall_s`, for an answer that passes on; 0 for no bound on its silence."""
         super().__init__(loop)
         self.unreadable = False
         self.asked = 0  # requests written to it
         self.heard = False  # whether a byte of the present answer has come
         self._passes = False  # whether the present answer passes on in pieces
-        self._stall_s = stall_s
+        self._stall_s, self._passing_stall_s = stall_s, passing_stall_s
+        self.kept_s: float | None = None  # how long the upstream keeps it idle, where it told
+        self._expects_body = True  # none follows the head of an answer to HEAD
         self._stalls: asyncio.TimerHandle | None = None
         self._awaits = _Awaits.NOTHING
         self._left: float = 0  # bytes of the body that are still to come; infinite where the framing tells
@@ -55,6 +65,7 @@
     def set_response_params(self, **params: Any) -> None:
         self._awaits = _Awaits.HEAD
         self.asked, self.heard, self._passes = self.asked + 1, False, False
+        self._expects_body = not params.get("skip_payload", False)
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -63,6 +74,8 @@
         if 100 <= message.code < 200 and message.code != 101:
             super().feed_data(data, size)
             return  # the answer proper is still to come
+        if told := KEEP_ALIVE_TIMEOUT.search(message.headers.get("Keep-Alive", "")):
+            self.kept_s = float(told[1])
         lengths = message.headers.getall("Content-Length", ())
         if message.code == 101 or len(lengths) + message.chunked > 1:
             self.set_exception(HttpProcessingError(message="an answer of no certain length"))
@@ -71,7 +84,7 @@
         else:
             super().feed_data(data, size)
             self._awaits, self._body = _Awaits.BODY, body
-            if message.code in NO_BODY:
+            if message.code in NO_BODY or not self._expects_body:
                 self._left = 0
             else:  # without a length the framing tells, or the connection's end
                 self._left = int(lengths[0]) if lengths else float("inf")
@@ -111,7 +124,11 @@
     def _watch_for_a_stall(self) -> None:
         self._stop_stall_timer()
         if (self._awaits is _Awaits.BODY or self._begun) and self.transport is not None and self._stall_s:
-            stall_s = max(PASSING_STALL_S, self._stall_s) if self._passes else self._stall_s
+            stall_s = self._stall_s
+            if self._passes:
+                if not self._passing_stall_s:
+                    return
+                stall_s = max(self._passing_stall_s, stall_s)
             self._stalls = self._loop.call_later(stall_s, self._stalled)
 
     def _feed(self, part: bytes) -> None:
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable, Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
@@ -17,7 +17,7 @@
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 # The server's own bound on an idle connection. Ours are shorter; this one is what it counts idle time by.
-KEEPALIVE_S = 75.0
+KEEPALIVE_S = 3600.0
 # A connection on which no request is open may be closed after 2 s. Callers that ask once and stay take memory
 # and descriptors for good; those that go on asking come back sooner than this.
 IDLE_S = 5.0
@@ -31,6 +31,8 @@
 # Beyond their half of the descriptors callers may take of the other half what leaves this part of it free for
 # more connections to upstreams, and this part of it for those in all.
 GROWTH, LEAST_SPARE = 0.125, 0.25
+# The longest line of a request's head, where the program names no other.
+LONGEST_LINE = 8190
 # Requests that may wait behind another on one connection.
 MOST_BEHIND = 4
 # What is read ahead of a long body: twice this at most.
@@ -38,6 +40,13 @@
 FIRST_LOOK_S = 0.05
 
 
+class CallerTimes(NamedTuple):
+    """How long callers' connections may rest between requests, and before their first."""
+
+    idle_s: float = IDLE_S
+    silent_s: float = SILENT_S
+
+
 class CallersRequest(web.BaseRequest):
     """A request, and whether its connection ends with the answer: asked before a long one begins."""
 
@@ -72,6 +81,7 @@
     def __init__(self, *args: Any, **more: Any) -> None:
         super().__init__(*args, **more)
         self.parting: Parting = {}
+        self.times = CallerTimes()
 
     def __call__(self) -> RequestHandler:
         return _Caller(self, loop=self._loop, **self._kwargs)
@@ -113,7 +123,7 @@
         """
         now_s, silent = self._loop.time(), 0
         for connection in list(self._callers()):
-            most_s = IDLE_S if connection._request_count else SILENT_S
+            most_s = self.times.idle_s if connection._request_count else self.times.silent_s
             if now_s - connection.quiet_since_s >= most_s and is_idle(connection):
                 silent += not connection._request_count
                 connection.force_close()
@@ -127,9 +137,15 @@
     """Accepts callers' connections. A client that goes away cancels its handler."""
 
     def __init__(
-        self, handler: Handler, most_connections: int, log: EventLog, others: Callable[[], int] = lambda: 0
+        self,
+        handler: Handler,
+        most_connections: int,
+        log: EventLog,
+        others: Callable[[], int] = lambda: 0,
+        longest_line: int = LONGEST_LINE,
     ) -> None:
-        """`others`: how many connections are held elsewhere, of which there may be as many as callers'."""
+        """`others`: how many connections are held elsewhere, of which there may be as many as callers'.
+        `longest_line`: of a request's head, in bytes."""
         self._handler, self._others = handler, others
         self._log = log
         self._open = 0
@@ -143,6 +159,8 @@
             auto_decompress=False,
             keepalive_timeout=KEEPALIVE_S,
             read_bufsize=READ_BUFFER,
+            max_line_size=longest_line,
+            max_field_size=longest_line,
             lingering_time=0,  # of a request answered before it was whole, nothing more is read
         )
         self._web.most = most_connections
@@ -181,6 +199,19 @@
         """How many connections it may hold from now on."""
         self._web.most = most_connections
 
+    def tune(self, times: CallerTimes) -> None:
+        """How long connections may rest from now on."""
+        self._web.times = times
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests are being handled."""
+        return self._open
+
+    def begin_ending(self) -> None:
+        """Go on accepting, with answers that end their connections, until `finish`."""
+        self._ending = True
+
     def _look_round(self) -> None:
         if silent := self._web.close_quiet():
             self._log("silent_callers_closed", count=silent)
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -8,9 +8,10 @@
 
 import asyncio
 import functools
-from collections.abc import AsyncIterator, Callable
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextvars import ContextVar
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 import aiohttp
 import msgspec
@@ -22,7 +23,7 @@
 from yarl import URL
 
 from madderwind.policy.api import Outcome
-from madderwind.transport.answering import LONGEST_ANSWER, OneAnswer
+from madderwind.transport.answering import LONGEST_ANSWER, PASSING_STALL_S, OneAnswer
 from madderwind.transport.limits import OWN_LIMITS
 
 # Idle connections are given up this part of the upstream's idle time: one that it may be closing is not used.
@@ -32,6 +33,8 @@
 HELD_ANSWER, HELD_S, READ_BUFFER = 64 * 1024, 1.0, 64 * 1024
 AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
+Received = TypeVar("Received")
+
 
 class Answer(msgspec.Struct, frozen=True):
     """A whole answer, with the bytes as they came; no body where that has passed on in pieces."""
@@ -189,6 +192,22 @@
             self._resets, self._went_well = self._resets + 1, 0
 
 
+class _Unshaken(_Trust):
+    """For upstreams that tell how long they keep a connection: a reset says nothing about the other ones."""
+
+    def was_reset(self, now_s: float) -> None:
+        """Kept connections go on being used."""
+
+
+class ConnectionOptions(NamedTuple):
+    """What differs between the programs. `passing_stall_s`: the longest silence within an answer that passes
+    on, 0 for no bound of its own."""
+
+    socket_factory: Callable[[Any], socket.socket] | None = None
+    passing_stall_s: float = PASSING_STALL_S
+    distrusts_resets: bool = True
+
+
 class _BoundedConnector(aiohttp.TCPConnector):
     """Holds no more connections than its part of this machine's descriptors.
 
@@ -196,14 +215,16 @@
     be lost. An idle connection makes way for a new one; where none is idle the attempt is not written.
     """
 
-    def __init__(self, most: int) -> None:
-        super().__init__(limit=0, use_dns_cache=False)
+    def __init__(self, most: int, options: ConnectionOptions) -> None:
+        super().__init__(limit=0, use_dns_cache=False, socket_factory=options.socket_factory)
         self.most = most
-        self.trust = _Trust()
+        self.trust = _Trust() if options.distrusts_resets else _Unshaken()
+        self._options = options
 
     def tune(self, idle_s: float, stall_s: float) -> None:
         self._keepalive_timeout = idle_s
-        self._factory = functools.partial(OneAnswer, asyncio.get_running_loop(), stall_s)  # type: ignore[assignment]
+        loop, passing_stall_s = asyncio.get_running_loop(), self._options.passing_stall_s
+        self._factory = functools.partial(OneAnswer, loop, stall_s, passing_stall_s)  # type: ignore[assignment]
 
     async def connect(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
@@ -221,13 +242,18 @@
         idle = self._conns.get(key)
         may_reuse = self.trust.may_reuse(self._loop.time(), _letter.get().may_repeat)
         while idle:
-            protocol, _ = idle[0]
-            if may_reuse and isinstance(protocol, OneAnswer) and protocol.clean():
+            protocol, since_s = idle[0]
+            if may_reuse and isinstance(protocol, OneAnswer) and self._is_kept(protocol, since_s):
                 return
             idle.popleft()
             protocol.close()
         self._conns.pop(key, None)
 
+    def _is_kept(self, protocol: OneAnswer, since_s: float) -> bool:
+        """Whether it is clean, and its upstream still keeps it by what it told."""
+        idle_s = self._loop.time() - since_s
+        return protocol.clean() and (protocol.kept_s is None or idle_s <= protocol.kept_s * IDLE_PART)
+
     def held(self) -> int:
         return len(self._acquired) + sum(len(idle) for idle in self._conns.values())
 
@@ -246,8 +272,14 @@
 class Upstreams:
     """The pool of connections to all upstreams of one balancer."""
 
-    def __init__(self, connect_timeout_ms: float, idle_ms: float, most: int) -> None:
-        self._connector = _BoundedConnector(most)
+    def __init__(
+        self,
+        connect_timeout_ms: float,
+        idle_ms: float,
+        most: int,
+        options: ConnectionOptions = ConnectionOptions(),  # noqa: B008 (frozen)
+    ) -> None:
+        self._connector = _BoundedConnector(most, options)
         self.retune(connect_timeout_ms, idle_ms)
         self._session = aiohttp.ClientSession(
             connector=self._connector,
@@ -279,6 +311,19 @@
         self, upstream: int, address: tuple[str, int], letter: Letter, until_s: float
     ) -> Answer | Outcome:
         """One attempt: the upstream's answer, or how it ended without one. `until_s`: the loop's clock."""
+        return await self.exchange(
+            upstream, address, letter, until_s, lambda response: self._taken_in(response, letter)
+        )
+
+    async def exchange(
+        self,
+        upstream: int,
+        address: tuple[str, int],
+        letter: Letter,
+        until_s: float,
+        receive: Callable[[ClientResponse], Awaitable[Received]],
+    ) -> Received | Outcome:
+        """One attempt, with what `receive` makes of an answer from its head on, or how it ended without."""
         letter.upstream = upstream
         _letter.set(letter)
         url = URL.build(scheme="http", host=address[0], port=address[1])
@@ -294,7 +339,7 @@
                     timeout=self._timeout,
                 ) as response,
             ):
-                answer = await self._taken_in(response, letter)
+                answer = await receive(response)
                 if letter.connection is not None and letter.connection.asked > 1:
                     self._connector.trust.went_well()
                 return answer
