Data plane: the ordinary path from the client's request to the upstream's answer, and the subscriber

Cause: nothing served the front address of the system. Admission, attempts, placement, streams by whole events, readiness, drain; the subscriber as a state machine with its WebSocket links.

--- /dev/null
+++ b/madderwind/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: takes requests from clients and passes them on to upstreams."""
--- /dev/null
+++ b/madderwind/dataplane/choosing.py
@@ -0,0 +1,107 @@
+"""The choice of an upstream for one attempt, and the book on what is at each. No I/O."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+from madderwind.balancing.idle_first import IdleFirstPick
+from madderwind.configuration.documents import Configuration
+from madderwind.dataplane.upstream_health import UpstreamHealth
+from madderwind.placement.placement import Placement
+from madderwind.placement.prompts import Generation
+from madderwind.registry.upstreams import KnownUpstreams
+
+
+class UpstreamChooser:
+    """Generations go where their prompt's prefix is kept; other requests follow the idle-first pick."""
+
+    def __init__(
+        self,
+        rng: random.Random,
+        upstreams: KnownUpstreams,
+        placement: Placement,
+        has_room: Callable[[str, str], bool],
+    ) -> None:
+        """`has_room`: whether another connection to this instance of this service may be used."""
+        self._upstreams, self._has_room = upstreams, has_room
+        self.placement = placement
+        self.health = UpstreamHealth(rng)
+        self._idle_first = IdleFirstPick(rng)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take in the services' engines."""
+        for service in configuration.services:
+            if service.engine is not None:
+                engine = service.engine
+                self.placement.configure(service.name, engine.slots, int(engine.kv_tokens), engine.stride)
+
+    def changed(self, instances: Iterable[str]) -> None:
+        """Upstreams came, drain, or are gone."""
+        for instance in instances:
+            known = self._upstreams.get(instance)
+            if known is None:
+                self.placement.forget(instance)
+                self._idle_first.forget(instance)
+                self.health.forget(instance)
+            else:
+                self.placement.locate(instance, known.zone)
+
+    def choose(
+        self, now_ms: float, service: str, generation: Generation | None, tried: frozenset[str]
+    ) -> str | None:
+        """The upstream to send to; None where there is none that takes requests."""
+        candidates = self._upstreams.ready_of_service(service)
+        if not candidates:
+            return None
+        full = frozenset(instance for instance in candidates if not self._has_room(instance, service))
+        unwell = self.health.to_avoid(now_ms, candidates) | self._silent(candidates)
+        for avoid in (full | unwell | tried, full | unwell, full):
+            if len(avoid.intersection(candidates)) == len(candidates):
+                continue
+            return self._pick(now_ms, generation, candidates, avoid)
+        return None
+
+    def _silent(self, candidates: tuple[str, ...]) -> frozenset[str]:
+        """Those that no control plane hears: a hint, which an answer of theirs clears."""
+        return frozenset(instance for instance in candidates if self._upstreams.is_silent(instance))
+
+    def _pick(
+        self,
+        now_ms: float,
+        generation: Generation | None,
+        candidates: tuple[str, ...],
+        avoid: frozenset[str],
+    ) -> str | None:
+        if generation is None:
+            return self._idle_first.pick(candidates, avoid)
+        choice = self.placement.choose(now_ms, generation, candidates, avoid)
+        return None if choice is None else choice.instance
+
+    # --- an attempt's life ---
+
+    def began(self, now_ms: float, key: str, generation: Generation | None, instance: str) -> None:
+        """The attempt `key` goes to this upstream."""
+        self._idle_first.began(instance)
+        self.health.began(instance)
+        if generation is not None:
+            self.placement.sent(now_ms, key, generation, instance)
+
+    def event(self, now_ms: float, key: str, first: bool) -> None:
+        """An event of a stream came."""
+        self.placement.event(now_ms, key, first)
+
+    def heard(self, instance: str) -> None:
+        """The upstream answered something."""
+        self._idle_first.heard(instance)
+        self.health.succeeded(instance)
+        self._upstreams.answered(instance)
+
+    def ended(
+        self, now_ms: float, key: str, generation: Generation | None, instance: str, served: bool
+    ) -> None:
+        """The attempt is over."""
+        self._idle_first.ended(instance)
+        self.health.ended(instance)
+        if generation is not None:
+            self.placement.ended(now_ms, key, served)
--- /dev/null
+++ b/madderwind/dataplane/client_requests.py
@@ -0,0 +1,69 @@
+"""A client's request, read whole, within the limits of the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+from aiohttp.http_exceptions import BadHttpMessage
+
+from madderwind.configuration.documents import ClientLimits
+from madderwind.errors import MadderwindError
+
+MS_PER_S = 1000.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# What a line of the head holds besides its name and its value.
+LINE_OVERHEAD = 4
+
+
+class UnusableRequest(MadderwindError):
+    """A request that can't be read whole, or is beyond a limit; `status` says so."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class ClientRequest(msgspec.Struct):
+    """A request that was read whole, its target and body to the letter."""
+
+    request: web.BaseRequest
+    target: str
+    body: bytes
+
+
+async def read_request(request: web.BaseRequest, limits: ClientLimits) -> ClientRequest:
+    """Read the body; UnusableRequest where a limit is broken or the body does not come."""
+    head = len(request._message.path) + sum(
+        len(name) + len(value) + LINE_OVERHEAD for name, value in request.raw_headers
+    )
+    if head > limits.max_header_bytes:
+        raise UnusableRequest(431, "the head is too long")
+    if (request.content_length or 0) > limits.max_body_bytes:
+        raise UnusableRequest(413, "the body is too long")
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(CONTINUE)
+        request.writer.output_size = 0  # or the answer's own headers would count as sent
+    body = await _read_body(request, limits) if request.body_exists else b""
+    return ClientRequest(request, request._message.path, body)
+
+
+async def _read_body(request: web.BaseRequest, limits: ClientLimits) -> bytes:
+    """A body that does not go on for as long as a connection may be idle is given up."""
+    parts: list[bytes] = []
+    size = 0
+    try:
+        while True:
+            async with asyncio.timeout(limits.idle_timeout_ms / MS_PER_S):
+                part = await request.content.readany()
+            if not part:
+                return parts[0] if len(parts) == 1 else b"".join(parts)
+            size += len(part)
+            if size > limits.max_body_bytes:
+                raise UnusableRequest(413, "the body is too long")
+            parts.append(part)
+    except TimeoutError:
+        raise UnusableRequest(408, "the body never came whole") from None
+    except (web.RequestPayloadError, BadHttpMessage) as error:
+        raise UnusableRequest(400, f"the body cannot be read: {type(error).__name__}") from None
--- /dev/null
+++ b/madderwind/dataplane/subscriber_links.py
@@ -0,0 +1,151 @@
+"""Connections to control planes, a WebSocket each, driven by the subscriber's state machine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+
+from madderwind.distribution.subscriber import (
+    Action,
+    Connect,
+    Deliver,
+    Disconnect,
+    Event,
+    LinkClosed,
+    LinkOpened,
+    MessageReceived,
+    PutInForce,
+    Report,
+    Send,
+    Subscriber,
+    TimePassed,
+)
+from madderwind.errors import MessageError
+from madderwind.eventlog import EventLog
+from madderwind.messages.codec import LONGEST_MESSAGE
+from madderwind.messages.distribution import ToControlPlane, to_control_plane, to_data_plane
+
+SUBSCRIBE_PATH = "/subscribe"
+CONNECT_TIMEOUT_S = 0.3
+TICK_S = 0.05
+MS_PER_S = 1000.0
+# How long the other side has to answer a close.
+CLOSE_TIMEOUT_S = 0.2
+
+
+class SubscriberLinks:
+    """Runs a subscriber: its connections, its clock, and what it asks for."""
+
+    def __init__(
+        self,
+        subscriber: Subscriber,
+        log: EventLog,
+        on_configuration: Callable[[PutInForce], None],
+        on_message: Callable[[Deliver], None],
+    ) -> None:
+        self._subscriber, self._log = subscriber, log
+        self._on_configuration, self._on_message = on_configuration, on_message
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._outgoing: dict[str, asyncio.Queue[ToControlPlane]] = {}
+        self._ticking: asyncio.TimerHandle | None = None
+        self._session: aiohttp.ClientSession | None = None
+
+    def start(self) -> None:
+        """Begin to connect. Needs a running loop."""
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
+        self._session = aiohttp.ClientSession(
+            connector=connector, timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False
+        )
+        self._tick()
+
+    async def close(self) -> None:
+        """End all connections."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    def handle(self, event: Event) -> None:
+        """Hand an event to the subscriber and carry out what follows."""
+        now_ms = asyncio.get_running_loop().time() * MS_PER_S
+        for action in self._subscriber.handle(now_ms, event):
+            self._carry_out(action)
+
+    def send(self, address: str, message: ToControlPlane) -> None:
+        """Send a message of another concern on an open connection; dropped where there is none."""
+        outgoing = self._outgoing.get(address)
+        if outgoing is not None:
+            outgoing.put_nowait(message)
+
+    def _tick(self) -> None:
+        self._ticking = asyncio.get_running_loop().call_later(TICK_S, self._tick)
+        self.handle(TimePassed())
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Connect(address):
+                self._end(address)
+                self._tasks[address] = asyncio.get_running_loop().create_task(self._run(address))
+            case Disconnect(address):
+                self._end(address)
+            case Send(address, message):
+                self.send(address, message)
+            case PutInForce():
+                self._on_configuration(action)
+            case Deliver():
+                self._on_message(action)
+            case Report(event, fields):
+                self._log(event, **fields)
+
+    def _end(self, address: str) -> None:
+        self._outgoing.pop(address, None)
+        task = self._tasks.pop(address, None)
+        if task is not None:
+            task.cancel()
+
+    async def _run(self, address: str) -> None:
+        """One connection's life. A cancelled one says nothing more: the subscriber has given it up."""
+        try:
+            await self._converse(address)
+        except (aiohttp.ClientError, OSError, TimeoutError, MessageError) as error:
+            self._log("control_plane_connection_failed", address=address, error=repr(error)[:200])
+        if self._tasks.get(address) is asyncio.current_task():
+            self._outgoing.pop(address, None)
+            del self._tasks[address]
+            self.handle(LinkClosed(address))
+
+    async def _converse(self, address: str) -> None:
+        assert self._session is not None
+        async with asyncio.timeout(2 * CONNECT_TIMEOUT_S):
+            socket = await self._session.ws_connect(
+                f"http://{address}{SUBSCRIBE_PATH}",
+                compress=0,
+                max_msg_size=LONGEST_MESSAGE,
+                timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_S),
+            )
+        outgoing = self._outgoing[address] = asyncio.Queue()
+        sending = asyncio.get_running_loop().create_task(_send_all(socket, outgoing))
+        try:
+            self.handle(LinkOpened(address))
+            async for frame in socket:
+                if frame.type is not aiohttp.WSMsgType.BINARY:
+                    break
+                self.handle(MessageReceived(address, to_data_plane.decode(frame.data)))
+        finally:
+            sending.cancel()
+            await socket.close()
+
+
+async def _send_all(socket: aiohttp.ClientWebSocketResponse, outgoing: asyncio.Queue[ToControlPlane]) -> None:
+    """In order, until the connection ends; its reader notices that."""
+    try:
+        while True:
+            await socket.send_bytes(to_control_plane.encode(await outgoing.get()))
+    except (aiohttp.ClientError, ConnectionError):
+        return
--- /dev/null
+++ b/madderwind/dataplane/upstream_heads.py
@@ -0,0 +1,45 @@
+"""What the head of an upstream's answer says: whether it is this request's answer, a refusal, or neither."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import Enum
+
+REQUEST_ID = "X-Request-Id"
+SIGNATURE = "X-Upstream-Signature"
+NOT_EXECUTED = "X-Not-Executed"
+
+MISDIRECTED_STATUS = 421
+# Statuses that promise a client that its request has not run.
+PROMISES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
+
+
+class Head(Enum):
+    """How the head of an answer is taken."""
+
+    ANSWER = "answer"  # the upstream's answer, whatever its status
+    REFUSAL = "refusal"  # it did not run the request
+    MISDIRECTED = "misdirected"  # it is another instance, and did not run the request
+    FOREIGN = "foreign"  # of another request
+    UNUSABLE = "unusable"  # not the upstream's bytes, or a promise without its proof
+
+
+def read_head(request_id: str | None, status: int, headers: Mapping[str, str]) -> Head:
+    """How to take an answer to a request of this id.
+
+    Guards against an extra answer that lies where the next one is expected: the echoed id tells it.
+    """
+    echoed = headers.get(REQUEST_ID)
+    if request_id is not None and echoed is not None and echoed != request_id:
+        return Head.FOREIGN
+    if status == MISDIRECTED_STATUS:
+        return Head.MISDIRECTED
+    if status in PROMISES:
+        return Head.REFUSAL if NOT_EXECUTED in headers else Head.UNUSABLE
+    if request_id is not None and echoed is None and status < 400:
+        return Head.FOREIGN
+    if headers.get("Content-Encoding", "identity").lower() != "identity":
+        return Head.UNUSABLE
+    if 300 > status >= 200 and SIGNATURE not in headers:
+        return Head.UNUSABLE
+    return Head.ANSWER
--- /dev/null
+++ b/madderwind/distribution/subscriber.py
@@ -0,0 +1,413 @@
+"""The data plane's side of distribution as a state machine: which control planes to be connected to, whom to
+fetch a configuration from, what is in force and whether that is known to be current.
+
+It does no input or output: `handle` takes an event and gives actions back, carried out in turn by the host.
+Times are milliseconds of the steady clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from enum import Enum
+
+import msgspec
+
+from madderwind.configuration.reading import Document, read_document
+from madderwind.errors import InvalidConfiguration
+from madderwind.messages.distribution import (
+    ConfigurationApplied,
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    ControlPlanes,
+    Farewell,
+    FetchConfiguration,
+    Freshness,
+    Subscribe,
+    ToControlPlane,
+    ToDataPlane,
+)
+from madderwind.replication.api import OrderKind
+
+# A connection on which nothing came for so long is closed: each control plane speaks four times a second.
+MOST_SILENCE_MS = 1500.0
+# How long a fetch may stay unanswered before another control plane is asked.
+FETCH_TIMEOUT_MS = 300.0
+# The wait before an address is dialled again doubles from the first to the last; a random part of it is off.
+LEAST_REDIAL_MS, MOST_REDIAL_MS = 100.0, 1000.0
+# What a control plane called fresh counts as current for so long after its primary held its lease.
+CURRENT_MS = 600.0
+# Without any control plane for so long since the start, the configuration of another source would count.
+ALONE_AFTER_MS = 3000.0
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Who subscribes; `life` is drawn anew at each start of the process."""
+
+    node: str
+    life: str
+    address: str
+    zone: str
+
+
+# --- events ---
+
+
+class LinkOpened(msgspec.Struct, frozen=True):
+    """The connection to this control plane is up."""
+
+    address: str
+
+
+class LinkClosed(msgspec.Struct, frozen=True):
+    """It ended, or never came up."""
+
+    address: str
+
+
+class MessageReceived(msgspec.Struct, frozen=True):
+    """A control plane's message."""
+
+    address: str
+    message: ToDataPlane
+
+
+class SeedsChanged(msgspec.Struct, frozen=True):
+    """The settings name other seeds."""
+
+    addresses: tuple[str, ...]
+
+
+class TimePassed(msgspec.Struct, frozen=True):
+    """Nothing happened but time; due at least every 50 ms."""
+
+
+class Leaving(msgspec.Struct, frozen=True):
+    """The process ends: it takes no more requests."""
+
+
+Event = LinkOpened | LinkClosed | MessageReceived | SeedsChanged | TimePassed | Leaving
+
+# --- actions ---
+
+
+class Connect(msgspec.Struct, frozen=True):
+    """Open a connection; then LinkOpened or LinkClosed."""
+
+    address: str
+
+
+class Disconnect(msgspec.Struct, frozen=True):
+    """Close the connection; LinkClosed need not follow."""
+
+    address: str
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Send on the connection to this control plane."""
+
+    address: str
+    message: ToControlPlane
+
+
+class PutInForce(msgspec.Struct, frozen=True):
+    """This configuration is in force from now on."""
+
+    document: Document
+
+
+class Deliver(msgspec.Struct, frozen=True):
+    """A message that is not about the configuration: registry, limits, load, other data planes."""
+
+    address: str
+    message: ToDataPlane
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Something for the log."""
+
+    event: str
+    fields: dict[str, str | int | float]
+
+
+Action = Connect | Disconnect | Send | PutInForce | Deliver | Report
+
+
+class LinkState(Enum):
+    """The states of the connection to one control plane."""
+
+    WAITING = "waiting"  # to be dialled at `due_ms`
+    CONNECTING = "connecting"
+    OPEN = "open"
+
+
+class _Link:
+    """The connection to one control plane, and what was told on it."""
+
+    def __init__(self, address: str, now_ms: float) -> None:
+        self.address = address
+        self.state = LinkState.WAITING
+        self.due_ms = now_ms
+        self.failures = 0
+        self.heard_ms = now_ms
+        self.freshness: Freshness | None = None
+        self.freshness_ms = now_ms
+
+    def told_version(self) -> int:
+        return 0 if self.freshness is None else self.freshness.version
+
+    def age_ms(self, now_ms: float) -> float | None:
+        """Since the primary that this control plane follows was last known to hold its lease."""
+        if self.freshness is None or self.freshness.age_ms is None:
+            return None
+        return self.freshness.age_ms + now_ms - self.freshness_ms
+
+
+class _Fetch(msgspec.Struct, frozen=True):
+    """A configuration that is asked for."""
+
+    address: str
+    asked_ms: float
+
+
+class Subscriber:
+    """See the module."""
+
+    def __init__(
+        self, now_ms: float, identity: Identity, seeds: Sequence[str], wanted_links: int, rng: random.Random
+    ) -> None:
+        """`wanted_links`: to how many control planes to stay connected."""
+        self._identity, self._wanted, self._rng = identity, wanted_links, rng
+        self._seeds = tuple(seeds)
+        self._told: tuple[str, ...] = ()  # addresses of control planes that one of them told
+        self._links: dict[str, _Link] = {}
+        self._started_ms = now_ms
+        self._fetch: _Fetch | None = None
+        self._avoid_for_fetch = ""  # who left the last fetch unanswered
+        self._proven = False  # whether a control plane ever called the version in force fresh
+        self._leaving = False
+        self.document: Document | None = None
+        self.primary = ""
+        self.data_planes = 1
+        for address in self._seeds:
+            self._links[address] = _Link(address, now_ms)
+
+    # --- what is known ---
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 where there is none."""
+        return 0 if self.document is None else self.document.version
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether there is a configuration that some control plane called fresh in this life."""
+        return self._proven
+
+    def is_current(self, now_ms: float) -> bool:
+        """Whether no newer version than the one in force is committed, as far as can be known."""
+        return any(self._calls_current(now_ms, link) for link in self._links.values())
+
+    def is_alone(self, now_ms: float) -> bool:
+        """Whether no control plane was reached for some time since the start."""
+        return (
+            self.document is None
+            and now_ms - self._started_ms >= ALONE_AFTER_MS
+            and not any(link.state is LinkState.OPEN for link in self._links.values())
+        )
+
+    def is_in_touch(self, now_ms: float) -> bool:
+        """Whether a connection to a primary that holds its lease is open."""
+        link = self._links.get(self.primary)
+        if link is None or link.state is not LinkState.OPEN:
+            return False
+        age_ms = link.age_ms(now_ms)
+        return age_ms is not None and age_ms < CURRENT_MS
+
+    @property
+    def open_links(self) -> list[str]:
+        """Addresses of the control planes that are connected."""
+        return [link.address for link in self._links.values() if link.state is LinkState.OPEN]
+
+    # --- what happens ---
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """What follows from an event."""
+        actions: list[Action] = []
+        match event:
+            case LinkOpened(address):
+                self._opened(now_ms, address, actions)
+            case LinkClosed(address):
+                self._closed(now_ms, address, actions)
+            case MessageReceived(address, message):
+                self._received(now_ms, address, message, actions)
+            case SeedsChanged(addresses):
+                self._seeds = addresses
+                self._learn(now_ms, addresses)
+            case Leaving():
+                self._leaving = True
+                actions += [Send(address, Farewell()) for address in self.open_links]
+            case TimePassed():
+                pass
+        self._close_silent(now_ms, actions)
+        self._fetch_if_behind(now_ms, actions)
+        self._dial(now_ms, actions)
+        return actions
+
+    def _opened(self, now_ms: float, address: str, actions: list[Action]) -> None:
+        link = self._links.get(address)
+        if link is None or link.state is not LinkState.CONNECTING:
+            actions.append(Disconnect(address))
+            return
+        self._change(link, LinkState.OPEN, now_ms)
+        who = self._identity
+        subscribe = Subscribe(who.node, who.life, who.address, who.zone, self.version)
+        actions.append(Send(address, subscribe))
+        actions.append(Report("control_plane_connected", {"address": address}))
+
+    def _closed(self, now_ms: float, address: str, actions: list[Action]) -> None:
+        link = self._links.get(address)
+        if link is None or link.state is LinkState.WAITING:
+            return
+        if link.state is LinkState.OPEN:
+            actions.append(Report("control_plane_lost", {"address": address}))
+        self._change(link, LinkState.WAITING, now_ms)
+
+    def _received(self, now_ms: float, address: str, message: ToDataPlane, actions: list[Action]) -> None:
+        link = self._links.get(address)
+        if link is None or link.state is not LinkState.OPEN:
+            return
+        link.heard_ms = now_ms
+        match message:
+            case Freshness():
+                self._hear_freshness(now_ms, link, message)
+            case ConfigurationSnapshot() | ConfigurationDelta():
+                self._take_configuration(now_ms, address, message, actions)
+            case ControlPlanes(addresses, primary):
+                self._told = addresses
+                self.primary = primary or self.primary
+                self._learn(now_ms, addresses)
+            case _:
+                actions.append(Deliver(address, message))
+
+    def _hear_freshness(self, now_ms: float, link: _Link, freshness: Freshness) -> None:
+        link.freshness, link.freshness_ms = freshness, now_ms
+        if freshness.is_primary:
+            self.primary = link.address
+        self.data_planes = max(1, freshness.data_planes)
+        self._proven = self._proven or self._calls_current(now_ms, link)
+
+    def _calls_current(self, now_ms: float, link: _Link) -> bool:
+        age_ms = link.age_ms(now_ms)
+        if age_ms is None or link.state is not LinkState.OPEN or self.document is None:
+            return False
+        return age_ms < CURRENT_MS and link.told_version() <= self.version
+
+    # --- the configuration ---
+
+    def _take_configuration(
+        self,
+        now_ms: float,
+        address: str,
+        message: ConfigurationSnapshot | ConfigurationDelta,
+        actions: list[Action],
+    ) -> None:
+        """Put a newer configuration in force. Versions only rise within a life."""
+        if self._fetch is not None and self._fetch.address == address:
+            self._fetch = None
+        if message.version <= self.version:
+            return
+        if isinstance(message, ConfigurationDelta) and message.base_version != self.version:
+            return  # it was asked for before another one came: it is fetched anew
+        try:
+            document = self._document_of(message)
+        except InvalidConfiguration as error:
+            actions.append(Report("configuration_unusable", {"address": address, "error": str(error)}))
+            actions.append(Send(address, FetchConfiguration(0)))
+            self._fetch = _Fetch(address, now_ms)
+            return
+        self.document = document
+        self._avoid_for_fetch = ""
+        actions.append(PutInForce(document))
+        actions += [Send(each, ConfigurationApplied(document.version)) for each in self.open_links]
+        if any(self._calls_current(now_ms, link) for link in self._links.values()):
+            self._proven = True
+
+    def _document_of(self, message: ConfigurationSnapshot | ConfigurationDelta) -> Document:
+        if isinstance(message, ConfigurationSnapshot):
+            return read_document(message.document, self.document)
+        document = self.document
+        for order in message.orders:
+            if order.kind == OrderKind.REPLACE.value or document is None:
+                document = read_document(order.body, document)
+            else:
+                document = document.updated(order.body)
+        if document is None or document.version != message.version:
+            raise InvalidConfiguration("version", f"the orders do not lead to {message.version}")
+        return document
+
+    def _fetch_if_behind(self, now_ms: float, actions: list[Action]) -> None:
+        """Ask the first that offers a newer version; another one where an answer does not come."""
+        if self._fetch is not None:
+            link = self._links.get(self._fetch.address)
+            is_open = link is not None and link.state is LinkState.OPEN
+            if is_open and now_ms - self._fetch.asked_ms < FETCH_TIMEOUT_MS:
+                return
+            self._avoid_for_fetch = self._fetch.address
+            self._fetch = None
+        offering = [
+            link
+            for link in self._links.values()
+            if link.state is LinkState.OPEN and link.told_version() > self.version
+        ]
+        if not offering:
+            return
+        others = [link for link in offering if link.address != self._avoid_for_fetch]
+        chosen = max(others or offering, key=lambda link: (link.told_version(), link.freshness_ms))
+        self._fetch = _Fetch(chosen.address, now_ms)
+        actions.append(Send(chosen.address, FetchConfiguration(self.version)))
+
+    # --- the connections ---
+
+    def _learn(self, now_ms: float, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            if address not in self._links:
+                self._links[address] = _Link(address, now_ms)
+        for address, link in list(self._links.items()):
+            is_named = address in self._seeds or address in self._told
+            if link.state is LinkState.WAITING and link.failures and not is_named:
+                del self._links[address]
+
+    def _close_silent(self, now_ms: float, actions: list[Action]) -> None:
+        for link in self._links.values():
+            if link.state is LinkState.OPEN and now_ms - link.heard_ms > MOST_SILENCE_MS:
+                actions.append(Disconnect(link.address))
+                actions.append(Report("control_plane_silent", {"address": link.address}))
+                self._change(link, LinkState.WAITING, now_ms)
+
+    def _dial(self, now_ms: float, actions: list[Action]) -> None:
+        """Connect to as many as are wanted, and to the primary in any case."""
+        if self._leaving:
+            return
+        busy = sum(link.state is not LinkState.WAITING for link in self._links.values())
+        due = [
+            link for link in self._links.values() if link.state is LinkState.WAITING and now_ms >= link.due_ms
+        ]
+        due.sort(key=lambda link: (link.address != self.primary, link.failures, self._rng.random()))
+        for link in due:
+            if busy >= self._wanted and link.address != self.primary:
+                continue
+            self._change(link, LinkState.CONNECTING, now_ms)
+            actions.append(Connect(link.address))
+            busy += 1
+
+    def _change(self, link: _Link, state: LinkState, now_ms: float) -> None:
+        """The one place where a connection's state changes."""
+        if state is LinkState.OPEN:
+            link.failures, link.heard_ms = 0, now_ms
+        elif state is LinkState.WAITING:
+            window_ms = min(MOST_REDIAL_MS, LEAST_REDIAL_MS * 2.0 ** min(link.failures, 8))
+            link.due_ms = now_ms + window_ms * self._rng.uniform(0.5, 1.0)
+            link.failures += 1
+            link.freshness = None
+        link.state = state
--- /dev/null
+++ b/tests/dataplane/fleet.py
@@ -0,0 +1,282 @@
+"""A data plane in the test's own process, with a control plane and upstreams that stand in on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from aiohttp import web
+
+from madderwind.dataplane.service import DataPlane
+from madderwind.messages.distribution import (
+    ConfigurationSnapshot,
+    ControlPlanes,
+    FetchConfiguration,
+    Freshness,
+    RegistrySnapshot,
+    ToControlPlane,
+    ToDataPlane,
+    UpstreamRecord,
+    to_control_plane,
+    to_data_plane,
+)
+from madderwind.node_settings import CONTROL_PLANE_PORT, NodeSettings, parse_settings
+from tests.examples import HOST
+from tests.standins import Behaviour, Caller, Message, Upstream, Writer, answer
+
+__all__ = ["Message", "Writer", "answer"]
+
+SIGNATURE = "3e1b.07"
+CLIENT_HOST = "shop.example"
+
+
+class ControlPlane:
+    """Speaks the publisher's side: a version, a document, a registry; keeps what it was told."""
+
+    def __init__(self, document: dict[str, Any] | None) -> None:
+        self.document = document
+        self.records: dict[str, UpstreamRecord] = {}
+        self.heard: list[ToControlPlane] = []
+        self.arrivals: asyncio.Queue[ToControlPlane] = asyncio.Queue()
+        self.age_ms: float | None = 0.0
+        self._sockets: set[web.WebSocketResponse] = set()
+        self._beating: asyncio.Task[None] | None = None
+
+    async def start(self, port: int = 0) -> int:
+        application = web.Application()
+        application.router.add_get("/subscribe", self._subscribe)
+        self._runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, HOST, port, reuse_address=True).start()
+        self._beating = asyncio.get_running_loop().create_task(self._beat())
+        self.port = int(self._runner.addresses[0][1])
+        return self.port
+
+    async def close(self) -> None:
+        if self._beating is not None:
+            self._beating.cancel()
+        for socket in list(self._sockets):
+            await socket.close()
+        await self._runner.cleanup()
+
+    @property
+    def version(self) -> int:
+        return 0 if self.document is None else int(self.document["version"])
+
+    async def publish(self, document: dict[str, Any]) -> None:
+        self.document = document
+        await self.tell(self._freshness())
+
+    async def register(self, *records: UpstreamRecord) -> None:
+        self.records.update({record.instance: record for record in records})
+        await self.tell(RegistrySnapshot(records))
+
+    async def tell(self, message: ToDataPlane) -> None:
+        for socket in list(self._sockets):
+            await socket.send_bytes(to_data_plane.encode(message))
+
+    def _freshness(self) -> Freshness:
+        return Freshness(self.version, 1, self.age_ms, True, 1)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            await self.tell(self._freshness())
+
+    async def _subscribe(self, request: web.Request) -> web.WebSocketResponse:
+        socket = web.WebSocketResponse(compress=False)
+        await socket.prepare(request)
+        address = f"{HOST}:{self.port}"
+        for message in (
+            ControlPlanes((address,), address),
+            RegistrySnapshot(tuple(self.records.values())),
+            self._freshness(),
+        ):
+            await socket.send_bytes(to_data_plane.encode(message))
+        self._sockets.add(socket)
+        async for frame in socket:
+            told = to_control_plane.decode(frame.data)
+            self.heard.append(told)
+            self.arrivals.put_nowait(told)
+            if isinstance(told, FetchConfiguration) and self.document is not None:
+                snapshot = ConfigurationSnapshot(self.version, json.dumps(self.document).encode())
+                await socket.send_bytes(to_data_plane.encode(snapshot))
+        self._sockets.discard(socket)
+        return socket
+
+
+def document(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """A configuration with a safe, an unsafe, a resumable and a plain streaming route."""
+
+    def route(name: str, kind: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": CLIENT_HOST,
+            "path_prefix": f"/{name}/",
+            "route_type": kind,
+            "timeout_ms": 5000,
+            "target_latency_ms": 3000,
+            "priority": 3,
+            "service": "app",
+            "max_attempts": 2,
+            **more,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "safe"),
+            route("unsafe", "unsafe"),
+            route("stream", "streaming"),
+            route("resumable", "streaming", resumable=True),
+            route("quick", "safe", timeout_ms=120),
+        ],
+        "services": [{"name": "app", "health_path": "/health", "max_connections": 100}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [
+            {"name": "acme", "api_keys": ["k-acme"], "priority": 1},
+            {"name": "thrifty", "api_keys": ["k-thrifty"], "unit": "requests", "rate_per_s": 1, "burst": 1},
+        ],
+        **changes,
+    }
+
+
+def settings(control_port: int, **changes: Any) -> NodeSettings:
+    """A data plane's settings whose seeds are the control plane at that internal port."""
+    raw = {
+        "node": "front-1",
+        "ip": HOST,
+        "zone": "z1",
+        "listen": {"front": f"{HOST}:0", "ready": f"{HOST}:0"},
+        "internal_ports": [control_port - CONTROL_PLANE_PORT, control_port + 10],
+        "seeds": [f"{HOST}:1"],
+        "bootstrap": True,
+        "bounds": {"retry_slack": 50, "quota_slack": 0, "grace_s": 8},
+        **changes,
+    }
+    return parse_settings(json.dumps(raw).encode())
+
+
+def record(upstream: Upstream, instance: str, state: str = "ready", sequence: int = 1) -> UpstreamRecord:
+    address = f"{HOST}:{upstream.port}"
+    return UpstreamRecord(instance, "app", address, "z1", "v1", 8, state, sequence, 0.0, 0.0)
+
+
+def served(body: bytes = b"yes", status: int = 200, **headers: str) -> Behaviour:
+    """Answers as upstreams do: with the id that was asked and the upstream's signature."""
+
+    async def behave(message: Message, writer: Writer) -> None:
+        request_id = message.header("X-Request-Id") or ""
+        writer.write(answer(status, body, X_Request_Id=request_id, X_Upstream_Signature=SIGNATURE, **headers))
+
+    return behave
+
+
+def refuses(status: int = 503) -> Behaviour:
+    """States that it did not run the request."""
+
+    async def behave(message: Message, writer: Writer) -> None:
+        request_id = message.header("X-Request-Id") or ""
+        writer.write(answer(status, X_Request_Id=request_id, X_Not_Executed="1"))
+
+    return behave
+
+
+def event(number: int, text: str = "tok") -> bytes:
+    return f"id: {number}\ndata: {text}{number}\n\n".encode()
+
+
+def stream_head(message: Message) -> bytes:
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        f"X-Request-Id: {message.header('X-Request-Id')}\r\nX-Upstream-Signature: {SIGNATURE}\r\n\r\n"
+    ).encode()
+
+
+class Fleet:
+    """One data plane, one control plane, some upstreams; to be used as an async context."""
+
+    def __init__(self, *behaviours: Behaviour, document: dict[str, Any] | None, **settings: Any) -> None:
+        self.upstreams = [Upstream(behave) for behave in behaviours]
+        self.control = ControlPlane(document)
+        self._settings = settings
+        self.log: list[tuple[str, dict[str, object]]] = []
+        self._ids = itertools.count(1)
+
+    async def __aenter__(self) -> Fleet:
+        for upstream in self.upstreams:
+            await upstream.start()
+        for number, upstream in enumerate(self.upstreams):
+            self.control.records[f"i-{number}"] = record(upstream, f"i-{number}")
+        port = await self.control.start()
+        loop_settings = settings(port, **self._settings)
+        self.plane = DataPlane(loop_settings, self._note, random.Random(1))
+        self.port, self.ready_port = await self.plane.start()
+        if self.control.document is not None:
+            await until(lambda: self.plane.is_ready and len(self.known()) == len(self.upstreams))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.plane.close()
+        await self.control.close()
+        for upstream in self.upstreams:
+            await upstream.__aexit__()
+
+    def known(self) -> Sequence[str]:
+        return self.plane.upstreams.ready_of_service("app")
+
+    def _note(self, event: str, /, **fields: object) -> None:
+        self.log.append((event, fields))
+
+    async def client(self) -> Client:
+        return Client(await Caller.connect(self.port), self._ids)
+
+    async def ask(self, path: str = "/safe/x", **headers: str | None) -> Message:
+        return await (await self.client()).ask(path, **headers)
+
+
+class Client:
+    """One connection of a client, with what clients of the system send."""
+
+    def __init__(self, caller: Caller, ids: itertools.count[int]) -> None:
+        self.caller, self._ids = caller, ids
+
+    def write(
+        self, path: str = "/safe/x", method: str = "POST", body: bytes = b"hi", **headers: str | None
+    ) -> str:
+        request_id = f"r-{next(self._ids)}"
+        told: dict[str, Any] = {
+            "Host": CLIENT_HOST,
+            "X-Trace-Id": None,
+            "X-Customer": None,
+            "X-Expires-In-Ms": None,
+            "X-Request-Id": request_id,
+            "X-Key": "k-acme",
+            "X-Deadline-Ms": "4000",
+            **headers,
+        }
+        self.caller.write(f"{method} {path}", body, **told)
+        return request_id
+
+    async def read(self) -> Message:
+        return await self.caller.read()
+
+    async def ask(self, path: str = "/safe/x", **more: Any) -> Message:
+        self.write(path, **more)
+        return await self.read()
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Wait for a condition that must come about."""
+    async with asyncio.timeout(10):
+        while not holds():
+            await asyncio.sleep(0.002)
