Replication: primary-backup with a register of views, over an in-memory fleet

Cause: the control planes need the operator's configuration on disk at tolerance + 1 machines, with a fail-over that no lone cut link or wiped disk can lead astray.

Change: views form a chain, each decided by single-decree Paxos among the members of the view before it. This was preferred to one register with joint majorities: a membership change then needs no rule of its own. An in-sync set never shrinks below tolerance + 1, as a smaller one could acknowledge nothing and might be the last that may take over. A restarted primary begins a new epoch, since the others may hold entries that its own disk never got. Files are kept in generations instead of being renamed over, and a start rewrites the file, since what a killed process left may not be synced.

--- a/madderwind/messages/replication.py
+++ b/madderwind/messages/replication.py
@@ -148,8 +148,8 @@
 
 
 class HeartbeatAnswer(Message, frozen=True):
-    """`accepted_epoch`: of the newest view that this witness has accepted or knows to be chosen; `matched`: up
-    to where its synced log is the primary's."""
+    """Given by those that know the epoch. `accepted_epoch`: of the newest view that this witness accepted;
+    `matched`: up to where its synced log is the primary's. `round` is 0 where nothing was asked."""
 
     epoch: int
     round: int
--- /dev/null
+++ b/madderwind/replication/membership.py
@@ -0,0 +1,117 @@
+"""Which view a primary would rather have: who leaves the in-sync set, who joins it, who becomes a member."""
+
+from __future__ import annotations
+
+import msgspec
+
+from madderwind.messages.replication import Member, View
+
+
+class PeerStanding(msgspec.Struct, frozen=True):
+    """What counts about another replica. `is_ready`: it holds all that is or may be committed and keeps up;
+    `is_lost`: it holds commits up or is about to go; `is_replaceable`: away for so long, or for good, that
+    another machine may take its place."""
+
+    member: Member
+    is_ready: bool
+    is_lost: bool
+    is_replaceable: bool
+
+
+class MembershipRules(msgspec.Struct, frozen=True):
+    """`tolerance`: how many replicas may be lost; `goal`: how many members there are to be."""
+
+    tolerance: int
+    goal: int
+
+    @property
+    def smallest_in_sync(self) -> int:
+        """An order is acknowledged only when this many replicas hold it."""
+        return self.tolerance + 1
+
+
+def membership_goal(tolerance: int, seeds: int) -> int:
+    """How many members there are to be: enough for the tolerance, and never an even number."""
+    largest_odd = seeds if seeds % 2 else seeds - 1
+    return max(2 * tolerance + 1, largest_odd)
+
+
+def next_view(
+    view: View, primary: Member, peers: dict[str, PeerStanding], rules: MembershipRules
+) -> View | None:
+    """The view to propose, by the primary of the present one; None where that is as good as any."""
+    members = _with_newcomer(view, primary, peers, rules)
+    in_sync = _next_in_sync(view, primary, members, peers, rules)
+    if members == view.members and set(in_sync) == set(view.in_sync):
+        return None
+    return View(view.epoch + 1, primary.incarnation, in_sync, members)
+
+
+def takeover_view(
+    view: View, successor: Member, reachable: frozenset[str], was_handed_over: bool, rules: MembershipRules
+) -> View:
+    """The view under which a replica of the in-sync set takes the primary's place. The old primary stays in
+    the set only where it answered, or where the set would be too small without it."""
+    keeps_primary = view.primary in reachable and not was_handed_over
+    kept = [name for name in view.in_sync if name != view.primary or keeps_primary]
+    if len(kept) < rules.smallest_in_sync or successor.incarnation not in kept:
+        kept = list(view.in_sync)
+    return View(view.epoch + 1, successor.incarnation, tuple(kept), view.members)
+
+
+def founding_view(founder: Member, members: tuple[Member, ...]) -> View:
+    """The first view: all seeds are members and in sync, with nothing to be in sync about yet."""
+    return View(1, founder.incarnation, tuple(member.incarnation for member in members), members)
+
+
+def _with_newcomer(
+    view: View, primary: Member, peers: dict[str, PeerStanding], rules: MembershipRules
+) -> tuple[Member, ...]:
+    """The members, with at most one replica that is ready taken in."""
+    newcomers = [
+        standing.member
+        for incarnation, standing in peers.items()
+        if standing.is_ready and not view.has_member(incarnation)
+    ]
+    for newcomer in newcomers:
+        replaced = _replaced_by(newcomer, view, primary, peers)
+        if replaced is not None:
+            return tuple(newcomer if member == replaced else member for member in view.members)
+        if len(view.members) < rules.goal:
+            return (*view.members, newcomer)
+    return view.members
+
+
+def _replaced_by(
+    newcomer: Member, view: View, primary: Member, peers: dict[str, PeerStanding]
+) -> Member | None:
+    """The member whose place a newcomer takes: what it was before it lost its disk, else one that is away."""
+    others = [member for member in view.members if member != primary]
+    for member in others:
+        if member.address == newcomer.address:
+            return member
+    for member in others:
+        standing = peers.get(member.incarnation)
+        if standing is None or standing.is_replaceable:
+            return member
+    return None
+
+
+def _next_in_sync(
+    view: View,
+    primary: Member,
+    members: tuple[Member, ...],
+    peers: dict[str, PeerStanding],
+    rules: MembershipRules,
+) -> tuple[str, ...]:
+    """All that are ready, and those of the present set that are not lost. A set that would be too small to
+    acknowledge anything keeps lost ones instead: nothing is gained without them."""
+    candidates = [member.incarnation for member in members if member != primary]
+    standings = {name: peers[name] for name in candidates if name in peers}
+    kept = [name for name in candidates if name in view.in_sync]
+    sound = [name for name in kept if name in standings and not standings[name].is_lost]
+    joining = [name for name in standings if name not in kept and standings[name].is_ready]
+    chosen = [primary.incarnation, *sound, *joining]
+    lost = [name for name in kept if name not in sound]
+    missing = rules.smallest_in_sync - len(chosen)
+    return (*chosen, *lost[: max(0, missing)])
--- /dev/null
+++ b/madderwind/replication/peers.py
@@ -0,0 +1,98 @@
+"""What the primary knows of another replica, and how far that one follows its log."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from madderwind.messages.replication import Member
+from madderwind.replication.times import ReplicationTimes
+
+# A replica that fell out of the in-sync set has to keep up for a while to come back, longer each time.
+FIRST_PROBATION_MS = 1_000.0
+LONGEST_PROBATION_MS = 16_000.0
+
+
+class Progress(Enum):
+    """How entries are sent to a replica."""
+
+    PROBING = "probing"  # one message at a time, until its log is known to match
+    STREAMING = "streaming"  # entries as they come
+
+
+class Peer:
+    """Another replica as the primary sees it in its epoch. Times are ms on the steady clock."""
+
+    def __init__(self, member: Member, now_ms: float, next_index: int) -> None:
+        self.member = member
+        self.heard_ms = now_ms
+        self.disk_in_trouble = False
+        self.leaving = False
+        self.progress = Progress.PROBING
+        self.matched = 0
+        self.is_in_epoch = False  # it has this epoch's view on disk
+        self.next_index = next_index
+        self.sent_ms = now_ms
+        self.waiting_since: float | None = None
+        self._probation_ms = 0.0
+        self._probation_until = now_ms
+
+    def begin_epoch(self, now_ms: float, next_index: int) -> None:
+        """What it acknowledged in an earlier epoch no longer counts."""
+        self.progress = Progress.PROBING
+        self.matched = 0
+        self.is_in_epoch = False
+        self.next_index = next_index
+        self.sent_ms = now_ms
+        if self.waiting_since is not None:
+            self.waiting_since = now_ms
+
+    def note_sent(self, now_ms: float, last_index: int) -> None:
+        """Something that it has to acknowledge is on its way."""
+        self.sent_ms = now_ms
+        if self.waiting_since is None and self.lags(last_index):
+            self.waiting_since = now_ms
+
+    def note_matched(self, now_ms: float, matched: int, last_index: int) -> None:
+        """Its synced log is the primary's up to an index, under this epoch."""
+        progressed = matched > self.matched or not self.is_in_epoch
+        self.is_in_epoch = True
+        self.matched = max(self.matched, matched)
+        self.next_index = max(self.next_index, self.matched + 1)
+        self.progress = Progress.STREAMING
+        if not self.lags(last_index):
+            self.waiting_since = None
+        elif progressed:
+            self.waiting_since = now_ms
+
+    def lags(self, last_index: int) -> bool:
+        """Whether something is still to be acknowledged."""
+        return not self.is_in_epoch or self.matched < last_index
+
+    def is_overdue(self, now_ms: float, times: ReplicationTimes) -> bool:
+        """Whether it holds commits up for too long, or is silent."""
+        is_late = self.waiting_since is not None and now_ms - self.waiting_since > times.unacknowledged_ms
+        return is_late or self.silent_ms(now_ms) > times.silence_ms
+
+    def silent_ms(self, now_ms: float) -> float:
+        """Since anything was heard of it."""
+        return now_ms - self.heard_ms
+
+    def is_sound(self, now_ms: float, times: ReplicationTimes) -> bool:
+        """Whether it may be part of the in-sync set."""
+        return not (self.leaving or self.disk_in_trouble or self.is_overdue(now_ms, times))
+
+    def put_on_probation(self, now_ms: float) -> None:
+        """It left the in-sync set: it comes back when it has kept up for a while."""
+        self._probation_ms = min(max(2 * self._probation_ms, FIRST_PROBATION_MS), LONGEST_PROBATION_MS)
+        self._probation_until = now_ms + self._probation_ms
+
+    def is_on_probation(self, now_ms: float) -> bool:
+        """Whether it fell out of the in-sync set a short time ago."""
+        return now_ms < self._probation_until
+
+    def forgive(self, gap_ms: float) -> None:
+        """The primary did not run for a while: what it did not hear in that time is no silence."""
+        self.heard_ms += gap_ms
+        self.sent_ms += gap_ms
+        if self.waiting_since is not None:
+            self.waiting_since += gap_ms
--- /dev/null
+++ b/madderwind/replication/primary.py
@@ -0,0 +1,378 @@
+"""The primary's role: decides and appends orders, commits them, proves reads, watches the other replicas."""
+
+from __future__ import annotations
+
+from msgspec import structs
+
+from madderwind.messages.replication import (
+    Announce,
+    Append,
+    Appended,
+    AppendRefused,
+    Heartbeat,
+    HeartbeatAnswer,
+    InstallSnapshot,
+    LogEntry,
+    Member,
+    View,
+)
+from madderwind.replication.api import (
+    Order,
+    OrderOutcome,
+    OrderResolved,
+    OrderResult,
+    ReadResolved,
+    ReplicatedState,
+)
+from madderwind.replication.core import ReplicaCore, order_of
+from madderwind.replication.membership import MembershipRules, PeerStanding, next_view
+from madderwind.replication.peers import Peer, Progress
+from madderwind.replication.requests import UNCLEAR, WaitingRequests
+from madderwind.replication.rounds import HeartbeatRounds
+
+# Learners beyond these have to wait; a fleet has few control planes.
+MOST_LEARNERS = 8
+# A learner that is silent for so long is forgotten; it announces itself again.
+LEARNER_SILENCE_MS = 3_000.0
+# Rounds that reads and repeats ask for are shared by those that come within this time.
+SHORTEST_ROUND_MS = 5.0
+
+
+class Primary:
+    """Lives from the moment that this replica is chosen as primary until it loses or gives up the role. In
+    that time the epoch may rise with this replica as primary."""
+
+    def __init__(self, core: ReplicaCore, view: View, rules: MembershipRules, now_ms: float) -> None:
+        self._core, self._rules = core, rules
+        self.rounds = HeartbeatRounds(now_ms)
+        self.peers: dict[str, Peer] = {}
+        self._requests = WaitingRequests()
+        self._since_ms = now_ms
+        self._grace_until_ms = now_ms
+        # Entries of earlier primaries may have been committed by them: only when they are committed here too,
+        # it is known what the newest configuration is.
+        self._inherited_index = core.log.last_index
+        self._appended = core.committed.copy()
+        self._states: dict[int, ReplicatedState] = {}
+        for index in range(core.committed_index + 1, core.log.last_index + 1):
+            self._apply(core.log.entry(index))
+        # In-sync replicas of views proposed in this epoch, whose fate is not known: commits need them too.
+        self._joining: set[str] = set()
+        # Whether a member has accepted a later view, whose fate is not known either.
+        self._is_contested = False
+        self.view = view
+        self._begin_epoch(now_ms)
+
+    # --- views ---
+
+    def continue_in(self, now_ms: float, view: View) -> None:
+        """A later view names this replica as primary again."""
+        for incarnation in set(self.view.in_sync) - set(view.in_sync):
+            if incarnation in self.peers:
+                self.peers[incarnation].put_on_probation(now_ms)
+        self.view = view
+        self._begin_epoch(now_ms)
+
+    def wanted_view(self, now_ms: float) -> View | None:
+        """What to propose; None where the present view is as good as any. From here on commits need those
+        that are to join. Asked while no proposal is under way."""
+        standings = {name: self._standing(now_ms, peer) for name, peer in self.peers.items()}
+        wanted = next_view(self.view, self._core.me, standings, self._rules)
+        if wanted is None and self._has_open_proposal():
+            # Settled by a view like the present one, which leaves no doubt who is needed.
+            wanted = structs.replace(self.view, epoch=self.view.epoch + 1)
+        if wanted is not None:
+            self._joining |= set(wanted.in_sync)
+        return wanted
+
+    def lost_touch(self, now_ms: float) -> bool:
+        """Whether no majority has answered for so long that another primary may be at work."""
+        confirmed_ms = self.rounds.confirmed_ms
+        last = self._since_ms if confirmed_ms is None else max(confirmed_ms, self._since_ms)
+        return now_ms > self._grace_until_ms and now_ms - last > self._core.times.step_down_ms
+
+    def fresh_age_ms(self, now_ms: float) -> float | None:
+        """Since the beginning of the last round that a majority answered."""
+        confirmed_ms = self.rounds.confirmed_ms
+        return None if confirmed_ms is None else now_ms - confirmed_ms
+
+    def successor(self, now_ms: float) -> Member | None:
+        """Who is to take the role over: of the in-sync set, sound, and with most of the log."""
+        peers = [
+            peer
+            for name, peer in self.peers.items()
+            if name in self.view.in_sync and peer.is_sound(now_ms, self._core.times)
+        ]
+        best = max(peers, key=lambda peer: (peer.matched, peer.heard_ms), default=None)
+        return best.member if best is not None else None
+
+    def give_up(self) -> None:
+        """The role is lost: whatever waits ends without a clear result."""
+        self._core.actions += self._requests.give_up()
+
+    # --- orders and reads ---
+
+    def submit(self, now_ms: float, token: int, order: Order) -> None:
+        """Decide an order on top of all that is appended."""
+        if self._requests.is_full:
+            self._core.actions.append(OrderResolved(token, UNCLEAR))
+            return
+        deadline_ms = now_ms + self._core.times.order_ms
+        result = self._appended.decide(order)
+        if result is None:
+            self._append(now_ms, order)
+            taken = OrderResult(OrderOutcome.TAKEN, self._appended.version)
+            self._requests.add_order(token, taken, self._core.log.last_index, 0, deadline_ms)
+            return
+        # A result tells what is committed, so the entries that it rests on have to be; and a refusal is only
+        # right where no other primary has gone further.
+        needed_round = 0 if result.outcome is OrderOutcome.TAKEN else self._round_from_now()
+        self._requests.add_order(token, result, self._core.log.last_index, needed_round, deadline_ms)
+
+    def read(self, now_ms: float, token: int) -> None:
+        """Prove that what is committed here is the newest there is."""
+        if self._requests.is_full:
+            self._core.actions.append(ReadResolved(token, is_newest=False))
+            return
+        deadline_ms = now_ms + self._core.times.read_ms
+        self._requests.add_read(token, self._inherited_index, self._round_from_now(), deadline_ms)
+
+    # --- messages ---
+
+    def take_announcement(self, now_ms: float, announcement: Announce) -> None:
+        """A replica that looks for a primary: a member that lost touch, or one that wants to learn."""
+        member = announcement.member
+        peer = self.peers.get(member.incarnation)
+        if peer is None:
+            if member.incarnation == self._core.me.incarnation or self._learners() >= MOST_LEARNERS:
+                return
+            peer = self.peers[member.incarnation] = Peer(member, now_ms, self._core.log.last_index + 1)
+            self._probe(now_ms, peer)
+        peer.heard_ms = now_ms
+
+    def take_answer(self, now_ms: float, answer: HeartbeatAnswer) -> None:
+        """A member's or learner's answer to a heartbeat."""
+        peer = self.peers.get(answer.sender)
+        if peer is None:
+            return
+        peer.heard_ms = now_ms
+        peer.disk_in_trouble, peer.leaving = answer.disk_in_trouble, answer.leaving
+        if answer.epoch != self._core.epoch:
+            return
+        if answer.matched < peer.matched:
+            self._probe_again(now_ms, peer)  # it was started anew and is to be told what it may rely on
+        if answer.accepted_epoch > self._core.epoch:
+            self._is_contested = True
+        else:
+            self._count_answer(answer.round, answer.sender)
+
+    def take_appended(self, now_ms: float, message: Appended) -> None:
+        """Entries are on the disk of another replica."""
+        peer = self.peers.get(message.sender)
+        if peer is None or message.epoch != self._core.epoch:
+            return
+        peer.heard_ms = now_ms
+        peer.note_matched(now_ms, message.matched, self._core.log.last_index)
+        self._send_entries(now_ms, peer)
+
+    def take_refused(self, now_ms: float, message: AppendRefused) -> None:
+        """The log of another replica does not lead up to what was sent: go back to where it is sure."""
+        peer = self.peers.get(message.sender)
+        if peer is None or message.epoch != self._core.epoch:
+            return
+        peer.heard_ms = now_ms
+        if peer.progress is Progress.PROBING and message.previous_index != peer.next_index - 1:
+            return  # the answer to an older probe
+        peer.progress = Progress.PROBING
+        peer.next_index = max(peer.matched, min(message.committed, self._core.log.last_index)) + 1
+        self._probe(now_ms, peer)
+
+    # --- time ---
+
+    def advance(self, now_ms: float) -> None:
+        """Whatever time and the events so far allow: heartbeats, commits, the ends of requests."""
+        self._drop_silent_learners(now_ms)
+        self._commit(now_ms)
+        if self._is_round_due(now_ms):
+            self._start_round(now_ms)
+        for peer in self.peers.values():
+            if peer.lags(self._core.log.last_index) and now_ms - peer.sent_ms > self._core.times.resend_ms:
+                self._probe_again(now_ms, peer)
+        self._core.actions += self._requests.resolve(now_ms, self._core.committed_index, self.rounds)
+
+    def forgive(self, now_ms: float, gap_ms: float) -> None:
+        """The process did not run for a while: the others are not to be blamed for their silence."""
+        self._grace_until_ms = now_ms + self._core.times.grace_ms
+        for peer in self.peers.values():
+            peer.forgive(gap_ms)
+
+    # --- inside ---
+
+    def _begin_epoch(self, now_ms: float) -> None:
+        self._joining.clear()
+        self._is_contested = False
+        self.rounds.forget()
+        for member in self.view.members:
+            if member != self._core.me and member.incarnation not in self.peers:
+                self.peers[member.incarnation] = Peer(member, now_ms, self._core.log.last_index + 1)
+        for peer in self.peers.values():
+            peer.begin_epoch(now_ms, self._core.log.last_index + 1)
+            self._core.notify_view(peer.member.address, peer.member.incarnation)
+            self._probe(now_ms, peer)
+        self._start_round(now_ms)
+
+    def _append(self, now_ms: float, order: Order) -> None:
+        index = self._core.log.last_index + 1
+        entry = LogEntry(index, self._core.epoch, order.kind.value, order.base_version, order.body)
+        self._core.append(entry)
+        self._apply(entry)
+        for peer in self.peers.values():
+            self._send_entries(now_ms, peer)
+
+    def _apply(self, entry: LogEntry) -> None:
+        self._appended.apply(order_of(entry))
+        self._states[entry.index] = self._appended.copy()
+
+    def _commit(self, now_ms: float) -> None:
+        """Commit what the whole in-sync set, and all that may join it, have on disk under this epoch."""
+        in_sync = self.view.in_sync
+        if len(in_sync) < self._rules.smallest_in_sync:
+            return
+        index = min(self._synced_by(incarnation) for incarnation in {*in_sync, *self._joining})
+        if index <= self._core.committed_index:
+            return
+        prepared = self._states.get(index)
+        self._states = {later: state for later, state in self._states.items() if later > index}
+        self._core.commit_to(index, prepared)
+        self._start_round(now_ms)
+
+    def _synced_by(self, incarnation: str) -> int:
+        if incarnation == self._core.me.incarnation:
+            return self._core.synced_index if self._core.journal.durable.epoch == self._core.epoch else 0
+        peer = self.peers.get(incarnation)
+        return peer.matched if peer is not None and peer.is_in_epoch else 0
+
+    def _round_from_now(self) -> int:
+        """The first round that begins after this moment."""
+        return self.rounds.last_started + 1
+
+    def _is_round_due(self, now_ms: float) -> bool:
+        elapsed_ms = now_ms - self.rounds.last_started_ms
+        is_wanted = self._requests.needed_round > self.rounds.last_started
+        return elapsed_ms >= self._core.times.heartbeat_ms or (is_wanted and elapsed_ms >= SHORTEST_ROUND_MS)
+
+    def _start_round(self, now_ms: float) -> None:
+        number = self.rounds.start(now_ms)
+        age_ms = self.fresh_age_ms(now_ms)
+        for incarnation, peer in self.peers.items():
+            heartbeat = Heartbeat(
+                self._core.me.incarnation,
+                incarnation,
+                self._core.epoch,
+                number,
+                self._core.committed_index,
+                age_ms if age_ms is not None else now_ms - self._since_ms + self._core.times.step_down_ms,
+            )
+            self._core.send(peer.member.address, heartbeat)
+        if self._core.witness.accepted_epoch <= self._core.epoch:
+            self._count_answer(number, self._core.me.incarnation)
+
+    def _count_answer(self, number: int, incarnation: str) -> None:
+        if self.view.has_member(incarnation):
+            self.rounds.take_answer(number, incarnation, self.view.majority())
+
+    def _send_entries(self, now_ms: float, peer: Peer) -> None:
+        """Send what a replica that keeps up does not have yet."""
+        last_index = self._core.log.last_index
+        while peer.progress is Progress.STREAMING and peer.next_index <= last_index:
+            if not self._send_batch(peer):
+                self._probe(now_ms, peer)
+                return
+        peer.note_sent(now_ms, last_index)
+
+    def _send_batch(self, peer: Peer) -> bool:
+        """Send entries from the next on; False where the log no longer holds them."""
+        previous_epoch = self._core.log.epoch_at(peer.next_index - 1)
+        if previous_epoch is None:
+            return False
+        entries = self._core.log.batch(peer.next_index)
+        self._core.send(peer.member.address, self._append_message(peer, previous_epoch, entries))
+        peer.next_index += len(entries)
+        return True
+
+    def _probe(self, now_ms: float, peer: Peer) -> None:
+        """Send what shows where the replica's log stands: the next entries, or a snapshot instead."""
+        peer.progress = Progress.PROBING
+        previous_epoch = self._core.log.epoch_at(peer.next_index - 1)
+        if previous_epoch is None:
+            self._send_snapshot(peer)
+        else:
+            entries = self._core.log.batch(peer.next_index)
+            self._core.send(peer.member.address, self._append_message(peer, previous_epoch, entries))
+        peer.note_sent(now_ms, self._core.log.last_index)
+
+    def _probe_again(self, now_ms: float, peer: Peer) -> None:
+        """Nothing came of what was sent: begin again after what is sure."""
+        if peer.is_in_epoch:
+            peer.next_index = peer.matched + 1
+        self._probe(now_ms, peer)
+
+    def _append_message(self, peer: Peer, previous_epoch: int, entries: tuple[LogEntry, ...]) -> Append:
+        return Append(
+            self._core.me.incarnation,
+            peer.member.incarnation,
+            self._core.epoch,
+            peer.next_index - 1,
+            previous_epoch,
+            entries,
+            self._core.committed_index,
+        )
+
+    def _send_snapshot(self, peer: Peer) -> None:
+        index = self._core.committed_index
+        epoch = self._core.log.epoch_at(index)
+        assert epoch is not None
+        snapshot = InstallSnapshot(
+            self._core.me.incarnation,
+            peer.member.incarnation,
+            self._core.epoch,
+            index,
+            epoch,
+            self._core.committed.snapshot(),
+        )
+        self._core.send(peer.member.address, snapshot)
+        self._core.report("snapshot_sent", to=peer.member.address, index=index)
+
+    def _standing(self, now_ms: float, peer: Peer) -> PeerStanding:
+        times = self._core.times
+        is_sound = peer.is_sound(now_ms, times)
+        is_ready = (
+            is_sound
+            and peer.is_in_epoch
+            and peer.matched >= max(self._core.committed_index, self._inherited_index)
+            and not (peer.is_on_probation(now_ms) and self._has_enough_in_sync(now_ms))
+        )
+        is_replaceable = peer.leaving or peer.silent_ms(now_ms) > times.replace_ms
+        return PeerStanding(peer.member, is_ready, not is_sound, is_replaceable)
+
+    def _has_enough_in_sync(self, now_ms: float) -> bool:
+        """Whether orders can be acknowledged with those of the in-sync set that are sound."""
+        others = [peer for name, peer in self.peers.items() if name in self.view.in_sync]
+        sound = [peer for peer in others if peer.is_sound(now_ms, self._core.times)]
+        return 1 + len(sound) >= self._rules.smallest_in_sync
+
+    def _has_open_proposal(self) -> bool:
+        """Whether a proposal that was begun may yet be chosen."""
+        return self._is_contested or not self._joining <= set(self.view.in_sync)
+
+    def _learners(self) -> int:
+        return sum(not self.view.has_member(incarnation) for incarnation in self.peers)
+
+    def _drop_silent_learners(self, now_ms: float) -> None:
+        silent = [
+            incarnation
+            for incarnation, peer in self.peers.items()
+            if not self.view.has_member(incarnation) and peer.silent_ms(now_ms) > LEARNER_SILENCE_MS
+        ]
+        for incarnation in silent:
+            del self.peers[incarnation]
--- /dev/null
+++ b/madderwind/replication/proposer.py
@@ -0,0 +1,69 @@
+"""One attempt to have a view chosen as the successor of another."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+from madderwind.messages.replication import NO_BALLOT, Accepted, Ballot, Promise, View
+
+# Builds the proposal from the incarnations that promised.
+ViewBuilder = Callable[[frozenset[str]], View]
+
+
+class Phase(Enum):
+    """How far the attempt is."""
+
+    PREPARING = "preparing"
+    ACCEPTING = "accepting"
+    CHOSEN = "chosen"
+
+
+class Proposer:
+    """Counts promises and acceptances of the members of `base`.
+
+    Where a member has accepted another proposal already, that one may be chosen, and is proposed again in the
+    own one's place.
+    """
+
+    def __init__(self, base: View, ballot: Ballot, build: ViewBuilder, now_ms: float) -> None:
+        self.base, self.ballot = base, ballot
+        self.started_ms = now_ms
+        self.phase = Phase.PREPARING
+        self.proposal: View | None = None
+        self.is_own_proposal = False
+        self._build = build
+        self._promised: set[str] = set()
+        self._accepted: set[str] = set()
+        self._highest_accepted = NO_BALLOT
+        self._accepted_view: View | None = None
+
+    def take_promise(self, sender: str, promise: Promise) -> bool:
+        """Whether this promise completes the majority, so that `proposal` is to be sent out."""
+        if self.phase is not Phase.PREPARING or not self._concerns(sender, promise.epoch, promise.ballot):
+            return False
+        self._promised.add(sender)
+        if promise.accepted_view is not None and promise.accepted_ballot > self._highest_accepted:
+            self._highest_accepted, self._accepted_view = promise.accepted_ballot, promise.accepted_view
+        if len(self._promised) < self.base.majority():
+            return False
+        self.is_own_proposal = self._accepted_view is None
+        self.proposal = self._accepted_view or self._build(frozenset(self._promised))
+        self._become(Phase.ACCEPTING)
+        return True
+
+    def take_accepted(self, sender: str, accepted: Accepted) -> bool:
+        """Whether this acceptance completes the majority: `proposal` is chosen."""
+        if self.phase is not Phase.ACCEPTING or not self._concerns(sender, accepted.epoch, accepted.ballot):
+            return False
+        self._accepted.add(sender)
+        if len(self._accepted) < self.base.majority():
+            return False
+        self._become(Phase.CHOSEN)
+        return True
+
+    def _become(self, phase: Phase) -> None:
+        self.phase = phase
+
+    def _concerns(self, sender: str, epoch: int, ballot: Ballot) -> bool:
+        return epoch == self.base.epoch + 1 and ballot == self.ballot and self.base.has_member(sender)
--- /dev/null
+++ b/madderwind/replication/records.py
@@ -0,0 +1,104 @@
+"""The records in a replica's file, and the state that they add up to."""
+
+from __future__ import annotations
+
+import msgspec
+
+from madderwind.errors import MessageError
+from madderwind.messages.codec import Codec
+from madderwind.messages.replication import NO_BALLOT, Ballot, LogEntry, View
+from madderwind.replication.log import ReplicatedLog
+
+
+class Record(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """The base of all records; the tag is the class's name."""
+
+
+class IdentityRecord(Record, frozen=True):
+    """Who the file belongs to. `bootstrap`: founded at the very first start of the system."""
+
+    incarnation: str
+    bootstrap: bool
+
+
+class ViewRecord(Record, frozen=True):
+    """A view that was chosen. What was promised about its epoch no longer matters."""
+
+    view: View
+
+
+class WitnessRecord(Record, frozen=True):
+    """What this witness promised and accepted about the epoch that follows the newest view."""
+
+    promised: Ballot
+    accepted_ballot: Ballot
+    accepted_view: View | None
+
+
+class EntryRecord(Record, frozen=True):
+    """The next entry of the log. `committed`: how far the log was known to be committed then."""
+
+    entry: LogEntry
+    committed: int
+
+
+class TruncateRecord(Record, frozen=True):
+    """The entries after `last_index` were another primary's, and never committed."""
+
+    last_index: int
+
+
+class SnapshotRecord(Record, frozen=True):
+    """The state after the committed entry `index`; the log goes on from here."""
+
+    index: int
+    epoch: int
+    state: bytes
+
+
+StoredRecord = IdentityRecord | ViewRecord | WitnessRecord | EntryRecord | TruncateRecord | SnapshotRecord
+
+stored_records: Codec[StoredRecord] = Codec(StoredRecord)
+
+
+class StoredState:
+    """Everything that a replica's file tells. `snapshot` is the state at `snapshot_index`."""
+
+    def __init__(self) -> None:
+        self.identity: IdentityRecord | None = None
+        self.view: View | None = None
+        self.witness = WitnessRecord(NO_BALLOT, NO_BALLOT, None)
+        self.log = ReplicatedLog()
+        self.snapshot: bytes | None = None
+        self.snapshot_index = 0
+        self.committed_index = 0
+
+    def take(self, record: StoredRecord) -> None:
+        """Add the next record of the file."""
+        match record:
+            case IdentityRecord():
+                self.identity = record
+            case ViewRecord(view):
+                self.view = view
+                self.witness = WitnessRecord(NO_BALLOT, NO_BALLOT, None)
+            case WitnessRecord():
+                self.witness = record
+            case EntryRecord(entry, committed):
+                self.log.append(entry)
+                self.committed_index = max(self.committed_index, committed)
+            case TruncateRecord(last_index):
+                self.log.truncate(last_index)
+            case SnapshotRecord(index, epoch, state):
+                self.log.reset(index, epoch)
+                self.snapshot, self.snapshot_index = state, index
+                self.committed_index = max(self.committed_index, index)
+
+
+def stored_state(records: tuple[bytes, ...]) -> StoredState:
+    """The state in a file's records; MessageError where one is of another kind."""
+    state = StoredState()
+    for record in records:
+        state.take(stored_records.decode(record))
+    if records and state.identity is None:
+        raise MessageError("the file does not tell whose it is")
+    return state
--- a/madderwind/storage/record_file.py
+++ b/madderwind/storage/record_file.py
@@ -1,9 +1,9 @@
 """A replica's file: records appended and synced, rewritten whole when it gets long or after a failed write.
 
 Each rewrite is a new file of the next generation: its records, a mark of completeness, then what is appended.
-Only when that is synced are older generations removed, so at every moment one whole file is there. Recovery takes
-the newest complete generation. What it reads may not be on disk yet (a killed process leaves unsynced bytes to
-the system), so the file takes nothing before it was rewritten.
+Only when that is synced are older generations removed, so at every moment one whole file is there. Recovery
+takes the newest complete generation. What it reads may not be on disk yet (a killed process leaves unsynced
+bytes to the system), so the file takes nothing before it was rewritten.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/fleet/disk.py
@@ -0,0 +1,103 @@
+"""A folder in memory that forgets, tears, fills and fails as disks do."""
+
+from __future__ import annotations
+
+import random
+
+from madderwind.errors import StorageError
+
+
+class PowerLost(Exception):
+    """The machine went down in the middle of a write."""
+
+
+class _File:
+    """A file's bytes as the process sees them, and what of it would outlast a loss of power."""
+
+    def __init__(self) -> None:
+        self.writes: list[bytes] = []  # since the last sync
+        self.synced = b""
+        self.is_named = False  # the name itself would outlast a loss of power
+
+    def data(self) -> bytes:
+        return self.synced + b"".join(self.writes)
+
+    def sync(self) -> None:
+        self.synced, self.writes = self.data(), []
+        self.is_named = True
+
+
+class MemoryDisk:
+    """Implements madderwind.storage.disk.Disk."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._files: dict[str, _File] = {}
+        self._removed: dict[str, _File] = {}  # until the folder is synced
+        self.is_full = False
+        self.fails_syncs = False
+        self.goes_down_next = False  # the next write is cut short by the end of the process
+
+    def names(self) -> tuple[str, ...]:
+        return tuple(sorted(self._files))
+
+    def read(self, name: str) -> bytes:
+        if name not in self._files:
+            raise StorageError(f"{name}: there is no such file")
+        return self._files[name].data()
+
+    def create(self, name: str, data: bytes) -> None:
+        file = self._files[name] = _File()
+        self._write(file, data)
+        file.sync()
+        self._removed.clear()
+
+    def append(self, name: str, data: bytes) -> None:
+        file = self._files[name]
+        self._write(file, data)
+        file.sync()
+
+    def remove(self, name: str) -> None:
+        if (file := self._files.pop(name, None)) is not None and file.is_named:
+            self._removed[name] = file
+
+    def wipe(self) -> None:
+        """The disk is replaced by an empty one."""
+        self._files.clear()
+        self._removed.clear()
+
+    def lose_power(self) -> None:
+        """What was not synced is kept, lost or torn, write by write; a removed name may be back."""
+        keeps_nothing = self._rng.random() < 0.3
+        for name, file in self._removed.items():
+            if self._rng.random() < 0.5:
+                self._files.setdefault(name, file)
+        self._removed.clear()
+        for name, file in list(self._files.items()):
+            if not file.is_named and (keeps_nothing or self._rng.random() < 0.5):
+                del self._files[name]
+                continue
+            kept = [] if keeps_nothing else [self._torn(write) for write in file.writes]
+            file.writes = kept
+            file.sync()
+
+    def _write(self, file: _File, data: bytes) -> None:
+        if self.goes_down_next:
+            self.goes_down_next = False
+            file.writes.append(data[: self._rng.randint(0, len(data))])
+            raise PowerLost
+        if self.is_full:
+            file.writes.append(data[: self._rng.randint(0, len(data) // 2)])
+            raise StorageError("the disk is full")
+        file.writes.append(data)
+        if self.fails_syncs:
+            raise StorageError("the sync failed")
+
+    def _torn(self, write: bytes) -> bytes:
+        match self._rng.randrange(3):
+            case 0:
+                return write
+            case 1:
+                return bytes(len(write))  # the length was set, the bytes were not written
+            case _:
+                return write[: self._rng.randint(0, len(write))]
--- /dev/null
+++ b/tests/fleet/fleet.py
@@ -0,0 +1,125 @@
+"""A fleet of replicas in memory, run from one seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from madderwind.replication.api import OrderOutcome, OrderResult
+from tests.fleet.clock import Clock
+from tests.fleet.machine import Machine
+from tests.fleet.network import Network
+from tests.fleet.register import Register, order
+
+START_SPREAD_MS = 300.0
+
+
+class Fleet:
+    """Machines m1, m2, ... ; the first `seed_count` are the seeds."""
+
+    def __init__(
+        self, machines: int = 3, tolerance: int = 1, seed: int = 1, seed_count: int | None = None
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.network = Network(self.clock, random.Random(self.rng.getrandbits(64)))
+        self.tolerance = tolerance
+        addresses = [f"m{number}" for number in range(1, machines + 1)]
+        self.seeds = tuple(addresses[: seed_count or min(3, machines)])
+        self.machines: dict[str, Machine] = {}
+        for address in addresses:
+            self.add(address)
+
+    def __getitem__(self, address: str) -> Machine:
+        return self.machines[address]
+
+    def add(self, address: str) -> Machine:
+        """A machine with an empty disk, not started."""
+        rng = random.Random(self.rng.getrandbits(64))
+        machine = Machine(address, self.clock, self.network, rng, self.seeds, self.tolerance)
+        self.machines[address] = machine
+        return machine
+
+    def start(self, spread_ms: float = START_SPREAD_MS) -> None:
+        """The very first start of all machines, in any order."""
+        for machine in self.machines.values():
+            self.clock.after(self.rng.uniform(0.0, spread_ms), lambda m=machine: m.start(bootstrap=True))  # type: ignore[misc]
+
+    def run(self, duration_ms: float) -> None:
+        """Let time pass."""
+        self.clock.run_until(self.clock.now_ms + duration_ms)
+
+    def run_until(self, condition: Callable[[], bool], most_ms: float) -> float:
+        """Let time pass until something holds; how long that took. Fails after `most_ms`."""
+        began_ms = self.clock.now_ms
+        while not condition():
+            if self.clock.now_ms - began_ms > most_ms:
+                raise AssertionError(f"not so after {most_ms} ms")
+            self.run(5.0)
+        return self.clock.now_ms - began_ms
+
+    def running(self) -> list[Machine]:
+        """Machines with a process that runs."""
+        return [machine for machine in self.machines.values() if machine.is_running]
+
+    def primary(self) -> Machine | None:
+        """The machine that takes itself for the primary, in the newest epoch."""
+        primaries = []
+        for machine in self.running():
+            standing = machine.standing()
+            if standing is not None and standing.is_primary:
+                primaries.append((standing.epoch, machine.address))
+        return self.machines[max(primaries)[1]] if primaries else None
+
+    def settle(self, most_ms: float = 4_000.0) -> Machine:
+        """Run until there is a primary that holds its lease; that machine."""
+
+        def is_settled() -> bool:
+            primary = self.primary()
+            standing = primary.standing() if primary is not None else None
+            return standing is not None and (standing.fresh_age_ms or 1e9) < 300.0
+
+        self.run_until(is_settled, most_ms)
+        primary = self.primary()
+        assert primary is not None
+        return primary
+
+    def in_sync(self) -> set[str]:
+        """Addresses of the in-sync set as the primary knows it."""
+        primary = self.primary()
+        assert primary is not None and primary.replica is not None
+        view = primary.replica.view
+        assert view is not None
+        return {member.address for member in view.members if member.incarnation in view.in_sync}
+
+    def submit(self, machine: Machine, base: int, version: int, name: str = "operator") -> list[OrderResult]:
+        """An order to one machine; its result is in the list once it is there."""
+        results: list[OrderResult] = []
+        machine.submit(order(base, version, name), results.append)
+        return results
+
+    def take_order(self, base: int, version: int, name: str = "operator", most_ms: float = 4_000.0) -> float:
+        """Send an order to whoever is primary until it is acknowledged; how long that took."""
+        state: list[OrderResult] = []
+        began_ms = self.clock.now_ms
+        while not any(result.outcome is OrderOutcome.TAKEN for result in state):
+            if self.clock.now_ms - began_ms > most_ms:
+                raise AssertionError(f"not acknowledged after {most_ms} ms: {state[-3:]}")
+            primary = self.primary()
+            if primary is not None:
+                self.submit_into(primary, base, version, name, state)
+            self.run(50.0)
+        return self.clock.now_ms - began_ms
+
+    def submit_into(
+        self, machine: Machine, base: int, version: int, name: str, results: list[OrderResult]
+    ) -> None:
+        """An order to one machine, its result added to a list."""
+        machine.submit(order(base, version, name), results.append)
+
+    def read(self, machine: Machine, most_ms: float = 1_500.0) -> Register | None:
+        """A read at one machine."""
+        results: list[Register | None] = []
+        machine.read(results.append)
+        self.run_until(lambda: bool(results), most_ms)
+        return results[0]
--- /dev/null
+++ b/tests/fleet/machine.py
@@ -0,0 +1,261 @@
+"""One machine of the fleet: a disk, and a process with a replica on it."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+
+from madderwind.errors import StorageError
+from madderwind.messages.replication import replication_messages
+from madderwind.replication.api import (
+    Committed,
+    Event,
+    LeaveRequested,
+    MessageReceived,
+    Order,
+    OrderOutcome,
+    OrderResolved,
+    OrderResult,
+    OrderSubmitted,
+    ReadResolved,
+    ReadSubmitted,
+    Report,
+    Rewrite,
+    Send,
+    Standing,
+    TimePassed,
+    Write,
+    WriteCompleted,
+    WriteFailed,
+)
+from madderwind.replication.replica import Replica
+from madderwind.replication.times import ReplicationTimes
+from madderwind.storage.record_file import RecordFile
+from tests.fleet.clock import Clock
+from tests.fleet.disk import MemoryDisk, PowerLost
+from tests.fleet.network import Network
+from tests.fleet.register import Register
+
+TICK_MS = 25.0
+SYNC_MS = 1.0
+
+OnOrder = Callable[[OrderResult], None]
+OnRead = Callable[["Register | None"], None]
+
+
+class Machine:
+    """Carries out a replica's actions as its host does."""
+
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        network: Network,
+        rng: random.Random,
+        seeds: tuple[str, ...],
+        tolerance: int,
+    ) -> None:
+        self.address, self.clock, self.network = address, clock, network
+        self.seeds, self.tolerance = seeds, tolerance
+        self.disk = MemoryDisk(rng)
+        self.sync_ms = SYNC_MS
+        self.stalled_until_ms = 0.0
+        self.replica: Replica | None = None
+        self.reports: list[tuple[float, Report]] = []
+        self.on_committed: Callable[[Machine, Register], None] = lambda machine, register: None
+        self._rng = rng
+        self._life = 0
+        self._file = RecordFile(self.disk)
+        self._disk_queue: deque[Write | Rewrite] = deque()
+        self._inbox: deque[Event] = deque()
+        self._is_frozen = False
+        self._orders: dict[int, OnOrder] = {}
+        self._reads: dict[int, OnRead] = {}
+        self._last_token = 0
+        network.attach(address, self._receive)
+
+    # --- what happens to it ---
+
+    @property
+    def is_running(self) -> bool:
+        """Whether there is a process that is not frozen."""
+        return self.replica is not None and not self._is_frozen
+
+    def start(self, bootstrap: bool = False) -> None:
+        """Start the process on whatever the disk holds."""
+        if self.replica is not None:
+            return
+        self._life += 1
+        self._file = RecordFile(self.disk)
+        self._disk_queue.clear()
+        self._inbox.clear()
+        self.replica = Replica(
+            identity_address=self.address,
+            zone="zone",
+            control_address=f"control-{self.address}",
+            seeds=self.seeds,
+            bootstrap=bootstrap,
+            tolerance=self.tolerance,
+            recovered=self._file.recover(),
+            empty_state=Register,
+            restore_state=Register.restore,
+            rng=random.Random(self._rng.getrandbits(64)),
+            now_ms=self.clock.now_ms,
+            times=ReplicationTimes(),
+        )
+        self._tick(self._life)
+
+    def kill(self) -> None:
+        """End the process; what it wrote stays, synced or not."""
+        if self.replica is None:
+            return
+        self._interrupt_write()
+        self.replica = None
+        self._is_frozen = False
+        self._life += 1
+        for on_order in self._orders.values():
+            on_order(OrderResult(OrderOutcome.UNCLEAR))
+        for on_read in self._reads.values():
+            on_read(None)
+        self._orders.clear()
+        self._reads.clear()
+
+    def lose_power(self) -> None:
+        """End the process and lose what was not synced."""
+        self.kill()
+        self.disk.lose_power()
+
+    def wipe(self) -> None:
+        """End the process and lose the disk."""
+        self.kill()
+        self.disk.wipe()
+
+    def freeze(self) -> None:
+        """The process does not run; what comes for it is queued."""
+        self._is_frozen = True
+
+    def thaw(self) -> None:
+        """The process goes on with what is queued."""
+        if not self._is_frozen:
+            return
+        self._is_frozen = False
+        while self._inbox and not self._is_frozen:
+            self._handle(self._inbox.popleft())
+
+    def leave(self) -> None:
+        """SIGTERM: the process is to hand over, and ends a little later."""
+        self._event(LeaveRequested())
+        life = self._life
+        self.clock.after(300.0, lambda: self.kill() if life == self._life else None)
+
+    # --- what callers ask ---
+
+    def submit(self, order: Order, on_result: OnOrder) -> None:
+        """An operator's order; the end may never come where the machine is frozen."""
+        if self.replica is None:
+            on_result(OrderResult(OrderOutcome.UNCLEAR))
+            return
+        self._last_token += 1
+        self._orders[self._last_token] = on_result
+        self._event(OrderSubmitted(self._last_token, order))
+
+    def read(self, on_result: OnRead) -> None:
+        """An operator's read: the committed state if it is the newest, else None."""
+        if self.replica is None:
+            on_result(None)
+            return
+        self._last_token += 1
+        self._reads[self._last_token] = on_result
+        self._event(ReadSubmitted(self._last_token))
+
+    def standing(self) -> Standing | None:
+        """How its replica stands; None without a process that runs."""
+        return self.replica.standing(self.clock.now_ms) if self.replica and not self._is_frozen else None
+
+    @property
+    def register(self) -> Register:
+        """The committed state."""
+        assert self.replica is not None
+        committed = self.replica.committed
+        assert isinstance(committed, Register)
+        return committed
+
+    # --- inside ---
+
+    def _tick(self, life: int) -> None:
+        if life != self._life:
+            return
+        if not self._is_frozen:
+            self._event(TimePassed())
+        self.clock.after(TICK_MS, lambda: self._tick(life))
+
+    def _receive(self, sender: str, data: bytes) -> None:
+        if self.replica is not None:
+            self._event(MessageReceived(sender, replication_messages.decode(data)))
+
+    def _event(self, event: Event) -> None:
+        if self._is_frozen:
+            self._inbox.append(event)
+        else:
+            self._handle(event)
+
+    def _handle(self, event: Event) -> None:
+        if self.replica is None:
+            return
+        for action in self.replica.handle(self.clock.now_ms, event):
+            match action:
+                case Send(address, message):
+                    self.network.send(self.address, address, replication_messages.encode(message))
+                case Write() | Rewrite():
+                    self._disk_queue.append(action)
+                    if len(self._disk_queue) == 1:
+                        self._begin_write(self._life)
+                case OrderResolved(token, result):
+                    self._orders.pop(token)(result)
+                case ReadResolved(token, is_newest):
+                    self._reads.pop(token)(self.register.copy() if is_newest else None)
+                case Committed():
+                    self.on_committed(self, self.register)
+                case Report():
+                    self.reports.append((self.clock.now_ms, action))
+
+    def _begin_write(self, life: int) -> None:
+        delay_ms = self._rng.uniform(0.5, 1.5) * self.sync_ms
+        delay_ms += max(0.0, self.stalled_until_ms - self.clock.now_ms)
+        self.clock.after(delay_ms, lambda: self._end_write(life))
+
+    def _end_write(self, life: int) -> None:
+        if life != self._life:
+            return
+        if self.clock.now_ms < self.stalled_until_ms:
+            self.clock.after(self.stalled_until_ms - self.clock.now_ms, lambda: self._end_write(life))
+            return
+        action = self._disk_queue.popleft()
+        succeeded = self._write(action)
+        if self._disk_queue:
+            self._begin_write(life)
+        self._event(WriteCompleted(action.token) if succeeded else WriteFailed(action.token))
+
+    def _write(self, action: Write | Rewrite) -> bool:
+        try:
+            if isinstance(action, Write):
+                self._file.append(action.records)
+            else:
+                self._file.rewrite(action.records)
+        except StorageError:
+            return False
+        return True
+
+    def _interrupt_write(self) -> None:
+        """The write under way is cut short; those behind it never began."""
+        if not self._disk_queue:
+            return
+        self.disk.goes_down_next = True
+        try:
+            self._write(self._disk_queue[0])
+        except PowerLost:
+            pass
+        finally:
+            self.disk.goes_down_next = False
+            self._disk_queue.clear()
