--- /dev/null
+++ b/tests/controlplane/test_hosts.py
@@ -0,0 +1,253 @@
+"""Three control planes in one process over loopback, with a replica whose role the test sets."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import random
+import socket
+import tempfile
+import unittest
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
+import aiohttp
+from aiohttp import web
+
+from madderwind.configuration.history import ConfigurationHistory
+from madderwind.controlplane.core import ControlPlaneCore
+from madderwind.controlplane.host import ControlPlaneHost
+from madderwind.controlplane.internal_server import InternalServer
+from madderwind.controlplane.public_server import LONGEST_ORDER_BYTES, PublicServer
+from madderwind.messages.distribution import (
+    ConfigurationApplied,
+    ConfigurationSnapshot,
+    FetchConfiguration,
+    Freshness,
+    RegistryDelta,
+    RegistrySnapshot,
+    Subscribe,
+    ToControlPlane,
+    ToDataPlane,
+    to_control_plane,
+    to_data_plane,
+)
+from madderwind.storage.disk import FileDisk
+from madderwind.storage.record_file import RecordFile
+from madderwind.structured_log import BatchedOutput, open_log
+from tests.controlplane.configurations import replacement_body, update
+from tests.controlplane.fleet import heartbeat
+from tests.controlplane.scripted_replica import ScriptedReplica
+
+DEADLINE_S = 10.0
+
+
+def free_address() -> str:
+    """An address that nobody listens at."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class DataPlane:
+    """A data plane's connection, as bytes on the wire."""
+
+    def __init__(self, connection: aiohttp.ClientWebSocketResponse) -> None:
+        self.connection = connection
+        self.told: list[ToDataPlane] = []
+
+    async def say(self, message: ToControlPlane) -> None:
+        await self.connection.send_bytes(to_control_plane.encode(message))
+
+    async def hear(self, is_it: Callable[[ToDataPlane], bool]) -> ToDataPlane:
+        """The next message of which this holds."""
+        async with asyncio.timeout(DEADLINE_S):
+            while True:
+                message = to_data_plane.decode(await self.connection.receive_bytes())
+                self.told.append(message)
+                if is_it(message):
+                    return message
+
+
+class HostsStory(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stack = AsyncExitStack()
+        self.internal = tuple(free_address() for _ in range(3))
+        self.public = [free_address() for _ in range(3)]
+        self.history = ConfigurationHistory()
+        self.replicas = [ScriptedReplica(address, self.internal, self.history) for address in self.internal]
+        self.servers: list[PublicServer] = []
+        for number in range(3):
+            await self.start(number)
+        self.session = await self.stack.enter_async_context(
+            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=DEADLINE_S))
+        )
+        self.make_primary(0)
+
+    async def asyncTearDown(self) -> None:
+        await self.stack.aclose()
+
+    def make_primary(self, number: int) -> None:
+        for replica in self.replicas:
+            replica.primary = self.internal[number]
+            replica.epoch += 1
+
+    async def start(self, number: int) -> None:
+        folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+        log = open_log(
+            f"core-{number}", BatchedOutput(self.stack.enter_context(open("/dev/null", "wb")).fileno())
+        )
+        core = ControlPlaneCore(
+            self.replicas[number], self.internal[number], self.internal, 1000.0, random.Random(number)
+        )
+        host = ControlPlaneHost(core, RecordFile(FileDisk(folder)), self.internal[number], log)
+        public = PublicServer(host, log)
+        self.servers.append(public)
+        await self.serve(InternalServer(host, log).application(), self.internal[number])
+        await self.serve(public.application(), self.public[number])
+        host.start()
+        self.stack.push_async_callback(host.stop)
+
+    async def serve(self, application: web.Application, address: str) -> None:
+        runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await runner.setup()
+        ip, _, port = address.rpartition(":")
+        await web.TCPSite(runner, ip, int(port)).start()
+        self.stack.push_async_callback(runner.cleanup)
+
+    def url(self, number: int, path: str) -> str:
+        return f"http://{self.public[number]}{path}"
+
+    async def order(self, number: int, path: str, base: str, body: bytes) -> tuple[int, bytes]:
+        headers = {"X-Base-Version": base}
+        async with self.session.post(self.url(number, path), data=body, headers=headers) as response:
+            return response.status, await response.read()
+
+    async def call(self, number: int, instance_call: str, body: bytes = b"") -> int:
+        async with self.session.post(self.url(number, f"/instances/{instance_call}"), data=body) as response:
+            return response.status
+
+    async def read(self, number: int) -> tuple[int, bytes]:
+        async with self.session.get(self.url(number, "/config/read")) as response:
+            return response.status, await response.read()
+
+    async def subscribe(self, number: int, node: str = "front-1") -> DataPlane:
+        connection = await self.session.ws_connect(f"http://{self.internal[number]}/subscribe")
+        data_plane = DataPlane(connection)
+        await data_plane.say(Subscribe(node, "1", f"{node}:7501", "z", 0))
+        self.stack.push_async_callback(connection.close)
+        await data_plane.hear(lambda message: isinstance(message, RegistrySnapshot))
+        return data_plane
+
+
+class TheOperatorsApi(HostsStory):
+    async def test_orders_and_reads_at_any_machine(self) -> None:
+        self.assertEqual((await self.read(1))[0], 404)
+        self.assertEqual((await self.order(1, "/config/replace", "0", replacement_body(5)))[0], 200)
+        self.assertEqual((await self.order(2, "/config/replace", "0", replacement_body(5)))[0], 200)
+        self.assertEqual((await self.order(0, "/config/replace", "0", replacement_body(6)))[0], 412)
+        self.assertEqual((await self.order(2, "/config/update", "5", update(5, 9).body))[0], 200)
+        status, body = await self.read(2)
+        self.assertEqual(status, 200)
+        self.assertIn(b'"version": 9', body.replace(b'"version":9', b'"version": 9'))
+
+    async def test_what_is_invalid_is_named(self) -> None:
+        status, body = await self.order(1, "/config/replace", "0", replacement_body(5, timeout_ms=0))
+        self.assertEqual(status, 400)
+        self.assertIn(b"timeout_ms", body)
+        for base in ("", "x", "-1", "1.5"):
+            self.assertEqual((await self.order(1, "/config/replace", base, replacement_body(5)))[0], 400)
+
+    async def test_a_body_over_the_limit_is_refused(self) -> None:
+        too_long = b" " * (LONGEST_ORDER_BYTES + 1)
+        self.assertEqual((await self.order(1, "/config/replace", "0", too_long))[0], 413)
+
+    async def test_a_long_body_is_passed_on_to_the_primary(self) -> None:
+        body = replacement_body(5, routes=8000)
+        self.assertGreater(len(body), 1024 * 1024)
+        self.assertEqual((await self.order(1, "/config/replace", "0", body))[0], 200)
+        self.assertEqual(await self.read(2), (200, body))
+
+    async def test_without_a_primary_it_is_told_when_to_come_back(self) -> None:
+        for replica in self.replicas:
+            replica.primary = ""
+        headers = {"X-Base-Version": "0"}
+        url = self.url(1, "/config/replace")
+        async with self.session.post(url, data=replacement_body(5), headers=headers) as response:
+            self.assertEqual(response.status, 503)
+            self.assertIn("Retry-After", response.headers)
+
+    async def test_who_is_about_to_end_sends_callers_elsewhere(self) -> None:
+        self.servers[1].refuse_new_calls()
+        self.assertEqual((await self.order(1, "/config/replace", "0", replacement_body(5)))[0], 503)
+        self.assertEqual((await self.read(1))[0], 503)
+        self.assertEqual(await self.call(1, "i-1/heartbeat", heartbeat(1)), 503)
+        self.assertEqual(await self.call(1, "i-1/deregister"), 503)
+
+
+class UpstreamsRegister(HostsStory):
+    async def test_a_drain_reaches_the_data_planes_of_all_machines(self) -> None:
+        data_planes = [await self.subscribe(number) for number in range(3)]
+        self.assertEqual(await self.call(1, "i-1/heartbeat", heartbeat(1)), 200)
+        self.assertEqual(await self.call(2, "i-1/heartbeat", heartbeat(2, "draining")), 200)
+        for data_plane in data_planes:
+            await data_plane.hear(lambda message: _names_state(message, "draining"))
+        self.assertEqual(await self.call(0, "i-1/deregister"), 200)
+        for data_plane in data_planes:
+            await data_plane.hear(lambda message: _names_state(message, "gone"))
+
+    async def test_odd_and_long_heartbeats_are_refused(self) -> None:
+        self.assertEqual(await self.call(1, "i-1/heartbeat", b"{}"), 400)
+        self.assertEqual(await self.call(1, "i-1/heartbeat", b" " * 5000), 413)
+
+
+class DataPlanesSubscribe(HostsStory):
+    async def test_a_version_is_told_fetched_and_acknowledged(self) -> None:
+        data_plane = await self.subscribe(0)
+        ordering = asyncio.create_task(self.order(1, "/config/replace", "0", replacement_body(5)))
+        await data_plane.hear(lambda message: isinstance(message, Freshness) and message.version == 5)
+        await data_plane.say(FetchConfiguration(0))
+        snapshot = await data_plane.hear(lambda message: isinstance(message, ConfigurationSnapshot))
+        assert isinstance(snapshot, ConfigurationSnapshot)
+        self.assertEqual(snapshot.document, replacement_body(5))
+        self.assertFalse(ordering.done())
+        await data_plane.say(ConfigurationApplied(5))
+        self.assertEqual((await ordering)[0], 200)
+
+    async def test_a_newer_connection_of_the_same_life_ends_the_older(self) -> None:
+        older = await self.subscribe(0)
+        await self.subscribe(0)
+        async with asyncio.timeout(DEADLINE_S):
+            while (await older.connection.receive()).type is aiohttp.WSMsgType.BINARY:
+                pass
+        self.assertTrue(older.connection.closed)
+
+    async def test_odd_bytes_end_the_connection(self) -> None:
+        data_plane = await self.subscribe(0)
+        await data_plane.connection.send_bytes(b"\xff\xff")
+        async with asyncio.timeout(DEADLINE_S):
+            while (await data_plane.connection.receive()).type is aiohttp.WSMsgType.BINARY:
+                pass
+        self.assertTrue(data_plane.connection.closed)
+        await self.subscribe(0)
+
+
+class TheLog(unittest.TestCase):
+    def test_lines_are_json_with_all_fields(self) -> None:
+        with tempfile.TemporaryFile() as file:
+            log = open_log("core-1", BatchedOutput(file.fileno()))
+            log.info("something", count=3, odd=io.BytesIO)
+            file.seek(0)
+            line = file.read()
+        self.assertIn(b'"event":"something"', line)
+        self.assertIn(b'"count":3', line)
+        self.assertIn(b'"node":"core-1"', line)
+        self.assertTrue(line.endswith(b"}\n"))
+
+
+def _names_state(message: ToDataPlane, state: str) -> bool:
+    return isinstance(message, RegistryDelta) and any(r.state == state for r in message.upstreams)
+
+
+if __name__ == "__main__":
+    unittest.main()
