Placement: balancers tell each other their sends, so what an upstream keeps is known, not presumed

Early on every home is cold, and a balancer of six that presumes its home warm takes the work there for a third of what it is. Each send is now told with the ids of its prompt's parts; a prompt counts whole until its first event (progress guessed from own events ran ahead of the truth).

--- a/madderwind/placement/kept_parts.py
+++ b/madderwind/placement/kept_parts.py
@@ -9,14 +9,13 @@
 
 
 class KeptParts:
-    """Parts by last use, those unused longest dropped once they would not fit `kv_tokens`.
+    """Parts by last use, those unused longest dropped once they would not fit the memory.
 
-    A part that only this balancer sends (a prompt's last) stands for as many from every other balancer, so it
-    weighs `fleet` times its tokens.
+    A balancer that hears nothing of the others' sends counts a prompt's last part `copies` times, once for
+    each balancer that sends as much.
     """
 
-    def __init__(self, kv_tokens: int) -> None:
-        self._kv_tokens = kv_tokens
+    def __init__(self) -> None:
         self._weights: OrderedDict[str, float] = OrderedDict()
         self._total = 0.0
 
@@ -30,19 +29,19 @@
             tokens += part.tokens
         return tokens
 
-    def used(self, parts: Sequence[PromptPart], fleet: int) -> None:
-        """A prompt of these parts was sent to the upstream."""
+    def used(self, parts: Sequence[PromptPart], kv_tokens: int, copies: int = 1) -> None:
+        """A prompt of these parts was sent to the upstream, whose memory holds `kv_tokens`."""
         last = len(parts) - 1
         for index, part in enumerate(parts):
-            self._touch(part.id, float(part.tokens * (fleet if index == last else 1)))
-        self._evict()
+            self._touch(part.id, float(part.tokens * (copies if index == last else 1)))
+        self._evict(kv_tokens)
 
     def _touch(self, part_id: str, weight: float) -> None:
         known = self._weights.pop(part_id, 0.0)
         self._weights[part_id] = weight
         self._total += weight - known
 
-    def _evict(self) -> None:
-        while self._total > self._kv_tokens and self._weights:
+    def _evict(self, kv_tokens: int) -> None:
+        while self._total > kv_tokens and self._weights:
             _, weight = self._weights.popitem(last=False)
             self._total -= weight
--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping, Sequence
 
@@ -23,6 +24,9 @@
 DEFAULT_KV_TOKENS = 400_000
 DEFAULT_STRIDE = 1
 POPULARITY_WINDOW_MS = 6000.0
+# Notices are taken as complete for this long after the last; beyond, a home is presumed to keep its prefixes.
+NOTICES_FRESH_MS = 1500.0
+MOST_NOTICES = 1000
 # With more upstreams than this, only the first by rank and a few drawn ones are weighed.
 WEIGH_ALL_BELOW = 10
 RANKED_WEIGHED = 3
@@ -44,6 +48,14 @@
     predicted_first_ms: float
 
 
+class SendNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What other balancers are told of a send: the upstream, and the parts of the prompt."""
+
+    service: str
+    instance: str
+    parts: tuple[PromptPart, ...]
+
+
 class _Service:
     """What is known of one service's upstreams as a whole."""
 
@@ -70,6 +82,8 @@
         self._requests: dict[str, str] = {}
         self._fleet = 1
         self._now_ms = 0.0
+        self._outbox: list[SendNotice] = []
+        self._heard_at_ms = -math.inf
 
     # --- what the host tells ---
 
@@ -90,9 +104,9 @@
 
     def others(self, load: Mapping[str, tuple[float, float, float]]) -> None:
         """What all other balancers together have at upstreams."""
-        for instance, estimate in self._upstreams.items():
+        for instance in self._zones:
             told = load.get(instance)
-            estimate.set_others(self._now_ms, Load(*told) if told else Load())
+            self._upstream(instance).set_others(self._now_ms, Load(*told) if told else Load())
 
     def load(self) -> dict[str, tuple[float, float, float]]:
         """What this balancer has at upstreams now, those with nothing left out."""
@@ -103,6 +117,26 @@
             if load.sequences
         }
 
+    def notices(self) -> tuple[SendNotice, ...]:
+        """Own sends since the last call, as many as are kept for it."""
+        notices = tuple(self._outbox)
+        self._outbox.clear()
+        return notices
+
+    def heard(self, now_ms: float, notices: Sequence[SendNotice]) -> None:
+        """Sends of the other balancers to upstreams that were located; an empty call says there were none."""
+        self._now_ms = max(self._now_ms, now_ms)
+        self._heard_at_ms = now_ms
+        for notice in notices:
+            if notice.instance in self._zones:
+                kv_tokens = self._service(notice.service).kv_tokens
+                self._upstream(notice.instance).kept.used(notice.parts, kv_tokens)
+
+    @property
+    def _informed(self) -> bool:
+        """Whether the other balancers' sends are known as well."""
+        return self._fleet == 1 or self._now_ms - self._heard_at_ms < NOTICES_FRESH_MS
+
     def forget(self, instance: str) -> None:
         """The upstream is gone for good."""
         self._upstreams.pop(instance, None)
@@ -145,11 +179,15 @@
         prefix = _prefix_key(generation)
         if prefix:
             service.rates.arrived(now_ms, prefix)
-        upstream = self._upstream(now_ms, service, instance)
+        upstream = self._upstream(instance)
         is_home = prefix is not None and service.ranking.ranking(prefix)[:1] == (instance,)
         uncached = self._uncached(generation, upstream, is_home)
-        ahead = upstream.waiting_tokens(now_ms, service.model.ms_per_token, self._fleet)
-        upstream.sent(now_ms, key, Sent(generation, now_ms, uncached, ahead), self._fleet)
+        ahead = upstream.waiting_tokens(now_ms, self._fleet)
+        copies = 1 if self._informed else self._fleet
+        upstream.sent(now_ms, key, Sent(generation, now_ms, uncached, ahead))
+        upstream.kept.used(generation.parts, service.kv_tokens, copies)
+        if len(self._outbox) < MOST_NOTICES:
+            self._outbox.append(SendNotice(generation.service, instance, generation.parts))
         self._requests[key] = instance
 
     def event(self, now_ms: float, key: str, first: bool) -> None:
@@ -182,10 +220,10 @@
             service = self._services[name] = _Service()
         return service
 
-    def _upstream(self, now_ms: float, service: _Service, instance: str) -> UpstreamLoad:
+    def _upstream(self, instance: str) -> UpstreamLoad:
         upstream = self._upstreams.get(instance)
         if upstream is None:
-            upstream = self._upstreams[instance] = UpstreamLoad(now_ms, service.kv_tokens)
+            upstream = self._upstreams[instance] = UpstreamLoad(self._now_ms)
         return upstream
 
     def _homes(
@@ -208,7 +246,7 @@
 
     def _uncached(self, generation: Generation, upstream: UpstreamLoad, presumed: bool) -> float:
         cached = upstream.kept.cached_tokens(generation.parts)
-        if presumed:
+        if presumed and not self._informed:
             cached = max(cached, _tokens(generation.shared_parts))
         return max(float(generation.prompt_tokens - cached), 0.0)
 
@@ -217,9 +255,9 @@
     ) -> tuple[float, float]:
         """The predicted ms to the first event there, and the cost of sending there."""
         costs, model, fleet = self._costs, service.model, self._fleet
-        upstream = self._upstream(now_ms, service, instance)
+        upstream = self._upstream(instance)
         uncached = self._uncached(generation, upstream, presumed)
-        waiting = upstream.waiting_tokens(now_ms, model.ms_per_token, fleet)
+        waiting = upstream.waiting_tokens(now_ms, fleet)
         first_ms = model.predicted_ms(uncached + waiting) * upstream.slowness
         first_ms += self._admission_ms(now_ms, service, generation, upstream)
         cost = costs.lateness(first_ms, generation.aim_ms)
--- a/madderwind/placement/prompts.py
+++ b/madderwind/placement/prompts.py
@@ -12,7 +12,7 @@
 MAX_TOKENS = 1 << 40
 
 
-class PromptPart(msgspec.Struct, frozen=True):
+class PromptPart(msgspec.Struct, frozen=True, array_like=True):
     """One part of a prompt: equal ids are equal text. `tokens` is its length."""
 
     id: str
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -15,8 +15,6 @@
 SLOWNESS_GAIN = 0.08
 LOWEST_SLOWNESS, HIGHEST_SLOWNESS = 0.4, 6.0
 FAILURE_MEMORY_MS = 1500.0
-# The share of a prefill that is taken as done at most before its first event is seen.
-MOST_PROGRESS = 0.9
 
 
 class Load(NamedTuple):
@@ -43,8 +41,8 @@
 class UpstreamLoad:
     """The estimate of one upstream."""
 
-    def __init__(self, now_ms: float, kv_tokens: int) -> None:
-        self.kept = KeptParts(kv_tokens)
+    def __init__(self, now_ms: float) -> None:
+        self.kept = KeptParts()
         self.slowness = 1.0
         self.first_seen_ms = now_ms
         self._sent: OrderedDict[str, Sent] = OrderedDict()
@@ -52,7 +50,6 @@
         self._own_held = 0.0
         self._mean_waiting = 0.0
         self._mean_at_ms = now_ms
-        self._progress_from_ms = now_ms
         self._others = Load()
         self._others_at_ms = -math.inf
         self._failures = 0.0
@@ -66,9 +63,9 @@
         """What all other balancers have there."""
         self._others, self._others_at_ms = load, now_ms
 
-    def waiting_tokens(self, now_ms: float, ms_per_token: float, fleet: int) -> float:
-        """Prompt tokens that are to be prefilled before those of a new request."""
-        return self._remaining(now_ms, ms_per_token) + self._others_waiting(now_ms, fleet)
+    def waiting_tokens(self, now_ms: float, fleet: int) -> float:
+        """Prompt tokens ahead of a new request's; a prompt counts whole until its first event."""
+        return self._own_waiting + self._others_waiting(now_ms, fleet)
 
     def sequences(self, now_ms: float, fleet: int) -> float:
         """Requests there, running or waiting."""
@@ -88,15 +85,12 @@
         failures = self._failures * math.exp((self._failed_at_ms - now_ms) / FAILURE_MEMORY_MS)
         return failures / (failures + 1.0)
 
-    def sent(self, now_ms: float, key: str, request: Sent, fleet: int) -> None:
+    def sent(self, now_ms: float, key: str, request: Sent) -> None:
         """An own request went there."""
         self._average(now_ms)
-        if not self._own_waiting:
-            self._progress_from_ms = now_ms
         self._sent[key] = request
         self._own_waiting += request.uncached
         self._own_held += request.generation.prompt_tokens + request.generation.output_tokens
-        self.kept.used(request.generation.parts, fleet)
 
     def first_event(self, now_ms: float, key: str) -> Sent | None:
         """The first event of an own request came: its prompt has been prefilled."""
@@ -106,7 +100,6 @@
         self._average(now_ms)
         request.first_at_ms = now_ms
         self._own_waiting = max(self._own_waiting - request.uncached, 0.0)
-        self._progress_from_ms = now_ms
         self._failures = 0.0
         return request
 
@@ -133,12 +126,6 @@
         decayed = self._failures * math.exp((self._failed_at_ms - now_ms) / FAILURE_MEMORY_MS)
         self._failures, self._failed_at_ms = decayed + 1.0, now_ms
 
-    def _remaining(self, now_ms: float, ms_per_token: float) -> float:
-        if not self._own_waiting:
-            return 0.0
-        done = (now_ms - self._progress_from_ms) / (ms_per_token * self.slowness)
-        return self._own_waiting - min(done, MOST_PROGRESS * self._own_waiting)
-
     def _others_waiting(self, now_ms: float, fleet: int) -> float:
         if now_ms - self._others_at_ms < OTHERS_FRESH_MS:
             return self._others.prompt_waiting
--- a/madderwind/standin/fleet.py
+++ b/madderwind/standin/fleet.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from madderwind.placement.placement import Placement
+from madderwind.placement.placement import Placement, SendNotice
 from madderwind.placement.prompts import PromptPart
 from madderwind.standin.engine import Admission, Engine, EngineEvent, EngineRequest
 from madderwind.standin.experiment import Crash, Experiment, Release
@@ -279,6 +279,7 @@
 
     def _report(self) -> None:
         loads = [plane.policy.load() for plane in self._planes]
+        notices = [_notices(plane.policy) for plane in self._planes]
         total: dict[str, tuple[float, float, float]] = {}
         for load in loads:
             for instance, (waiting, sequences, held) in load.items():
@@ -291,9 +292,19 @@
             }
             lag_ms = self._experiment.report_ms * self._rng.random()
             self._at(self._now_ms + lag_ms, partial(plane.policy.others, others))
+            if isinstance(plane.policy, Placement):
+                told = [notice for n, batch in enumerate(notices) if n != plane.number for notice in batch]
+                self._at(self._now_ms + lag_ms, partial(self._tell, plane.policy, told))
         if self._now_ms < self._experiment.for_s * MS_PER_S:
             self._at(self._now_ms + self._experiment.report_ms, self._report)
 
+    def _tell(self, policy: Placement, told: list[SendNotice]) -> None:
+        policy.heard(self._now_ms, told)
+
+
+def _notices(policy: Policy) -> tuple[SendNotice, ...]:
+    return policy.notices() if isinstance(policy, Placement) else ()
+
 
 def _less(total: tuple[float, float, float], own: tuple[float, float, float]) -> tuple[float, float, float]:
     return total[0] - own[0], total[1] - own[1], total[2] - own[2]
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -22,6 +22,8 @@
     placement = Placement(random.Random(seed))
     placement.configure(SERVICE, 64, 500_000, 4)
     placement.set_fleet(fleet)
+    for instance in UPSTREAMS:
+        placement.locate(instance, "zone")
     return placement
 
 
@@ -97,6 +99,44 @@
         self.assertNotEqual(home_of(placement, "p", 5.0), home)
 
 
+class Notices(unittest.TestCase):
+    def test_a_prefix_that_another_balancer_had_read_is_known_as_kept(self) -> None:
+        one, other = balancer(1, fleet=2), balancer(2, fleet=2)
+        home = home_of(one, "p")
+        other.heard(0.0, ())
+        cold = other.choose(0.0, generation("p", "own"), UPSTREAMS, NOBODY)
+        one.sent(0.0, "k", generation("p", "x"), home)
+        other.heard(100.0, one.notices())
+        warm = other.choose(100.0, generation("p", "own"), UPSTREAMS, NOBODY)
+        assert cold is not None and warm is not None
+        self.assertEqual(warm.instance, home)
+        self.assertLess(warm.predicted_first_ms, cold.predicted_first_ms)
+
+    def test_a_copy_away_from_home_is_used_when_home_is_late(self) -> None:
+        one, other = balancer(1, fleet=2), balancer(2, fleet=2)
+        home = home_of(one, "p", shared=12_000)
+        copy = next(instance for instance in UPSTREAMS if instance != home)
+        one.sent(0.0, "k", generation("p", "x"), copy)
+        other.heard(100.0, one.notices())
+        other.others({home: (40_000.0, 2.0, 50_000.0)})
+        self.assertEqual(home_of(other, "p", 100.0, shared=12_000), copy)
+
+    def test_each_send_is_told_once_and_unasked_ones_are_bounded(self) -> None:
+        placement = balancer()
+        for number in range(5_000):
+            placement.sent(0.0, f"k{number}", generation("p", "x"), "i-0")
+        self.assertLessEqual(len(placement.notices()), 1_000)
+        self.assertEqual(placement.notices(), ())
+
+    def test_without_notices_a_home_is_presumed_to_keep_its_prefixes(self) -> None:
+        placement = balancer(fleet=2)
+        placement.heard(0.0, ())
+        known = placement.choose(1_000.0, generation("p", "own"), UPSTREAMS, NOBODY)
+        presumed = placement.choose(60_000.0, generation("p", "own"), UPSTREAMS, NOBODY)
+        assert known is not None and presumed is not None
+        self.assertLess(presumed.predicted_first_ms, known.predicted_first_ms)
+
+
 class OwnLoad(unittest.TestCase):
     def test_load_rises_with_sends_and_is_gone_at_the_end(self) -> None:
         placement = balancer()
