--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import io
+import os
 import random
 import socket
 import tempfile
@@ -72,6 +73,8 @@
 class HostsStory(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.stack = AsyncExitStack()
+        self.written = os.open(os.devnull, os.O_WRONLY)
+        self.stack.callback(os.close, self.written)
         self.internal = tuple(free_address() for _ in range(3))
         self.public = [free_address() for _ in range(3)]
         self.history = ConfigurationHistory()
@@ -94,9 +97,7 @@
 
     async def start(self, number: int) -> None:
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
-        log = open_log(
-            f"core-{number}", BatchedOutput(self.stack.enter_context(open("/dev/null", "wb")).fileno())
-        )
+        log = open_log(f"core-{number}", BatchedOutput(self.written))
         core = ControlPlaneCore(
             self.replicas[number], self.internal[number], self.internal, 1000.0, random.Random(number)
         )
