--- /dev/null
+++ b/deploy/sites/lay_system.py
@@ -0,0 +1,369 @@
+"""Lays variants of the users' sites of the system, for plays on deployments nobody has sent us.
+
+    python3 deploy/sites/lay_system.py [KIT]
+
+KIT is the users' folder of the system (its `sites/` is read). Each of their sites gives one file a variant in
+`deploy/sites/system/`, beside a copy of the wire's words. Git ignores that folder: none of it is committed.
+The marks and floors of the users' days were set for their own deployment, so variants carry none.
+"""
+
+from __future__ import annotations
+
+import copy
+import json
+import shutil
+import sys
+import tomllib
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+HERE = Path(__file__).resolve().parent
+KIT = HERE.parents[2] / "given" / "kit" / "more" / "system"
+LAID = HERE / "system"
+WIRE = "wire.json"
+
+Site = dict[str, Any]
+Table = dict[str, Any]
+
+PLAIN_WORK_MS: Table = {"mean": 150.0, "spread": 0.6, "tail": 0.02, "tail_x": 4, "max": 1500.0}
+PLAIN_ANSWER_BYTES: Table = {"mean": 2500.0, "spread": 0.6, "tail": 0.0, "tail_x": 1.0, "max": 20000.0}
+"""What a request that was a stream becomes where there are no streams."""
+
+DAY_MARKS = ("goal", "floor_classes", "floor_zones", "small")
+
+
+class LayError(Exception):
+    """The users' sites could not be read, or the variants not be written."""
+
+
+Change = Callable[[Site], None]
+"""Makes a site into a variant of itself; its docstring says in one line what that asks of the system."""
+
+
+def machines(site: Site, machine_class: str) -> list[Table]:
+    """The entries of the machines of one class."""
+    return [entry for entry in site["machines"] if entry["class"] == machine_class]
+
+
+def traffics(site: Site) -> Iterable[list[Table]]:
+    """Every list of traffic by zone: the site's and those of its days."""
+    yield site["traffic"]
+    yield from (day["traffic"] for day in site["day"] if "traffic" in day)
+
+
+def model_services(site: Site) -> list[Table]:
+    """The services that run a language model."""
+    return [service for service in site["services"] if "llm" in service]
+
+
+def shared_parts(site: Site) -> Iterable[Table]:
+    """Every kind of shared part of a prompt."""
+    for request_class in site["classes"]:
+        yield from request_class.get("stream", {}).get("chain", [])
+
+
+def scale_sizes(sizes: Table, factor: float) -> None:
+    """Multiplies the mean and the largest of a distribution."""
+    sizes["mean"] *= factor
+    sizes["max"] *= factor
+
+
+def one_zone(site: Site) -> None:
+    """Nothing lies in another zone."""
+    home = site["zones"][0]["name"]
+    site["zones"] = site["zones"][:1]
+    merged: list[Table] = []
+    for machine_class in dict.fromkeys(entry["class"] for entry in site["machines"]):
+        entries = machines(site, machine_class)
+        total = {key: sum(entry[key] for entry in entries) for key in ("count", "spare")}
+        merged.append({**entries[0], "zone": home, **total})
+    site["machines"] = merged
+    for service in site["services"]:
+        service["servers"] = [{"zone": home, "count": sum(entry["count"] for entry in service["servers"])}]
+    for traffic in traffics(site):
+        total = {key: sum(entry[key] for entry in traffic) for key in ("per_s", "clients")}
+        traffic[:] = [{**traffic[0], "zone": home, **total}]
+
+
+def four_zones(site: Site) -> None:
+    """A fourth zone without a core machine."""
+    last = site["zones"][-1]["name"]
+    added = f"{last}-2"
+    site["zones"].append({**site["zones"][-1], "name": added})
+    fronts = [entry for entry in machines(site, "front") if entry["zone"] == last]
+    site["machines"] += [{**entry, "zone": added, "count": 2} for entry in fronts]
+    for service in site["services"]:
+        service["servers"] += [
+            {**entry, "zone": added} for entry in service["servers"] if entry["zone"] == last
+        ]
+    for traffic in traffics(site):
+        for entry in [entry for entry in traffic if entry["zone"] == last]:
+            entry["per_s"] /= 2
+            traffic.append({**copy.deepcopy(entry), "zone": added})
+
+
+def two_fronts(site: Site) -> None:
+    """Two front machines, and a zone with none."""
+    for place, entry in enumerate(machines(site, "front")):
+        entry["count"] = 1 if place < 2 else 0
+    site["machines"] = [entry for entry in site["machines"] if entry["count"]]
+
+
+def twenty_fronts(site: Site) -> None:
+    """Quotas and budgets over twenty."""
+    entries = machines(site, "front")
+    for place, entry in enumerate(entries):
+        entry["count"] = len(range(place, 20, len(entries)))
+
+
+def small_machines(site: Site) -> None:
+    """Little memory, few descriptors, narrow links."""
+    for entry in site["machines"]:
+        entry["memory_mb"] = 140
+        entry["fds"] = 1200
+    for entry in machines(site, "front"):
+        entry["link_mbps"] = 20.0
+
+
+def slow_disks(site: Site) -> None:
+    """10 ms a sync."""
+    for entry in machines(site, "core"):
+        entry["disk"].update(sync_ms=10, mb_per_s=20)
+
+
+def small_disks(site: Site) -> None:
+    """8 MB: the file has to be rewritten in time."""
+    for entry in machines(site, "core"):
+        entry["disk"]["mb"] = 8
+
+
+def far_zones(site: Site) -> None:
+    """12 ms between zones."""
+    site["net"]["cross_zone_ms"] = 12.0
+
+
+def tight_bounds(site: Site) -> None:
+    """Drains, versions, contact and grace are shorter."""
+    site["bounds"].update(drain_ms=1200, config_ms=1200, touch_ms=1500, outer_ms=3000, grace_s=4.0)
+
+
+def long_bounds(site: Site) -> None:
+    """Drains, versions, contact and grace are longer."""
+    site["bounds"].update(drain_ms=5000, config_ms=5000, touch_ms=6000, outer_ms=10000, grace_s=15.0)
+
+
+def five_cores(site: Site) -> None:
+    """Two losses are borne."""
+    for entry in machines(site, "core")[:2]:
+        entry["count"] = 2
+    site["tolerate"]["machines"] = 2
+
+
+def lone_core(site: Site) -> None:
+    """One core machine, no loss is borne."""
+    others = machines(site, "core")[1:]
+    site["machines"] = [entry for entry in site["machines"] if entry not in others]
+    site["tolerate"]["machines"] = 0
+
+
+def zone_tolerance(site: Site) -> None:
+    """A whole zone may be lost."""
+    site["tolerate"]["zones"] = 1
+
+
+def small_prefixes(site: Site) -> None:
+    """Many small shared parts."""
+    for part in shared_parts(site):
+        scale_sizes(part["tokens"], 0.05)
+        part["things"] *= 30
+    for request_class in site["classes"]:
+        if "stream" in request_class:
+            request_class["things"] *= 30
+
+
+def giant_prefixes(site: Site) -> None:
+    """A few giant shared parts."""
+    for part in shared_parts(site):
+        scale_sizes(part["tokens"], 3.0)
+        part["things"] = 3
+    for request_class in site["classes"]:
+        if "stream" in request_class:
+            request_class["things"] = 3
+
+
+def small_memory_upstreams(site: Site) -> None:
+    """Upstreams preempt and forget."""
+    for service in model_services(site):
+        service["llm"]["kv_tokens"] //= 3
+
+
+def few_connections(site: Site) -> None:
+    """A quarter of the connections an upstream takes."""
+    for service in site["services"]:
+        service["conn_cap"] = max(service["slots"] + 8, service["conn_cap"] // 4)
+
+
+def without_contracts(site: Site, *contracts: str) -> None:
+    """Takes parts of the rules out of force."""
+    site["contracts"] = [contract for contract in site["contracts"] if contract not in contracts]
+
+
+def no_quota(site: Site) -> None:
+    """Tenants without limits."""
+    without_contracts(site, "quota")
+
+
+def no_tenants(site: Site) -> None:
+    """No keys at all."""
+    without_contracts(site, "quota", "tenants")
+    del site["tenants"]
+
+
+def no_streams(site: Site) -> None:
+    """Safe and unsafe requests alone, no engines."""
+    without_contracts(site, "engine", "stream", "quota")
+    for service in model_services(site):
+        for field in ("llm", "model"):
+            del service[field]
+        service["slots"] = 16
+        service["queue"] = 64
+    for request_class in site["classes"]:
+        stream = request_class.pop("stream", None)
+        if stream:
+            request_class["kind"] = "safe" if stream["resume"] else "unsafe"
+            request_class["work_ms"] = {
+                "mean": 150.0,
+                "spread": 0.6,
+                "tail": 0.02,
+                "tail_x": 4,
+                "max": 1500.0,
+            }
+            request_class["resp_bytes"] = {
+                "mean": 2500.0,
+                "spread": 0.6,
+                "tail": 0.0,
+                "tail_x": 1.0,
+                "max": 20000.0,
+            }
+
+
+def many_tenants(site: Site) -> None:
+    """150 tenants."""
+    site["tenants"]["count"] = 150
+
+
+def long_day(site: Site) -> None:
+    """Two and a half minutes."""
+    site["length_s"] = 150.0
+
+
+def several_cores_shown(site: Site) -> None:
+    """Threads may be switched at any point."""
+    site["shown_cores"] = 3
+
+
+VARIANTS: tuple[Change, ...] = (
+    one_zone,
+    four_zones,
+    two_fronts,
+    twenty_fronts,
+    small_machines,
+    slow_disks,
+    small_disks,
+    far_zones,
+    tight_bounds,
+    long_bounds,
+    five_cores,
+    lone_core,
+    zone_tolerance,
+    small_prefixes,
+    giant_prefixes,
+    small_memory_upstreams,
+    few_connections,
+    no_quota,
+    no_tenants,
+    no_streams,
+    many_tenants,
+    long_day,
+    several_cores_shown,
+)
+
+
+def variant_name(change: Change) -> str:
+    """How a variant is called in file names."""
+    return change.__name__.replace("_", "-")
+
+
+def varied(site: Site, change: Change) -> Site:
+    """A changed copy of a site, with a name of its own and without the users' floors."""
+    other = copy.deepcopy(site)
+    other["name"] = f"{site['name']}-{variant_name(change)}"
+    for day in other["day"]:
+        for mark in DAY_MARKS:
+            day.pop(mark, None)
+    change(other)
+    return other
+
+
+def toml_value(value: Any) -> str:
+    """A value as TOML writes it in one line."""
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {toml_value(item)}" for key, item in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(toml_value(item) for item in value) + "]"
+    return json.dumps(value, ensure_ascii=False)
+
+
+def toml_text(site: Site) -> str:
+    """A site file's text: values, then lists with one table a line, then tables, then the days."""
+    plain, tables, days = [], [], []
+    for key, value in site.items():
+        if key == "day":
+            for day in value:
+                days.append("\n[[day]]\n" + "".join(f"{name} = {toml_value(day[name])}\n" for name in day))
+        elif isinstance(value, dict):
+            tables.append(f"\n[{key}]\n" + "".join(f"{name} = {toml_value(value[name])}\n" for name in value))
+        elif isinstance(value, list) and value and isinstance(value[0], dict):
+            plain.append(f"{key} = [\n" + "".join(f"  {toml_value(item)},\n" for item in value) + "]\n")
+        else:
+            plain.append(f"{key} = {toml_value(value)}\n")
+    return "".join(plain + tables + days)
+
+
+def lay(kit: Path, laid: Path) -> list[Path]:
+    """Writes all variants of the kit's sites; LayError where that can't be done."""
+    sources = sorted((kit / "sites").glob("*.toml"))
+    if not sources:
+        raise LayError(f"{kit}: no sites there")
+    written = []
+    try:
+        laid.mkdir(parents=True, exist_ok=True)
+        (laid / WIRE).unlink(missing_ok=True)  # an earlier copy may be read-only, as the kit's is
+        shutil.copyfile(kit / "sites" / WIRE, laid / WIRE)
+        for source in sources:
+            site = tomllib.loads(source.read_text())
+            for change in VARIANTS:
+                path = laid / f"{source.stem}-{variant_name(change)}.toml"
+                path.write_text(f"# {change.__doc__}\n{toml_text(varied(site, change))}")
+                written.append(path)
+    except OSError as error:
+        raise LayError(f"{error.filename}: {error.strerror}") from error
+    return written
+
+
+def main(words: list[str]) -> int:
+    if len(words) > 1:
+        print("lay_system.py: one folder at most", file=sys.stderr)
+        return 1
+    try:
+        written = lay(Path(words[0]) if words else KIT, LAID)
+    except LayError as error:
+        print(f"lay_system.py: {error}", file=sys.stderr)
+        return 1
+    print(f"{len(written)} sites in {LAID}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
