--- a/drills/system_days.py
+++ b/drills/system_days.py
@@ -2,10 +2,10 @@
 
     .venv-ci/bin/python drills/system_days.py BENCH SITE [SITE...] --why="..." [--days=FILE,...] [--jobs=3]
 
-BENCH is the bench's program, SITE a site file. Without `--days` all of deploy/days is played; a day may also be
-the name of one of the site's own. A line tells the day, its worth, the share served, the gate, what was broken
-and the journal's entry. `--out=FOLDER` keeps the bench's whole words. A day with troubles that are closed on a
-site is named as such. The exit code is 1 where a gate failed or the bench gave no figures.
+BENCH is the bench's program, SITE a site file. Without `--days` all of deploy/days is played; a day may
+also be the name of one of the site's own. A line tells the day, its worth, the share served, the gate, what
+was broken and the journal's entry. `--out=FOLDER` keeps the bench's whole words. A day with troubles that
+are closed on a site is named as such. The exit code is 1 where a gate failed or the bench gave no figures.
 """
 
 from __future__ import annotations
