Data plane: heads are judged before their connection can be used again; connections kept as told

A machine without power took requests until its connections timed out. Change: the head is judged where it is read; kept connections by their own time; upstreams all of whose streams are silent are preferred less; no promise once something may have run, also where it may run twice.

--- a/madderwind/dataplane/attempts.py
+++ b/madderwind/dataplane/attempts.py
@@ -71,6 +71,4 @@
 
 def may_promise(progress: Progress) -> bool:
     """Whether the client may be told that the request has not run and never will. The only such test."""
-    if progress.answer_begun:
-        return False
-    return progress.is_idempotent or not any(attempt.may_have_run for attempt in progress.attempts)
+    return not progress.answer_begun and not any(attempt.may_have_run for attempt in progress.attempts)
--- a/madderwind/dataplane/choosing.py
+++ b/madderwind/dataplane/choosing.py
@@ -7,6 +7,7 @@
 
 from madderwind.balancing.idle_first import IdleFirstPick
 from madderwind.configuration.documents import Configuration
+from madderwind.dataplane.stream_silence import StreamSilence
 from madderwind.dataplane.upstream_health import UpstreamHealth
 from madderwind.placement.placement import Placement
 from madderwind.placement.prompts import Generation
@@ -27,6 +28,7 @@
         self._upstreams, self._has_room = upstreams, has_room
         self.placement = placement
         self.health = UpstreamHealth(rng)
+        self.streams = StreamSilence()
         self._idle_first = IdleFirstPick(rng)
 
     def configure(self, configuration: Configuration) -> None:
@@ -55,16 +57,17 @@
         if not candidates:
             return None
         full = frozenset(instance for instance in candidates if not self._has_room(instance, service))
-        unwell = self.health.to_avoid(now_ms, candidates) | self._silent(candidates)
+        unwell = self.health.to_avoid(now_ms, candidates) | self._silent(now_ms, candidates)
         for avoid in (full | unwell | tried, full | unwell, full):
             if len(avoid.intersection(candidates)) == len(candidates):
                 continue
             return self._pick(now_ms, generation, candidates, avoid)
         return None
 
-    def _silent(self, candidates: tuple[str, ...]) -> frozenset[str]:
-        """Those that no control plane hears: a hint, which an answer of theirs clears."""
-        return frozenset(instance for instance in candidates if self._upstreams.is_silent(instance))
+    def _silent(self, now_ms: float, candidates: tuple[str, ...]) -> frozenset[str]:
+        """Those that no control plane hears, or none of whose streams goes on: hints, no proof."""
+        unheard = frozenset(instance for instance in candidates if self._upstreams.is_silent(instance))
+        return unheard | self.streams.silent(now_ms, candidates)
 
     def _pick(
         self,
@@ -87,9 +90,10 @@
         if generation is not None:
             self.placement.sent(now_ms, key, generation, instance)
 
-    def event(self, now_ms: float, key: str, first: bool) -> None:
-        """An event of a stream came."""
-        self.placement.event(now_ms, key, first)
+    def stream_began(self, now_ms: float, key: str, instance: str) -> None:
+        """The first event of a stream came."""
+        self.streams.began(now_ms, instance)
+        self.placement.event(now_ms, key, True)
 
     def heard(self, instance: str) -> None:
         """The upstream answered something."""
--- a/madderwind/dataplane/forwarding.py
+++ b/madderwind/dataplane/forwarding.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 from collections import Counter
+from collections.abc import Mapping
 
 import msgspec
 from aiohttp import ClientError, web
@@ -36,8 +37,7 @@
 _RESULT_OF_HEAD = {
     Head.REFUSAL: AttemptResult.REFUSED_FULL,
     Head.MISDIRECTED: AttemptResult.MISDIRECTED,
-    Head.FOREIGN: AttemptResult.BROKEN,
-    Head.UNUSABLE: AttemptResult.BROKEN,
+    Head.UNPROVEN: AttemptResult.BROKEN,
 }
 _RESULT_OF_OUTCOME = {
     Outcome.NOT_SENT: AttemptResult.NOT_SENT,
@@ -198,6 +198,7 @@
             self._read.body,
             lambda: self._may_write(attempt),
             self._progress.is_idempotent,
+            accepts=self._accepts,
         )
         until_s = self._admitted.until_ms / MS_PER_S
         outcome = await self._shared.pool.exchange(
@@ -222,6 +223,13 @@
         )
         return headers_onward(self._headers, onward)
 
+    def _accepts(self, status: int, headers: Mapping[str, str]) -> bool:
+        """Whether a head is of an answer to this request; asked before its connection can be used again."""
+        head = read_head(self._request_id, status, headers)
+        if not head.is_to_this_request:
+            self._shared.counters[f"head {head.value}"] += 1
+        return head.is_to_this_request
+
     def _may_write(self, attempt: Attempt) -> bool:
         """Whether it is still right to send, now that the connection is up."""
         if not self._shared.upstreams.takes_new(attempt.instance):
@@ -249,16 +257,13 @@
         """An answer, from its head on."""
         head = read_head(self._request_id, response.status, response.headers)
         if head is not Head.ANSWER:
-            self._turned_away(response, head, attempt)
-            if head is Head.REFUSAL:
-                with contextlib.suppress(ClientError, TimeoutError):
-                    await response.read()
+            await self._turned_away(response, head, attempt)
             return _RESULT_OF_HEAD[head]
         self._shared.chooser.heard(attempt.instance)
         if letter.connection is not None:
             letter.connection.passes_on()
         if response.status == 200 and response.headers.get("Content-Type", "").startswith(EVENT_STREAM):
-            return await self._pass_events(response, key)
+            return await self._pass_events(response, attempt, key)
         if self._progress.answer_begun:  # a stream can't go on with anything else
             response.close()
             return AttemptResult.BROKEN
@@ -269,48 +274,52 @@
         self._final = self.answer.whole(response, body)
         return AttemptResult.COMPLETE
 
-    def _turned_away(self, response: ClientResponse, head: Head, attempt: Attempt) -> None:
-        """Not this request's answer. A refusal's connection may be used again, one of odd bytes may not."""
+    async def _turned_away(self, response: ClientResponse, head: Head, attempt: Attempt) -> None:
+        """A refusal, with or without its proof, or another instance's."""
         shared = self._shared
         shared.counters[f"head {head.value}"] += 1
         if head is Head.MISDIRECTED:
             if shared.upstreams.prove_gone(self._now_ms(), attempt.instance):
                 shared.chooser.changed((attempt.instance,))
+                shared.pool.forget(attempt.instance)
                 shared.log("upstream_replaced", instance=attempt.instance)
-        elif head is Head.REFUSAL:
-            shared.chooser.heard(attempt.instance)
+            response.close()
             return
-        else:
-            shared.chooser.health.broke(self._now_ms(), attempt.instance)
-            shared.log("odd_answer", instance=attempt.instance, status=response.status, head=head.value)
-        response.close()
+        shared.chooser.heard(attempt.instance)
+        with contextlib.suppress(ClientError, TimeoutError):
+            await response.read()  # so that its connection can be used again
 
-    async def _pass_events(self, response: ClientResponse, key: str) -> AttemptResult:
+    async def _pass_events(self, response: ClientResponse, attempt: Attempt, key: str) -> AttemptResult:
         """Whole events, each as soon as it is complete; the head goes out with the first."""
-        events, answer = self._events, self.answer
         if self._progress.answer_begun:
-            events.resume()
+            self._events.resume()
         else:
-            answer.take_head(response, None)
-        is_first = True
-        while data := await response.content.readany():
+            self.answer.take_head(response, None)
+        data = await response.content.readany()
+        if data:
+            self._shared.chooser.stream_began(self._now_ms(), key, attempt.instance)
             try:
-                whole = events.feed(data)
+                await self._pass_on(response, data, attempt.instance)
             except EventTooLong:
                 response.close()
                 return AttemptResult.BROKEN
-            if not whole:
-                continue
-            if is_first:
-                self._shared.chooser.event(self._now_ms(), key, True)
-                is_first = False
-            self._progress.answer_begun = True
-            await answer.write(whole)
-        if rest := events.rest():
-            await answer.write(rest)
-        self._final = await answer.end()
+            finally:
+                self._shared.chooser.streams.ended(attempt.instance)
+        if rest := self._events.rest():
+            await self.answer.write(rest)
+        self._final = await self.answer.end()
         return AttemptResult.COMPLETE
 
+    async def _pass_on(self, response: ClientResponse, data: bytes, instance: str) -> None:
+        """All events of a stream, from its first bytes on."""
+        events, answer, streams = self._events, self.answer, self._shared.chooser.streams
+        while data:
+            if whole := events.feed(data):
+                self._progress.answer_begun = True
+                await answer.write(whole)
+            data = await response.content.readany()
+            streams.heard(self._now_ms(), instance)
+
     async def _pass_pieces(self, response: ClientResponse, length: int | None) -> AttemptResult:
         """A long answer; one that breaks off is broken off for the client too."""
         self.answer.take_head(response, length)
--- a/madderwind/dataplane/subscriber_links.py
+++ b/madderwind/dataplane/subscriber_links.py
@@ -113,8 +113,10 @@
         """One connection's life. A cancelled one says nothing more: the subscriber has given it up."""
         try:
             await self._converse(address)
-        except (aiohttp.ClientError, OSError, TimeoutError, MessageError) as error:
-            self._log("control_plane_connection_failed", address=address, error=repr(error)[:200])
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass  # what follows is the subscriber's: it tells of links that it loses
+        except MessageError as error:
+            self._log("control_plane_message_unusable", address=address, error=str(error))
         if self._tasks.get(address) is asyncio.current_task():
             self._outgoing.pop(address, None)
             del self._tasks[address]
--- a/madderwind/dataplane/upstream_heads.py
+++ b/madderwind/dataplane/upstream_heads.py
@@ -20,8 +20,14 @@
     ANSWER = "answer"  # the upstream's answer, whatever its status
     REFUSAL = "refusal"  # it did not run the request
     MISDIRECTED = "misdirected"  # it is another instance, and did not run the request
+    UNPROVEN = "unproven"  # a promise without its proof
     FOREIGN = "foreign"  # of another request
-    UNUSABLE = "unusable"  # not the upstream's bytes, or a promise without its proof
+    UNUSABLE = "unusable"  # not the upstream's bytes
+
+    @property
+    def is_to_this_request(self) -> bool:
+        """Whether the connection that brought it may be trusted with another request."""
+        return self not in (Head.FOREIGN, Head.UNUSABLE)
 
 
 def read_head(request_id: str | None, status: int, headers: Mapping[str, str]) -> Head:
@@ -35,7 +41,7 @@
     if status == MISDIRECTED_STATUS:
         return Head.MISDIRECTED
     if status in PROMISES:
-        return Head.REFUSAL if NOT_EXECUTED in headers else Head.UNUSABLE
+        return Head.REFUSAL if NOT_EXECUTED in headers else Head.UNPROVEN
     if request_id is not None and echoed is None and status < 400:
         return Head.FOREIGN
     if headers.get("Content-Encoding", "identity").lower() != "identity":
--- a/madderwind/dataplane/upstream_pool.py
+++ b/madderwind/dataplane/upstream_pool.py
@@ -14,8 +14,8 @@
 from madderwind.transport.upstreams import ConnectionOptions, Letter, Upstreams
 
 CONNECT_TIMEOUT_MS = 500.0
-# How long an idle connection is kept where the upstream does not tell.
-IDLE_MS = 4_000.0
+# How long an idle connection is kept at most, and where the upstream does not tell.
+MOST_IDLE_MS, UNTOLD_IDLE_S = 120_000.0, 4.0
 # A peer that acknowledges nothing for so long is taken for gone: a machine without power says nothing.
 USER_TIMEOUT_MS = 2_000
 PROBE_IDLE_S, PROBE_INTERVAL_S, PROBES = 1, 1, 2
@@ -27,8 +27,13 @@
     """Connections belong to an instance, not to its address, which may be another one's tomorrow."""
 
     def __init__(self, most_connections: int) -> None:
-        options = ConnectionOptions(socket_factory=_open_socket, passing_stall_s=0.0, distrusts_resets=False)
-        self._upstreams = Upstreams(CONNECT_TIMEOUT_MS, IDLE_MS, most_connections, options)
+        options = ConnectionOptions(
+            socket_factory=_open_socket,
+            passing_stall_s=0.0,
+            distrusts_resets=False,
+            untold_idle_s=UNTOLD_IDLE_S,
+        )
+        self._upstreams = Upstreams(CONNECT_TIMEOUT_MS, MOST_IDLE_MS, most_connections, options)
         self._numbers: dict[str, int] = {}
         self._next_number = itertools.count(1)
         self._in_use: Counter[str] = Counter()
--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Any
 
@@ -29,6 +30,10 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*(\d{1,6})")
 
 
+# Whether an answer of this status and these headers is one to its request.
+Accepts = Callable[[int, Mapping[str, str]], bool]
+
+
 class _Awaits(Enum):
     NOTHING = "nothing"
     HEAD = "head"
@@ -54,6 +59,7 @@
         self._passes = False  # whether the present answer passes on in pieces
         self._stall_s, self._passing_stall_s = stall_s, passing_stall_s
         self.kept_s: float | None = None  # how long the upstream keeps it idle, where it told
+        self.accepts: Accepts | None = None  # what is asked of the head of the present answer
         self._expects_body = True  # none follows the head of an answer to HEAD
         self._stalls: asyncio.TimerHandle | None = None
         self._awaits = _Awaits.NOTHING
@@ -77,7 +83,9 @@
         if told := KEEP_ALIVE_TIMEOUT.search(message.headers.get("Keep-Alive", "")):
             self.kept_s = float(told[1])
         lengths = message.headers.getall("Content-Length", ())
-        if message.code == 101 or len(lengths) + message.chunked > 1:
+        if self.accepts is not None and not self.accepts(message.code, message.headers):
+            self.set_exception(HttpProcessingError(message="no answer to this request"))
+        elif message.code == 101 or len(lengths) + message.chunked > 1:
             self.set_exception(HttpProcessingError(message="an answer of no certain length"))
         elif lengths and not (lengths[0].isdecimal() and int(lengths[0]) <= LONGEST_ANSWER):
             self.set_exception(HttpProcessingError(message="an answer longer than any may be"))
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -23,7 +23,7 @@
 from yarl import URL
 
 from madderwind.policy.api import Outcome
-from madderwind.transport.answering import LONGEST_ANSWER, PASSING_STALL_S, OneAnswer
+from madderwind.transport.answering import LONGEST_ANSWER, PASSING_STALL_S, Accepts, OneAnswer
 from madderwind.transport.limits import OWN_LIMITS
 
 # Idle connections are given up this part of the upstream's idle time: one that it may be closing is not used.
@@ -68,6 +68,7 @@
     """
 
     __slots__ = (
+        "accepts",
         "body",
         "connection",
         "headers",
@@ -95,6 +96,7 @@
         on_whole: Callable[[], None] = lambda: None,
         upload: Upload | None = None,
         sink: Sink | None = None,
+        accepts: Accepts | None = None,
     ) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_write = may_write
@@ -102,6 +104,7 @@
         self.on_whole = on_whole  # called when its last byte has been written
         self.upload = upload  # in the place of `body`
         self.sink = sink  # for an answer that is too long to be held
+        self.accepts = accepts  # an answer that it does not take for one to this request can't be read
         self.written, self.whole = False, False  # its first byte; its last
         self.limit: asyncio.Timeout | None = None
         self.upstream = -1  # the number of the upstream asked
@@ -148,7 +151,7 @@
         assert isinstance(connection, OneAnswer)
         if not letter.may_write() or not connection.clean():
             raise _NotWritten
-        letter.connection = connection
+        letter.connection, connection.accepts = connection, letter.accepts
         letter.written = True
         self.url = _Target(letter.target)  # type: ignore[assignment]
         response = await super().send(conn)
@@ -201,11 +204,13 @@
 
 class ConnectionOptions(NamedTuple):
     """What differs between the programs. `passing_stall_s`: the longest silence within an answer that passes
-    on, 0 for no bound of its own."""
+    on, 0 for no bound of its own. `untold_idle_s`: how long a connection is kept whose upstream did not tell,
+    where that is shorter than for one whose upstream did."""
 
     socket_factory: Callable[[Any], socket.socket] | None = None
     passing_stall_s: float = PASSING_STALL_S
     distrusts_resets: bool = True
+    untold_idle_s: float = float("inf")
 
 
 class _BoundedConnector(aiohttp.TCPConnector):
@@ -252,7 +257,8 @@
     def _is_kept(self, protocol: OneAnswer, since_s: float) -> bool:
         """Whether it is clean, and its upstream still keeps it by what it told."""
         idle_s = self._loop.time() - since_s
-        return protocol.clean() and (protocol.kept_s is None or idle_s <= protocol.kept_s * IDLE_PART)
+        kept_s = self._options.untold_idle_s if protocol.kept_s is None else protocol.kept_s
+        return protocol.clean() and idle_s <= kept_s * IDLE_PART
 
     def held(self) -> int:
         return len(self._acquired) + sum(len(idle) for idle in self._conns.values())
