--- a/madderwind/standin/fleet.py
+++ b/madderwind/standin/fleet.py
@@ -165,7 +165,9 @@
         return priced
 
     def _reach(self, key: str, avoid: frozenset[str]) -> None:
-        attempt = self._tries[key]
+        attempt = self._tries.get(key)
+        if attempt is None:
+            return
         upstream = attempt.upstream
         arrival = attempt.served.arrival
         request = EngineRequest(key, arrival.generation.parts, arrival.output_tokens)
