Fleet in memory: operators, random faults, a history that is checked

Cause: the hazards of replication come in combinations that no list of stories holds. One seed now makes a fleet, its operators and its faults; what they saw is compared with what the fleet holds at the end: nothing acknowledged is lost, nothing refused is in force, reads are proven, views are unique by epoch, an acknowledged order is on tolerance + 1 disks at that moment, and in calm times orders go through within 4 s.

--- /dev/null
+++ b/tests/fleet/campaign.py
@@ -0,0 +1,96 @@
+"""Random campaigns over a fleet: chaos, calm, and a check of everything that was seen.
+
+By hand: `python -m tests.fleet.campaign FIRST_SEED COUNT`.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+
+from tests.fleet.faults import Faults
+from tests.fleet.fleet import Fleet
+from tests.fleet.history import History, Violation
+from tests.fleet.operators import Operator
+from tests.fleet.register import Register
+
+CHAOS_MS = 8_000.0
+STABLE_MS = 3_000.0
+ACKNOWLEDGED_WITHIN_MS = 4_000.0
+ROUNDS = 3
+
+
+class Campaign:
+    """One fleet's troubled life; all of it follows from the seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        rng = random.Random(seed)
+        machines, tolerance = rng.choice([(3, 1), (3, 1), (5, 2), (4, 1)])
+        self.fleet = Fleet(machines, tolerance, seed=rng.getrandbits(64))
+        self.history = History(tolerance)
+        self.faults = Faults(self.fleet, random.Random(rng.getrandbits(64)))
+        self.operators = [
+            Operator(f"o{number}", self.fleet, self.history, random.Random(rng.getrandbits(64)))
+            for number in range(rng.randint(1, 3))
+        ]
+        self._rng = rng
+        self.fleet.observe(self.history.note_committed, self.history.note_view)
+
+    def run(self) -> None:
+        """Raises Violation where something happened that must not."""
+        self.fleet.start()
+        self.fleet.run(STABLE_MS)
+        for _ in range(ROUNDS):
+            self._chaos()
+            self._calm()
+
+    def _chaos(self) -> None:
+        for operator in self.operators:
+            operator.start(self._rng.uniform(50.0, 400.0))
+        self.faults.start(self._rng.uniform(200.0, 1_500.0))
+        self.fleet.run(CHAOS_MS)
+
+    def _calm(self) -> None:
+        """In the end everything works, and everything that was seen holds together."""
+        for operator in self.operators:
+            operator.stop()
+        self.faults.heal()
+        self.fleet.run(STABLE_MS)
+        final = self._read()
+        self.history.check(final)
+        self._order(final.version)
+        self.fleet.run(1_000.0)
+        self.history.check(self._read())
+
+    def _order(self, base: int) -> None:
+        try:
+            self.fleet.take_order(base, base + 1, f"calm-{base}", ACKNOWLEDGED_WITHIN_MS)
+        except TimeoutError as error:
+            raise Violation(f"no order is acknowledged in calm times: {error}") from None
+
+    def _read(self) -> Register:
+        try:
+            return self.fleet.take_read(ACKNOWLEDGED_WITHIN_MS)
+        except TimeoutError as error:
+            raise Violation(f"no read is proven in calm times: {error}") from None
+
+
+def main() -> None:
+    """Run many campaigns and tell which failed."""
+    first, count = int(sys.argv[1]), int(sys.argv[2])
+    began = time.monotonic()
+    failed = 0
+    for seed in range(first, first + count):
+        campaign = Campaign(seed)
+        try:
+            campaign.run()
+        except Violation as violation:
+            failed += 1
+            print(f"seed {seed}: {violation}", flush=True)
+    print(f"{count} campaigns, {failed} failed, {time.monotonic() - began:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/fleet/disk.py
+++ b/tests/fleet/disk.py
@@ -61,6 +61,15 @@
         if (file := self._files.pop(name, None)) is not None and file.is_named:
             self._removed[name] = file
 
+    def synced_copy(self) -> MemoryDisk:
+        """What the worst loss of power would leave."""
+        copy = MemoryDisk(self._rng)
+        for name, file in self._files.items():
+            if file.is_named:
+                copy._files[name] = _File()
+                copy._files[name].synced = file.synced
+        return copy
+
     def wipe(self) -> None:
         """The disk is replaced by an empty one."""
         self._files.clear()
--- /dev/null
+++ b/tests/fleet/faults.py
@@ -0,0 +1,213 @@
+"""Random faults of a fleet, from one seed, within what it is to bear.
+
+Anything may be cut, killed, frozen or lose power. Disks are lost by no more machines at a time than the
+tolerance allows, counted as the deployment does: until some seconds after they are back.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from tests.fleet.fleet import Fleet
+from tests.fleet.machine import Machine
+
+CATCH_UP_MS = 4_000.0
+
+
+class Faults:
+    """Does things to a fleet; `heal` ends them all."""
+
+    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+        self._fleet, self._rng = fleet, rng
+        self._troubled_until: dict[str, float] = {}
+        self._replacements = 0
+        self._is_active = False
+        self.log: list[tuple[float, str]] = []
+        self._kinds: tuple[tuple[Callable[[], None], float], ...] = (
+            (self._kill, 3),
+            (self._kill_all, 1),
+            (self._lose_power, 2),
+            (self._lose_power_everywhere, 1),
+            (self._wipe, 2),
+            (self._wipe_while_others_lose_power, 1),
+            (self._replace, 2),
+            (self._freeze, 3),
+            (self._cut_pair, 2),
+            (self._cut_one_way, 2),
+            (self._isolate, 2),
+            (self._lose_messages, 1),
+            (self._slow_disk, 1),
+            (self._stall_disk, 2),
+            (self._fill_disk, 1),
+            (self._fail_syncs, 1),
+            (self._leave, 2),
+        )
+
+    def start(self, pause_ms: float) -> None:
+        """Let faults happen, about one in every `pause_ms`."""
+        self._is_active = True
+        self._pause_ms = pause_ms
+        self._schedule()
+
+    def heal(self) -> None:
+        """End all faults: everything runs and is connected."""
+        self._is_active = False
+        self._fleet.network.heal()
+        for machine in self._fleet.machines.values():
+            self._mend_disk(machine)
+            machine.thaw()
+            machine.start()
+
+    def _schedule(self) -> None:
+        self._fleet.clock.after(self._rng.uniform(0.1, 1.9) * self._pause_ms, self._happen)
+
+    def _happen(self) -> None:
+        if not self._is_active:
+            return
+        kinds, weights = zip(*self._kinds, strict=True)
+        self._rng.choices(kinds, weights)[0]()
+        self._schedule()
+
+    # --- whom it may hit ---
+
+    def _any(self) -> Machine:
+        return self._rng.choice(list(self._fleet.machines.values()))
+
+    def _trouble(self, machine: Machine, duration_ms: float, what: str) -> None:
+        until_ms = self._fleet.clock.now_ms + duration_ms + CATCH_UP_MS
+        self._troubled_until[machine.address] = max(until_ms, self._troubled_until.get(machine.address, 0.0))
+        self.log.append((self._fleet.clock.now_ms, f"{machine.address} {what}"))
+
+    def _may_lose_disk(self, machine: Machine) -> bool:
+        """Whether the fleet is to bear that this machine loses its disk now."""
+        now_ms = self._fleet.clock.now_ms
+        troubled = {address for address, until_ms in self._troubled_until.items() if until_ms > now_ms}
+        return len(troubled | {machine.address}) <= self._fleet.tolerance
+
+    def _later(self, least_ms: float, most_ms: float, action: Callable[[], None]) -> float:
+        delay_ms = self._rng.uniform(least_ms, most_ms)
+        self._fleet.clock.after(delay_ms, lambda: action() if self._is_active else None)
+        return delay_ms
+
+    # --- processes and power ---
+
+    def _kill(self) -> None:
+        machine = self._any()
+        machine.kill()
+        self._trouble(machine, self._later(50.0, 2_000.0, machine.start), "killed")
+
+    def _kill_all(self) -> None:
+        for machine in self._fleet.machines.values():
+            machine.kill()
+            self._trouble(machine, self._later(50.0, 1_000.0, machine.start), "killed with all")
+
+    def _lose_power(self) -> None:
+        machine = self._any()
+        machine.lose_power()
+        self._trouble(machine, self._later(50.0, 2_000.0, machine.start), "lost power")
+
+    def _lose_power_everywhere(self) -> None:
+        for machine in self._fleet.machines.values():
+            machine.lose_power()
+            self._trouble(machine, self._later(50.0, 1_000.0, machine.start), "lost power with all")
+
+    def _wipe(self) -> None:
+        machine = self._any()
+        if self._may_lose_disk(machine):
+            machine.wipe()
+            self._trouble(machine, self._later(50.0, 1_500.0, machine.start), "wiped")
+
+    def _wipe_while_others_lose_power(self) -> None:
+        wiped = self._any()
+        if not self._may_lose_disk(wiped):
+            return
+        for machine in self._fleet.machines.values():
+            if machine is wiped:
+                machine.wipe()
+            else:
+                machine.lose_power()
+            self._trouble(machine, self._later(50.0, 1_000.0, machine.start), f"{wiped.address} wiped, power")
+
+    def _replace(self) -> None:
+        machine = self._any()
+        if not self._may_lose_disk(machine):
+            return
+        if self._rng.random() < 0.5:
+            machine.leave()
+        machine.remove()
+        del self._fleet.machines[machine.address]
+        self._troubled_until.pop(machine.address, None)
+        self._replacements += 1
+        successor = self._fleet.add(f"r{self._replacements}")
+        self._trouble(successor, self._later(50.0, 2_000.0, successor.start), f"replaces {machine.address}")
+
+    def _freeze(self) -> None:
+        machine = self._any()
+        machine.freeze()
+        self._trouble(machine, self._later(100.0, 4_000.0, machine.thaw), "frozen")
+
+    def _leave(self) -> None:
+        machine = self._any()
+        if machine.is_running:
+            machine.leave()
+            self._trouble(machine, self._later(350.0, 1_500.0, machine.start), "leaves")
+
+    # --- links ---
+
+    def _heal_links(self) -> None:
+        self._fleet.network.heal()
+
+    def _cut_pair(self) -> None:
+        one, other = self._any(), self._any()
+        if one is not other:
+            self._fleet.network.cut_both(one.address, other.address)
+            self._trouble(one, self._later(200.0, 3_000.0, self._heal_links), f"cut from {other.address}")
+
+    def _cut_one_way(self) -> None:
+        one, other = self._any(), self._any()
+        if one is not other:
+            self._fleet.network.cut(one.address, other.address)
+            self._trouble(
+                one, self._later(200.0, 3_000.0, self._heal_links), f"can't send to {other.address}"
+            )
+
+    def _isolate(self) -> None:
+        machine = self._any()
+        self._fleet.network.isolate(machine.address)
+        self._trouble(machine, self._later(200.0, 4_000.0, self._heal_links), "isolated")
+
+    def _lose_messages(self) -> None:
+        self._fleet.network.loss = self._rng.uniform(0.05, 0.4)
+        self._fleet.network.reorders = self._rng.random() < 0.5
+        duration_ms = self._later(200.0, 2_000.0, self._heal_links)
+        for machine in self._fleet.machines.values():
+            self._trouble(machine, duration_ms, "messages are lost")
+
+    # --- disks ---
+
+    def _mend_disk(self, machine: Machine) -> None:
+        machine.sync_ms = 1.0
+        machine.stalled_until_ms = min(machine.stalled_until_ms, self._fleet.clock.now_ms)
+        machine.disk.is_full = machine.disk.fails_syncs = False
+
+    def _slow_disk(self) -> None:
+        machine = self._any()
+        machine.sync_ms = self._rng.uniform(20.0, 300.0)
+        self._trouble(machine, self._later(500.0, 4_000.0, lambda: self._mend_disk(machine)), "slow disk")
+
+    def _stall_disk(self) -> None:
+        machine = self._any()
+        duration_ms = self._rng.uniform(300.0, 4_000.0)
+        machine.stalled_until_ms = self._fleet.clock.now_ms + duration_ms
+        self._trouble(machine, duration_ms, "stalled disk")
+
+    def _fill_disk(self) -> None:
+        machine = self._any()
+        machine.disk.is_full = True
+        self._trouble(machine, self._later(500.0, 4_000.0, lambda: self._mend_disk(machine)), "full disk")
+
+    def _fail_syncs(self) -> None:
+        machine = self._any()
+        machine.disk.fails_syncs = True
+        self._trouble(machine, self._later(100.0, 2_000.0, lambda: self._mend_disk(machine)), "failing syncs")
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from madderwind.messages.replication import View
 from madderwind.replication.api import OrderOutcome, OrderResult
 from tests.fleet.clock import Clock
 from tests.fleet.machine import Machine
@@ -27,6 +28,8 @@
         addresses = [f"m{number}" for number in range(1, machines + 1)]
         self.seeds = tuple(addresses[: seed_count or min(3, machines)])
         self.machines: dict[str, Machine] = {}
+        self._on_committed: Callable[[Machine, Register], None] = lambda machine, register: None
+        self._on_view: Callable[[View], None] = lambda view: None
         for address in addresses:
             self.add(address)
 
@@ -37,9 +40,18 @@
         """A machine with an empty disk, not started."""
         rng = random.Random(self.rng.getrandbits(64))
         machine = Machine(address, self.clock, self.network, rng, self.seeds, self.tolerance)
+        machine.on_committed, machine.on_view = self._on_committed, self._on_view
         self.machines[address] = machine
         return machine
 
+    def observe(
+        self, on_committed: Callable[[Machine, Register], None], on_view: Callable[[View], None]
+    ) -> None:
+        """Have what replicas take for committed and for chosen told to someone."""
+        self._on_committed, self._on_view = on_committed, on_view
+        for machine in self.machines.values():
+            machine.on_committed, machine.on_view = on_committed, on_view
+
     def start(self, spread_ms: float = START_SPREAD_MS) -> None:
         """The very first start of all machines, in any order."""
         for machine in self.machines.values():
@@ -54,7 +66,7 @@
         began_ms = self.clock.now_ms
         while not condition():
             if self.clock.now_ms - began_ms > most_ms:
-                raise AssertionError(f"not so after {most_ms} ms")
+                raise TimeoutError(f"not so after {most_ms} ms")
             self.run(5.0)
         return self.clock.now_ms - began_ms
 
@@ -104,13 +116,26 @@
         began_ms = self.clock.now_ms
         while not any(result.outcome is OrderOutcome.TAKEN for result in state):
             if self.clock.now_ms - began_ms > most_ms:
-                raise AssertionError(f"not acknowledged after {most_ms} ms: {state[-3:]}")
+                raise TimeoutError(f"not acknowledged after {most_ms} ms: {state[-3:]}")
             primary = self.primary()
             if primary is not None:
                 self.submit_into(primary, base, version, name, state)
             self.run(50.0)
         return self.clock.now_ms - began_ms
 
+    def take_read(self, most_ms: float = 4_000.0) -> Register:
+        """Ask whoever is primary until a read is proven."""
+        results: list[Register | None] = []
+        began_ms = self.clock.now_ms
+        while not any(result is not None for result in results):
+            if self.clock.now_ms - began_ms > most_ms:
+                raise TimeoutError(f"no proven read after {most_ms} ms")
+            primary = self.primary()
+            if primary is not None:
+                primary.read(results.append)
+            self.run(50.0)
+        return next(result for result in results if result is not None)
+
     def submit_into(
         self, machine: Machine, base: int, version: int, name: str, results: list[OrderResult]
     ) -> None:
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from madderwind.errors import StorageError
-from madderwind.messages.replication import replication_messages
+from madderwind.messages.replication import View, replication_messages
 from madderwind.replication.api import (
     Committed,
     Event,
@@ -29,6 +29,7 @@
     WriteCompleted,
     WriteFailed,
 )
+from madderwind.replication.records import stored_state
 from madderwind.replication.replica import Replica
 from madderwind.replication.times import ReplicationTimes
 from madderwind.storage.record_file import RecordFile
@@ -64,12 +65,14 @@
         self.replica: Replica | None = None
         self.reports: list[tuple[float, Report]] = []
         self.on_committed: Callable[[Machine, Register], None] = lambda machine, register: None
+        self.on_view: Callable[[View], None] = lambda view: None
+        self.life = 0
         self._rng = rng
-        self._life = 0
         self._file = RecordFile(self.disk)
         self._disk_queue: deque[Write | Rewrite] = deque()
         self._inbox: deque[Event] = deque()
         self._is_frozen = False
+        self._is_removed = False
         self._orders: dict[int, OnOrder] = {}
         self._reads: dict[int, OnRead] = {}
         self._last_token = 0
@@ -84,9 +87,9 @@
 
     def start(self, bootstrap: bool = False) -> None:
         """Start the process on whatever the disk holds."""
-        if self.replica is not None:
+        if self.replica is not None or self._is_removed:
             return
-        self._life += 1
+        self.life += 1
         self._file = RecordFile(self.disk)
         self._disk_queue.clear()
         self._inbox.clear()
@@ -104,7 +107,7 @@
             now_ms=self.clock.now_ms,
             times=ReplicationTimes(),
         )
-        self._tick(self._life)
+        self._tick(self.life)
 
     def kill(self) -> None:
         """End the process; what it wrote stays, synced or not."""
@@ -113,7 +116,7 @@
         self._interrupt_write()
         self.replica = None
         self._is_frozen = False
-        self._life += 1
+        self.life += 1
         for on_order in self._orders.values():
             on_order(OrderResult(OrderOutcome.UNCLEAR))
         for on_read in self._reads.values():
@@ -131,6 +134,11 @@
         self.kill()
         self.disk.wipe()
 
+    def remove(self) -> None:
+        """The machine is taken away for good."""
+        self.wipe()
+        self._is_removed = True
+
     def freeze(self) -> None:
         """The process does not run; what comes for it is queued."""
         self._is_frozen = True
@@ -146,8 +154,8 @@
     def leave(self) -> None:
         """SIGTERM: the process is to hand over, and ends a little later."""
         self._event(LeaveRequested())
-        life = self._life
-        self.clock.after(300.0, lambda: self.kill() if life == self._life else None)
+        life = self.life
+        self.clock.after(300.0, lambda: self.kill() if life == self.life else None)
 
     # --- what callers ask ---
 
@@ -181,10 +189,20 @@
         assert isinstance(committed, Register)
         return committed
 
+    def taken_on_disk(self) -> set[tuple[int, bytes]]:
+        """The orders that would still be here after a loss of power."""
+        stored = stored_state(RecordFile(self.disk.synced_copy()).recover().records)
+        register = Register.restore(stored.snapshot) if stored.snapshot is not None else Register()
+        taken = set(register.taken)
+        for index in range(stored.snapshot_index + 1, stored.log.last_index + 1):
+            entry = stored.log.entry(index)
+            taken.add((entry.base_version, entry.body))
+        return taken
+
     # --- inside ---
 
     def _tick(self, life: int) -> None:
-        if life != self._life:
+        if life != self.life:
             return
         if not self._is_frozen:
             self._event(TimePassed())
@@ -210,7 +228,7 @@
                 case Write() | Rewrite():
                     self._disk_queue.append(action)
                     if len(self._disk_queue) == 1:
-                        self._begin_write(self._life)
+                        self._begin_write(self.life)
                 case OrderResolved(token, result):
                     self._orders.pop(token)(result)
                 case ReadResolved(token, is_newest):
@@ -218,7 +236,12 @@
                 case Committed():
                     self.on_committed(self, self.register)
                 case Report():
-                    self.reports.append((self.clock.now_ms, action))
+                    self._take_report(action)
+
+    def _take_report(self, report: Report) -> None:
+        self.reports.append((self.clock.now_ms, report))
+        if report.event == "view" and self.replica is not None and self.replica.view is not None:
+            self.on_view(self.replica.view)
 
     def _begin_write(self, life: int) -> None:
         delay_ms = self._rng.uniform(0.5, 1.5) * self.sync_ms
@@ -226,7 +249,7 @@
         self.clock.after(delay_ms, lambda: self._end_write(life))
 
     def _end_write(self, life: int) -> None:
-        if life != self._life:
+        if life != self.life:
             return
         if self.clock.now_ms < self.stalled_until_ms:
             self.clock.after(self.stalled_until_ms - self.clock.now_ms, lambda: self._end_write(life))
--- /dev/null
+++ b/tests/fleet/operators.py
@@ -0,0 +1,122 @@
+"""Operators who change and read the configuration, and repeat what got no clear answer."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from madderwind.replication.api import OrderOutcome, OrderResult
+from tests.fleet.fleet import Fleet
+from tests.fleet.history import Attempt, History, ProvenRead
+from tests.fleet.machine import Machine
+from tests.fleet.register import Register, order
+
+PATIENCE_MS = 1_000.0  # without an answer, before the call goes to another machine
+MOST_TRIES = 12
+
+
+class Operator:
+    """Sends one order after the other, on top of the newest version that it knows."""
+
+    def __init__(self, name: str, fleet: Fleet, history: History, rng: random.Random) -> None:
+        self.name, self.fleet, self.history, self._rng = name, fleet, history, rng
+        self.is_active = False
+        self._base = 0
+        self._count = 0
+
+    def start(self, pause_ms: float) -> None:
+        """Go on until stopped, with pauses of about this length."""
+        self.is_active = True
+        self._pause_ms = pause_ms
+        self._later(self._next)
+
+    def stop(self) -> None:
+        """Send no further order."""
+        self.is_active = False
+
+    def _later(self, action: Callable[[], None]) -> None:
+        self.fleet.clock.after(self._rng.uniform(0.2, 1.8) * self._pause_ms, action)
+
+    def _next(self) -> None:
+        if not self.is_active:
+            return
+        if self._rng.random() < 0.3:
+            self._read()
+            return
+        self._count += 1
+        version = self._base + self._rng.randint(1, 3)
+        name = f"{self.name}-{self._count}"
+        attempt = Attempt(order(self._base, version, name), self.fleet.clock.now_ms)
+        self.history.attempts.append(attempt)
+        self._send(attempt, version, MOST_TRIES)
+
+    def _send(self, attempt: Attempt, version: int, tries: int) -> None:
+        """One call; without a clear answer in time, the same again elsewhere."""
+        machine = self._pick()
+        if tries == 0 or machine is None:
+            self._later(self._next)
+            return
+        call = _Call()
+
+        def on_result(result: OrderResult) -> None:
+            now_ms = self.fleet.clock.now_ms
+            if result.outcome is OrderOutcome.TAKEN:
+                self.history.acknowledge(now_ms, attempt, list(self.fleet.machines.values()))
+                self._base = max(self._base, version)
+            elif result.outcome is not OrderOutcome.UNCLEAR:
+                self.history.refuse(now_ms, attempt, result.outcome)
+                self._base = max(self._base, result.version)
+            if call.end():
+                if result.outcome is OrderOutcome.UNCLEAR:
+                    self._later(lambda: self._send(attempt, version, tries - 1))
+                else:
+                    self._later(self._next)
+
+        def on_silence() -> None:
+            if call.end():
+                self._send(attempt, version, tries - 1)
+
+        self.fleet.clock.after(PATIENCE_MS, on_silence)
+        machine.submit(attempt.order, on_result)
+
+    def _read(self) -> None:
+        machine = self._pick()
+        began_ms = self.fleet.clock.now_ms
+        call = _Call()
+
+        def on_result(register: Register | None) -> None:
+            if register is not None:
+                now_ms = self.fleet.clock.now_ms
+                self.history.reads.append(ProvenRead(began_ms, now_ms, tuple(register.taken)))
+                self._base = max(self._base, register.version)
+            if call.end():
+                self._later(self._next)
+
+        self.fleet.clock.after(PATIENCE_MS, lambda: self._later(self._next) if call.end() else None)
+        if machine is not None:
+            machine.read(on_result)
+
+    def _pick(self) -> Machine | None:
+        """Any machine, or the primary that it follows: control planes pass calls on."""
+        machines = list(self.fleet.machines.values())
+        if not machines:
+            return None
+        machine = self._rng.choice(machines)
+        standing = machine.standing()
+        if standing is not None and standing.primary in self.fleet.machines and self._rng.random() < 0.9:
+            return self.fleet.machines[standing.primary]
+        return machine
+
+
+class _Call:
+    """Ends once: by its answer or by its silence."""
+
+    def __init__(self) -> None:
+        self._has_ended = False
+
+    def end(self) -> bool:
+        """Whether this is its end."""
+        if self._has_ended:
+            return False
+        self._has_ended = True
+        return True
