--- a/madderwind/dataplane/readiness.py
+++ b/madderwind/dataplane/readiness.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 
 READY_PATH = "/ready"
+# How long an answer that is under way may take at the end.
+SHUTDOWN_TIMEOUT_S = 0.1
 
 
 class ReadyListener:
@@ -15,7 +17,7 @@
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
         self._server = web.Server(self._answer, access_log=None)
-        self._runner = web.ServerRunner(self._server)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
 
     async def start(self, host: str, port: int) -> int:
         """The port that is listened on: the one asked for, or a free one for 0."""
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -75,8 +75,15 @@
 class DataPlane:
     """One process."""
 
-    def __init__(self, settings: NodeSettings, log: EventLog, rng: random.Random) -> None:
-        """Needs a running loop."""
+    def __init__(
+        self,
+        settings: NodeSettings,
+        log: EventLog,
+        rng: random.Random,
+        still_accepting_s: float = STILL_ACCEPTING_S,
+    ) -> None:
+        """Needs a running loop. `still_accepting_s`: how long connections are taken once the end began."""
+        self._still_accepting_s = still_accepting_s
         self._settings, self._log, self._rng = settings, log, rng
         self._loop = asyncio.get_running_loop()
         self._phase = Phase.SERVING
@@ -154,17 +161,13 @@
         began_s = self._loop.time()
         self._change_phase(Phase.DRAINING)
         self._listener.begin_ending()
-        await self._go_on_accepting(began_s + STILL_ACCEPTING_S)
+        await asyncio.sleep(self._still_accepting_s)
         self._change_phase(Phase.FINISHING)
         until_s = began_s + self._settings.bounds.grace_s - END_RESERVE_S
         left_open = await self._listener.finish(until_s - self._loop.time())
         self._log("ended", left_open=left_open, **_plain(self.counters))
         await self.close()
 
-    async def _go_on_accepting(self, until_s: float) -> None:
-        while self._loop.time() < until_s:
-            await asyncio.sleep(min(END_LOOK_S * 5, until_s - self._loop.time()))
-
     async def close(self) -> None:
         """Let go of everything, at once."""
         for task in self._tasks:
