Sends are passed on between data planes through the primary, loads more often

What a model server keeps follows from what all balancers sent to it; until now a balancer heard of the others' load alone, every 200 ms. The primary now passes each send's parts on (75 ms, and 2 ms for each data plane beyond 37), and loads as often. What is heard counts as whole for 1.5 s; without a primary a home is presumed to keep its prefixes, as before.

--- a/madderwind/distribution/exchange.py
+++ b/madderwind/distribution/exchange.py
@@ -5,16 +5,26 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Hashable
+from itertools import islice
 
 import attrs
 
-from madderwind.messages.distribution import LoadOfOthers, LoadReport, UsageOfOthers, UsageReport
+from madderwind.messages.distribution import (
+    LoadOfOthers,
+    LoadReport,
+    SendReport,
+    SendsOfOthers,
+    UsageOfOthers,
+    UsageReport,
+)
 
 # A tenant's rate of demand is told again once it changed by this part.
 RATE_CHANGE = 0.05
 MOST_TENANTS = 10_000
+# Reports of sends that are kept for participants that have not been told of them yet.
+MOST_SEND_REPORTS = 2_000
 # What a participant that is away has at upstreams and asks for counts for so long.
 AWAY_COUNTS_MS = 2_000.0
 # For so long its sequence and what it was told are kept, so that it goes on where it was.
@@ -160,6 +170,37 @@
         self._stale = False
 
 
+class SendExchange:
+    """Passes on what each participant sent to upstreams to all others, in order, each once."""
+
+    def __init__(self) -> None:
+        self._reports: deque[tuple[Hashable, SendReport]] = deque(maxlen=MOST_SEND_REPORTS)
+        self._reported = 0
+        self._positions: dict[Hashable, int] = {}
+
+    def join(self, participant: Hashable) -> None:
+        """A participant that is new or comes back is told what is reported from now on."""
+        self._positions[participant] = self._reported
+
+    def report(self, participant: Hashable, report: SendReport) -> None:
+        """Take what a participant sent."""
+        if participant in self._positions and report.prompts:
+            self._reports.append((participant, report))
+            self._reported += 1
+
+    def forget(self, participant: Hashable) -> None:
+        """The participant won't come back."""
+        self._positions.pop(participant, None)
+
+    def owed(self, participant: Hashable) -> SendsOfOthers:
+        """What the others sent since this participant was last told."""
+        unheard = self._reported - self._positions[participant]
+        self._positions[participant] = self._reported
+        recent = islice(reversed(self._reports), unheard)
+        reports = [report for reporter, report in recent if reporter != participant]
+        return SendsOfOthers(tuple(prompt for report in reversed(reports) for prompt in report.prompts))
+
+
 def _rates_differ(now: dict[str, float], told: dict[str, float]) -> bool:
     if now.keys() != told.keys():
         return True
--- a/madderwind/distribution/publisher.py
+++ b/madderwind/distribution/publisher.py
@@ -17,6 +17,7 @@
     AWAY_COUNTS_MS,
     FORGET_AFTER_MS,
     LoadExchange,
+    SendExchange,
     UsageExchange,
 )
 from madderwind.messages.distribution import (
@@ -32,6 +33,7 @@
     PeerSample,
     RegistryDelta,
     RegistrySnapshot,
+    SendReport,
     Subscribe,
     ToControlPlane,
     ToDataPlane,
@@ -41,6 +43,8 @@
 
 FRESHNESS_INTERVAL_MS = 250.0
 EXCHANGE_INTERVAL_MS = 200.0
+# Loads and sends are told this often, and less often the more data planes there are to tell.
+LEAST_LOAD_INTERVAL_MS, LOAD_INTERVAL_MS_PER_DATA_PLANE = 75.0, 2.0
 SAMPLE_INTERVAL_MS = 10_000.0
 PEERS_IN_A_SAMPLE = 8
 # A data plane that asks again for what was just sent to it has that under way.
@@ -147,8 +151,8 @@
         self._told_version = configuration.version
         self._subscribers: dict[int, _Subscriber] = {}
         self._away_since_ms: dict[Participant, float] = {}
-        self._usage, self._load = UsageExchange(), LoadExchange()
-        self._freshness_due_ms = self._exchange_due_ms = self._sample_due_ms = 0.0
+        self._usage, self._load, self._sends = UsageExchange(), LoadExchange(), SendExchange()
+        self._freshness_due_ms = self._exchange_due_ms = self._load_due_ms = self._sample_due_ms = 0.0
 
     # --- what the control plane itself learns ---
 
@@ -180,7 +184,10 @@
             deliveries.append(SendToAll(self._freshness(now_ms)))
         if now_ms >= self._exchange_due_ms and self._standing.is_primary:
             self._exchange_due_ms = now_ms + EXCHANGE_INTERVAL_MS
-            deliveries += self._exchange()
+            deliveries += self._exchange_usage()
+        if now_ms >= self._load_due_ms and self._standing.is_primary:
+            self._load_due_ms = now_ms + self._load_interval_ms()
+            deliveries += self._exchange_load()
         if now_ms >= self._sample_due_ms:
             self._sample_due_ms = now_ms + SAMPLE_INTERVAL_MS
             deliveries += [SendTo(connection, self._sample(connection)) for connection in self._subscribers]
@@ -200,6 +207,7 @@
         self._away_since_ms.pop(participant, None)
         self._usage.join(participant)
         self._load.join(participant)
+        self._sends.join(participant)
         first = (
             self._control_planes(),
             RegistrySnapshot(upstreams),
@@ -222,6 +230,8 @@
             self._usage.report(subscriber.participant, message)
         elif isinstance(message, LoadReport):
             self._load.report(subscriber.participant, message)
+        elif isinstance(message, SendReport):
+            self._sends.report(subscriber.participant, message)
         elif isinstance(message, Farewell):
             self._leave(now_ms, subscriber)
         return []
@@ -234,6 +244,7 @@
         if subscriber.state is SubscriberState.LEAVING:
             self._usage.forget(subscriber.participant)
             self._load.forget(subscriber.participant)
+            self._sends.forget(subscriber.participant)
         else:
             self._away_since_ms[subscriber.participant] = now_ms
 
@@ -320,20 +331,30 @@
         count = min(PEERS_IN_A_SAMPLE, len(others))
         return PeerSample(tuple(self._rng.sample(sorted(others), count)))
 
-    def _exchange(self) -> list[Delivery]:
+    def _exchange_usage(self) -> list[Delivery]:
         deliveries: list[Delivery] = []
         for connection, subscriber in self._subscribers.items():
             if (usage := self._usage.owed(subscriber.participant)) is not None:
                 deliveries.append(SendTo(connection, usage))
+        return deliveries
+
+    def _load_interval_ms(self) -> float:
+        return max(LEAST_LOAD_INTERVAL_MS, LOAD_INTERVAL_MS_PER_DATA_PLANE * len(self._subscribers))
+
+    def _exchange_load(self) -> list[Delivery]:
+        deliveries: list[Delivery] = []
+        for connection, subscriber in self._subscribers.items():
+            deliveries.append(SendTo(connection, self._sends.owed(subscriber.participant)))
             if (load := self._load.owed(subscriber.participant)) is not None:
                 deliveries.append(SendTo(connection, load))
         return deliveries
 
     def _restart_exchanges(self) -> None:
-        self._usage, self._load = UsageExchange(), LoadExchange()
+        self._usage, self._load, self._sends = UsageExchange(), LoadExchange(), SendExchange()
         for subscriber in self._subscribers.values():
             self._usage.join(subscriber.participant)
             self._load.join(subscriber.participant)
+            self._sends.join(subscriber.participant)
 
     def _forget_those_away(self, now_ms: float) -> None:
         for participant, since_ms in list(self._away_since_ms.items()):
@@ -344,3 +365,4 @@
                 del self._away_since_ms[participant]
                 self._usage.forget(participant)
                 self._load.forget(participant)
+                self._sends.forget(participant)
--- a/madderwind/messages/distribution.py
+++ b/madderwind/messages/distribution.py
@@ -80,6 +80,20 @@
     load: dict[str, tuple[float, float, float]]
 
 
+class SentPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that went to an upstream: ids and tokens of its parts, in order."""
+
+    instance: str
+    part_ids: tuple[str, ...]
+    part_tokens: tuple[int, ...]
+
+
+class SendReport(Message, frozen=True):
+    """Prompts that this data plane sent to upstreams since its last report. To the primary alone."""
+
+    prompts: tuple[SentPrompt, ...]
+
+
 class Farewell(Message, frozen=True):
     """The data plane ends: it takes no more requests."""
 
@@ -152,7 +166,15 @@
     load: dict[str, tuple[float, float, float]]
 
 
-ToControlPlane = Subscribe | FetchConfiguration | ConfigurationApplied | UsageReport | LoadReport | Farewell
+class SendsOfOthers(Message, frozen=True):
+    """Prompts that the other data planes sent since the last message of this kind; it comes without any too."""
+
+    prompts: tuple[SentPrompt, ...]
+
+
+ToControlPlane = (
+    Subscribe | FetchConfiguration | ConfigurationApplied | UsageReport | LoadReport | SendReport | Farewell
+)
 ToDataPlane = (
     Freshness
     | ConfigurationSnapshot
@@ -163,6 +185,7 @@
     | PeerSample
     | UsageOfOthers
     | LoadOfOthers
+    | SendsOfOthers
 )
 
 to_control_plane: Codec[ToControlPlane] = Codec(ToControlPlane)
--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from madderwind.messages.distribution import SentPrompt
 from madderwind.placement.costs import PlacementCosts
 from madderwind.placement.first_event_model import FirstEventModel
 from madderwind.placement.popularity import PrefixRates
@@ -24,9 +25,9 @@
 DEFAULT_KV_TOKENS = 400_000
 DEFAULT_STRIDE = 1
 POPULARITY_WINDOW_MS = 6000.0
-# Notices are taken as complete for this long after the last; beyond, a home is presumed to keep its prefixes.
-NOTICES_FRESH_MS = 1500.0
-MOST_NOTICES = 1000
+# What is heard of others' sends is complete for this long; beyond, a home is presumed to keep its prefixes.
+HEARD_FRESH_MS = 1500.0
+MOST_UNTOLD = 1000
 # With more upstreams than this, only the first by rank and a few drawn ones are weighed.
 WEIGH_ALL_BELOW = 10
 RANKED_WEIGHED = 3
@@ -48,14 +49,6 @@
     predicted_first_ms: float
 
 
-class SendNotice(msgspec.Struct, frozen=True, array_like=True):
-    """What other balancers are told of a send: the upstream, and the parts of the prompt."""
-
-    service: str
-    instance: str
-    parts: tuple[PromptPart, ...]
-
-
 class _Service:
     """What is known of one service's upstreams as a whole."""
 
@@ -82,7 +75,7 @@
         self._requests: dict[str, str] = {}
         self._fleet = 1
         self._now_ms = 0.0
-        self._outbox: list[SendNotice] = []
+        self._outbox: list[SentPrompt] = []
         self._heard_at_ms = -math.inf
 
     # --- what the host tells ---
@@ -106,7 +99,7 @@
         """What all other balancers together have at upstreams."""
         for instance in self._zones:
             told = load.get(instance)
-            self._upstream(instance).set_others(self._now_ms, Load(*told) if told else Load())
+            self._upstream(instance).set_others(Load(*told) if told else Load())
 
     def load(self) -> dict[str, tuple[float, float, float]]:
         """What this balancer has at upstreams now, those with nothing left out."""
@@ -117,25 +110,26 @@
             if load.sequences
         }
 
-    def notices(self) -> tuple[SendNotice, ...]:
+    def take_sent(self) -> tuple[SentPrompt, ...]:
         """Own sends since the last call, as many as are kept for it."""
-        notices = tuple(self._outbox)
+        prompts = tuple(self._outbox)
         self._outbox.clear()
-        return notices
+        return prompts
 
-    def heard(self, now_ms: float, notices: Sequence[SendNotice]) -> None:
+    def heard(self, now_ms: float, prompts: Sequence[SentPrompt]) -> None:
         """Sends of the other balancers to upstreams that were located; an empty call says there were none."""
         self._now_ms = max(self._now_ms, now_ms)
         self._heard_at_ms = now_ms
-        for notice in notices:
-            if notice.instance in self._zones:
-                kv_tokens = self._service(notice.service).kv_tokens
-                self._upstream(notice.instance).kept.used(notice.parts, kv_tokens)
+        for prompt in prompts:
+            if prompt.instance in self._zones:
+                upstream = self._upstream(prompt.instance)
+                parts = map(PromptPart, prompt.part_ids, prompt.part_tokens)
+                upstream.kept.used(tuple(parts), upstream.kv_tokens)
 
     @property
-    def _informed(self) -> bool:
-        """Whether the other balancers' sends are known as well."""
-        return self._fleet == 1 or self._now_ms - self._heard_at_ms < NOTICES_FRESH_MS
+    def _unheard(self) -> int:
+        """How many other balancers there are whose sends are not told."""
+        return 0 if self._now_ms - self._heard_at_ms < HEARD_FRESH_MS else self._fleet - 1
 
     def forget(self, instance: str) -> None:
         """The upstream is gone for good."""
@@ -182,12 +176,14 @@
         upstream = self._upstream(instance)
         is_home = prefix is not None and service.ranking.ranking(prefix)[:1] == (instance,)
         uncached = self._uncached(generation, upstream, is_home)
-        ahead = upstream.waiting_tokens(now_ms, self._fleet)
-        copies = 1 if self._informed else self._fleet
+        ahead = upstream.waiting_tokens(now_ms, self._unheard)
+        copies = 1 + self._unheard
         upstream.sent(now_ms, key, Sent(generation, now_ms, uncached, ahead))
+        upstream.kv_tokens = service.kv_tokens
         upstream.kept.used(generation.parts, service.kv_tokens, copies)
-        if len(self._outbox) < MOST_NOTICES:
-            self._outbox.append(SendNotice(generation.service, instance, generation.parts))
+        if len(self._outbox) < MOST_UNTOLD:
+            ids = tuple(part.id for part in generation.parts)
+            self._outbox.append(SentPrompt(instance, ids, tuple(part.tokens for part in generation.parts)))
         self._requests[key] = instance
 
     def event(self, now_ms: float, key: str, first: bool) -> None:
@@ -223,7 +219,7 @@
     def _upstream(self, instance: str) -> UpstreamLoad:
         upstream = self._upstreams.get(instance)
         if upstream is None:
-            upstream = self._upstreams[instance] = UpstreamLoad(self._now_ms)
+            upstream = self._upstreams[instance] = UpstreamLoad(self._now_ms, DEFAULT_KV_TOKENS)
         return upstream
 
     def _homes(
@@ -246,7 +242,7 @@
 
     def _uncached(self, generation: Generation, upstream: UpstreamLoad, presumed: bool) -> float:
         cached = upstream.kept.cached_tokens(generation.parts)
-        if presumed and not self._informed:
+        if presumed and self._unheard:
             cached = max(cached, _tokens(generation.shared_parts))
         return max(float(generation.prompt_tokens - cached), 0.0)
 
@@ -254,12 +250,12 @@
         self, now_ms: float, service: _Service, generation: Generation, instance: str, presumed: bool
     ) -> tuple[float, float]:
         """The predicted ms to the first event there, and the cost of sending there."""
-        costs, model, fleet = self._costs, service.model, self._fleet
+        costs, model = self._costs, service.model
         upstream = self._upstream(instance)
         uncached = self._uncached(generation, upstream, presumed)
-        waiting = upstream.waiting_tokens(now_ms, fleet)
+        waiting = upstream.waiting_tokens(now_ms, self._unheard)
         first_ms = model.predicted_ms(uncached + waiting) * upstream.slowness
-        first_ms += self._admission_ms(now_ms, service, generation, upstream)
+        first_ms += self._admission_ms(service, generation, upstream)
         cost = costs.lateness(first_ms, generation.aim_ms)
         cost += costs.failed * upstream.failure_chance(now_ms)
         if not presumed:
@@ -269,12 +265,10 @@
             cost += costs.cross_zone_per_byte * _bytes(generation)
         return first_ms, cost
 
-    def _admission_ms(
-        self, now_ms: float, service: _Service, generation: Generation, upstream: UpstreamLoad
-    ) -> float:
+    def _admission_ms(self, service: _Service, generation: Generation, upstream: UpstreamLoad) -> float:
         """The wait for a place in the batch or for memory."""
-        waiting_sequences = upstream.sequences(now_ms, self._fleet) + 1.0 - service.slots
-        held = upstream.tokens_held(now_ms, self._fleet) + generation.prompt_tokens + generation.output_tokens
+        waiting_sequences = upstream.sequences(self._unheard) + 1.0 - service.slots
+        held = upstream.tokens_held(self._unheard) + generation.prompt_tokens + generation.output_tokens
         wait_ms = 0.0
         if waiting_sequences > 0.0:
             wait_ms += waiting_sequences * SLOWEST_STEP_MS
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -9,8 +9,6 @@
 from madderwind.placement.kept_parts import KeptParts
 from madderwind.placement.prompts import Generation
 
-# Others' load is taken as told for this long; after that this balancer's own mean stands for each of them.
-OTHERS_FRESH_MS = 1500.0
 MEAN_WINDOW_MS = 4000.0
 SLOWNESS_GAIN = 0.08
 LOWEST_SLOWNESS, HIGHEST_SLOWNESS = 0.4, 6.0
@@ -41,7 +39,8 @@
 class UpstreamLoad:
     """The estimate of one upstream."""
 
-    def __init__(self, now_ms: float) -> None:
+    def __init__(self, now_ms: float, kv_tokens: int) -> None:
+        self.kv_tokens = kv_tokens
         self.kept = KeptParts()
         self.slowness = 1.0
         self.first_seen_ms = now_ms
@@ -51,7 +50,6 @@
         self._mean_waiting = 0.0
         self._mean_at_ms = now_ms
         self._others = Load()
-        self._others_at_ms = -math.inf
         self._failures = 0.0
         self._failed_at_ms = now_ms
 
@@ -59,26 +57,31 @@
         """What this balancer has there."""
         return Load(self._own_waiting, float(len(self._sent)), self._own_held)
 
-    def set_others(self, now_ms: float, load: Load) -> None:
+    def set_others(self, load: Load) -> None:
         """What all other balancers have there."""
-        self._others, self._others_at_ms = load, now_ms
+        self._others = load
 
-    def waiting_tokens(self, now_ms: float, fleet: int) -> float:
-        """Prompt tokens ahead of a new request's; a prompt counts whole until its first event."""
-        return self._own_waiting + self._others_waiting(now_ms, fleet)
+    def waiting_tokens(self, now_ms: float, unheard: int) -> float:
+        """Prompt tokens ahead of a new request's; a prompt counts whole until its first event.
 
-    def sequences(self, now_ms: float, fleet: int) -> float:
+        `unheard`: other balancers of which nothing is heard; the own mean stands for each of them.
+        """
+        if not unheard:
+            return self._own_waiting + self._others.prompt_waiting
+        self._average(now_ms)
+        return self._own_waiting + self._mean_waiting * unheard
+
+    def sequences(self, unheard: int) -> float:
         """Requests there, running or waiting."""
-        own = len(self._sent)
-        if now_ms - self._others_at_ms < OTHERS_FRESH_MS:
-            return own + self._others.sequences
-        return float(own * fleet)
+        if not unheard:
+            return len(self._sent) + self._others.sequences
+        return float(len(self._sent) * (1 + unheard))
 
-    def tokens_held(self, now_ms: float, fleet: int) -> float:
+    def tokens_held(self, unheard: int) -> float:
         """Tokens of memory that running requests hold."""
-        if now_ms - self._others_at_ms < OTHERS_FRESH_MS:
+        if not unheard:
             return self._own_held + self._others.tokens_held
-        return self._own_held * fleet
+        return self._own_held * (1 + unheard)
 
     def failure_chance(self, now_ms: float) -> float:
         """The chance, as of late, that a request sent there fails without an event."""
@@ -126,12 +129,6 @@
         decayed = self._failures * math.exp((self._failed_at_ms - now_ms) / FAILURE_MEMORY_MS)
         self._failures, self._failed_at_ms = decayed + 1.0, now_ms
 
-    def _others_waiting(self, now_ms: float, fleet: int) -> float:
-        if now_ms - self._others_at_ms < OTHERS_FRESH_MS:
-            return self._others.prompt_waiting
-        self._average(now_ms)
-        return self._mean_waiting * (fleet - 1)
-
     def _average(self, now_ms: float) -> None:
         """Bring the running mean of own waiting tokens up to now."""
         passed = now_ms - self._mean_at_ms
--- a/madderwind/standin/fleet.py
+++ b/madderwind/standin/fleet.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from madderwind.placement.placement import Placement, SendNotice
+from madderwind.messages.distribution import SentPrompt
+from madderwind.placement.placement import Placement
 from madderwind.placement.prompts import PromptPart
 from madderwind.standin.engine import Admission, Engine, EngineEvent, EngineRequest
 from madderwind.standin.experiment import Crash, Experiment, Release
@@ -281,7 +282,7 @@
 
     def _report(self) -> None:
         loads = [plane.policy.load() for plane in self._planes]
-        notices = [_notices(plane.policy) for plane in self._planes]
+        prompts = [_sent_prompts(plane.policy) for plane in self._planes]
         total: dict[str, tuple[float, float, float]] = {}
         for load in loads:
             for instance, (waiting, sequences, held) in load.items():
@@ -295,17 +296,17 @@
             lag_ms = self._experiment.report_ms * self._rng.random()
             self._at(self._now_ms + lag_ms, partial(plane.policy.others, others))
             if isinstance(plane.policy, Placement):
-                told = [notice for n, batch in enumerate(notices) if n != plane.number for notice in batch]
+                told = [prompt for n, sent in enumerate(prompts) if n != plane.number for prompt in sent]
                 self._at(self._now_ms + lag_ms, partial(self._tell, plane.policy, told))
         if self._now_ms < self._experiment.for_s * MS_PER_S:
             self._at(self._now_ms + self._experiment.report_ms, self._report)
 
-    def _tell(self, policy: Placement, told: list[SendNotice]) -> None:
+    def _tell(self, policy: Placement, told: list[SentPrompt]) -> None:
         policy.heard(self._now_ms, told)
 
 
-def _notices(policy: Policy) -> tuple[SendNotice, ...]:
-    return policy.notices() if isinstance(policy, Placement) else ()
+def _sent_prompts(policy: Policy) -> tuple[SentPrompt, ...]:
+    return policy.take_sent() if isinstance(policy, Placement) else ()
 
 
 def _less(total: tuple[float, float, float], own: tuple[float, float, float]) -> tuple[float, float, float]:
--- a/tests/distribution/test_exchange.py
+++ b/tests/distribution/test_exchange.py
@@ -4,8 +4,16 @@
 
 import unittest
 
-from madderwind.distribution.exchange import LoadExchange, UsageExchange
-from madderwind.messages.distribution import LoadOfOthers, LoadReport, UsageOfOthers, UsageReport
+from madderwind.distribution.exchange import LoadExchange, SendExchange, UsageExchange
+from madderwind.messages.distribution import (
+    LoadOfOthers,
+    LoadReport,
+    SendReport,
+    SendsOfOthers,
+    SentPrompt,
+    UsageOfOthers,
+    UsageReport,
+)
 
 
 class UsageIsSummedOverTheOthers(unittest.TestCase):
@@ -86,5 +94,41 @@
         self.assertEqual(self.exchange.owed("b"), LoadOfOthers({"i": (100, 1, 500)}))
 
 
+def prompt(name: str) -> SentPrompt:
+    return SentPrompt("i", (name,), (10,))
+
+
+class Sends(unittest.TestCase):
+    def setUp(self) -> None:
+        self.exchange = SendExchange()
+        for participant in ("a", "b", "c"):
+            self.exchange.join(participant)
+
+    def test_each_hears_of_the_others_in_order_and_once(self) -> None:
+        self.exchange.report("a", SendReport((prompt("1"), prompt("2"))))
+        self.exchange.report("b", SendReport((prompt("3"),)))
+        self.assertEqual(self.exchange.owed("c"), SendsOfOthers((prompt("1"), prompt("2"), prompt("3"))))
+        self.assertEqual(self.exchange.owed("a"), SendsOfOthers((prompt("3"),)))
+        self.exchange.report("c", SendReport((prompt("4"),)))
+        self.assertEqual(self.exchange.owed("a"), SendsOfOthers((prompt("4"),)))
+        self.assertEqual(self.exchange.owed("c"), SendsOfOthers(()))
+
+    def test_who_joins_hears_of_what_comes_after(self) -> None:
+        self.exchange.report("a", SendReport((prompt("1"),)))
+        self.exchange.join("d")
+        self.exchange.report("a", SendReport((prompt("2"),)))
+        self.assertEqual(self.exchange.owed("d"), SendsOfOthers((prompt("2"),)))
+
+    def test_what_is_kept_is_bounded(self) -> None:
+        for _ in range(10_000):
+            self.exchange.report("a", SendReport((prompt("1"),)))
+        self.assertLessEqual(len(self.exchange.owed("b").prompts), 2_000)
+
+    def test_who_is_forgotten_is_not_heard(self) -> None:
+        self.exchange.forget("a")
+        self.exchange.report("a", SendReport((prompt("1"),)))
+        self.assertEqual(self.exchange.owed("b"), SendsOfOthers(()))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -72,12 +72,14 @@
     def test_what_others_have_there_counts(self) -> None:
         placement = balancer(fleet=6)
         home = home_of(placement, "p")
+        placement.heard(0.0, ())
         placement.others({home: (100_000.0, 4.0, 120_000.0)})
         self.assertNotEqual(home_of(placement, "p", 1.0), home)
 
     def test_a_light_load_does_not_move_a_prefix(self) -> None:
         placement = balancer(fleet=6)
         home = home_of(placement, "p")
+        placement.heard(0.0, ())
         placement.others({home: (2_000.0, 10.0, 50_000.0)})
         self.assertEqual(home_of(placement, "p", 1.0), home)
 
@@ -106,7 +108,7 @@
         other.heard(0.0, ())
         cold = other.choose(0.0, generation("p", "own"), UPSTREAMS, NOBODY)
         one.sent(0.0, "k", generation("p", "x"), home)
-        other.heard(100.0, one.notices())
+        other.heard(100.0, one.take_sent())
         warm = other.choose(100.0, generation("p", "own"), UPSTREAMS, NOBODY)
         assert cold is not None and warm is not None
         self.assertEqual(warm.instance, home)
@@ -117,7 +119,7 @@
         home = home_of(one, "p", shared=12_000)
         copy = next(instance for instance in UPSTREAMS if instance != home)
         one.sent(0.0, "k", generation("p", "x"), copy)
-        other.heard(100.0, one.notices())
+        other.heard(100.0, one.take_sent())
         other.others({home: (40_000.0, 2.0, 50_000.0)})
         self.assertEqual(home_of(other, "p", 100.0, shared=12_000), copy)
 
@@ -125,8 +127,8 @@
         placement = balancer()
         for number in range(5_000):
             placement.sent(0.0, f"k{number}", generation("p", "x"), "i-0")
-        self.assertLessEqual(len(placement.notices()), 1_000)
-        self.assertEqual(placement.notices(), ())
+        self.assertLessEqual(len(placement.take_sent()), 1_000)
+        self.assertEqual(placement.take_sent(), ())
 
     def test_without_notices_a_home_is_presumed_to_keep_its_prefixes(self) -> None:
         placement = balancer(fleet=2)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,6 +14,7 @@
     "settings": {"policy"},
     "clock": set(),
     "eventlog": set(),
+    "structured_log": set(),
     "simhost": {"policy", "settings"},
     "gossip": set(),
     "agreement": {"policy", "settings"},
@@ -60,8 +61,9 @@
 )
 BELOW |= {part: set(SYSTEM[:place]) for place, part in enumerate(SYSTEM) if part != "balancing"}
 # The two hosts know nothing of each other, and the control plane nothing of requests.
-SHARED_WITH_HOSTS = {"clock", "eventlog", "transport", "protocol"}
+SHARED_WITH_HOSTS = {"clock", "eventlog", "structured_log", "transport", "protocol"}
 BELOW["dataplane"] = {*SYSTEM, *SHARED_WITH_HOSTS}
+BELOW["standin"] = {"errors", "messages", "placement"}
 BELOW["controlplane"] = {*SYSTEM, *SHARED_WITH_HOSTS} - {"limits", "placement"}
 
 
