--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -37,6 +37,8 @@
     LoadReport,
     RegistryDelta,
     RegistrySnapshot,
+    SendReport,
+    SendsOfOthers,
     UsageOfOthers,
     UsageReport,
 )
@@ -54,6 +56,8 @@
 IDLE_SLACK_S = 1.0
 # How often usage and load are reported, and how often it is looked whether the settings file has changed.
 REPORT_S, WATCH_S = 0.25, 1.0
+# How often the other data planes are told of own sends and of what is at upstreams.
+LOAD_REPORT_S = 0.075
 COUNTERS_S = 10.0
 # The platform asks every second and needs two misses, so new connections still come for a while.
 STILL_ACCEPTING_S = 2.5
@@ -142,6 +146,7 @@
         self.links.start()
         self._tasks = [
             self._loop.create_task(self._report_usage()),
+            self._loop.create_task(self._report_load()),
             self._loop.create_task(self._log_counters()),
         ]
         self._log("started", front=front_port, ready=ready_port)
@@ -212,6 +217,8 @@
                 self.quota.others(now_ms, used, asked)
             case LoadOfOthers(load):
                 self.placement.others(load)
+            case SendsOfOthers(prompts):
+                self.placement.heard(now_ms, prompts)
             case Freshness():
                 pass
             case _:
@@ -233,9 +240,22 @@
                 self._usage_sequence += 1
                 report = UsageReport(self._usage_sequence, dict(usage.used), dict(usage.asked))
                 self.links.send(self.subscriber.primary, report)
-            load = self.placement.load()
-            if load:
-                self.links.send(self.subscriber.primary, LoadReport(load))
+
+    async def _report_load(self) -> None:
+        """Tell the primary what was sent to upstreams, and what is there where that changed."""
+        told, told_to = LoadReport({}), ""
+        while True:
+            await asyncio.sleep(LOAD_REPORT_S)
+            prompts, load = self.placement.take_sent(), LoadReport(self.placement.load())
+            primary = self.subscriber.primary
+            if not self.subscriber.is_in_touch(self._now_ms()):
+                told_to = ""
+                continue
+            if prompts:
+                self.links.send(primary, SendReport(prompts))
+            if load != told or primary != told_to:
+                self.links.send(primary, load)
+                told, told_to = load, primary
 
     async def _log_counters(self) -> None:
         while True:
