Local fleet: processes of a whole fleet on one machine, stand-in upstreams on sockets, relays between them

Change: a YAML file describes control planes, data planes, upstreams and the operator's configuration; a supervisor starts them as processes with settings files, each with a loopback address of its own. The drills' relay is split from the drills' plan (drill/relay.py), and now also stands before control planes and upstreams: a process listens at bind_ip where its settings name one, and tells its relay's address. Ruled out: relays by gossiped addresses alone, as control planes tell each other the address they listen on; network namespaces, which many machines do not allow.

--- a/madderwind/errors.py
+++ b/madderwind/errors.py
@@ -33,3 +33,20 @@
 
 class InvalidHeartbeat(MadderwindError):
     """An upstream's heartbeat cannot be read."""
+
+
+class InvalidFile(MadderwindError):
+    """A file that somebody wrote cannot be used. `line` counts from 1, 0 where none can be named."""
+
+    def __init__(self, path: str, line: int, field: str, reason: str) -> None:
+        place = f"{path}:{line}" if line else path
+        super().__init__(f"{place}: {field}: {reason}" if field else f"{place}: {reason}")
+        self.path, self.line, self.field, self.reason = path, line, field, reason
+
+
+class LocalFleetError(MadderwindError):
+    """A fleet on this machine cannot be started, or is not in the state that a command needs."""
+
+
+class OperatorCallFailed(MadderwindError):
+    """A control plane refused an operator's call, or none answered it."""
--- /dev/null
+++ b/madderwind/local/fleet_file.py
@@ -0,0 +1,119 @@
+"""A fleet on one machine as written in YAML: processes, upstreams, configuration, traffic, faults."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import attrs
+import msgspec
+
+from madderwind.configuration.reading import Document, read_document
+from madderwind.errors import InvalidConfiguration, InvalidFile
+from madderwind.local.fault_file import Fault, Operator
+from madderwind.local.traffic_file import Traffic
+from madderwind.local.yaml_files import field_name, line_of, read_yaml, steps_of
+from madderwind.standin.engine import EngineSettings
+from madderwind.standin.upstream_settings import Mishaps, PlainWork
+
+MOST_PROCESSES_OF_A_KIND = 90
+
+
+def _count(least: int) -> Any:
+    return attrs.validators.and_(attrs.validators.ge(least), attrs.validators.le(MOST_PROCESSES_OF_A_KIND))
+
+
+@attrs.frozen
+class UpstreamGroup:
+    """The stand-in upstreams of one service: `engine` for a model's, `plain` for any other; their fields are
+    those of `standin.engine.EngineSettings` and `standin.upstream_settings.PlainWork`."""
+
+    service: str
+    count: int = attrs.field(default=2, validator=_count(1))
+    engine: dict[str, Any] | None = None
+    plain: dict[str, Any] | None = None
+    mishaps: dict[str, Any] = attrs.field(factory=dict)
+    slowness: tuple[float, ...] = (1.0,)
+    drain_ms: float = 500.0
+    cold_ms: float = 0.0
+    cold_slowness: float = 1.0
+    max_connections: int = 256
+
+    def engine_settings(self) -> EngineSettings | None:
+        """The engine of a model's service."""
+        return None if self.engine is None else msgspec.convert(self.engine, EngineSettings)
+
+    def plain_work(self) -> PlainWork | None:
+        """The work of a plain service."""
+        return None if self.plain is None else msgspec.convert(self.plain, PlainWork)
+
+    def mishap_shares(self) -> Mishaps:
+        """What goes wrong at these upstreams without any fault."""
+        return msgspec.convert(self.mishaps, Mishaps)
+
+
+@attrs.frozen
+class FleetFile:
+    """The whole file. `configuration` is the operator's, as it is sent; `bounds` and `limits` go into the
+    settings files as they are. With `relays`, what lies between the processes can be cut."""
+
+    name: str
+    configuration: dict[str, Any]
+    upstreams: tuple[UpstreamGroup, ...]
+    zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
+    control_planes: int = attrs.field(default=3, validator=_count(1))
+    data_planes: int = attrs.field(default=3, validator=_count(1))
+    tolerance: int = 1
+    heartbeat_ms: float = 500.0
+    relays: bool = True
+    bounds: dict[str, Any] = attrs.field(factory=dict)
+    limits: dict[str, Any] = attrs.field(factory=dict)
+    traffic: Traffic | None = None
+    faults: tuple[Fault, ...] = ()
+    operator: Operator = Operator()
+
+    def document(self) -> Document:
+        """The operator's configuration, checked."""
+        return read_document(msgspec.json.encode(self.configuration))
+
+
+def read_fleet_file(path: Path) -> FleetFile:
+    """The fleet in a file; InvalidFile names the field and the line at fault."""
+    fleet = read_yaml(path, FleetFile)
+    _check_configuration(path, fleet)
+    for index, group in enumerate(fleet.upstreams):
+        _check_group(path, fleet, index, group)
+    if not fleet.zones:
+        raise _invalid(path, "zones", "at least one is needed")
+    return fleet
+
+
+def _check_configuration(path: Path, fleet: FleetFile) -> None:
+    try:
+        fleet.document()
+    except InvalidConfiguration as error:
+        raise _invalid(path, f"configuration.{error.field}", error.reason) from None
+
+
+def _check_group(path: Path, fleet: FleetFile, index: int, group: UpstreamGroup) -> None:
+    place = field_name(["upstreams", index])
+    known = {service.name for service in fleet.document().configuration.services}
+    if group.service not in known:
+        raise _invalid(path, f"{place}.service", f"the configuration has no service {group.service!r}")
+    if (group.engine is None) == (group.plain is None):
+        raise _invalid(path, place, "exactly one of engine and plain is needed")
+    for name, read in (
+        ("engine", group.engine_settings),
+        ("plain", group.plain_work),
+        ("mishaps", group.mishap_shares),
+    ):
+        try:
+            read()
+        except msgspec.ValidationError as error:
+            raise _invalid(path, f"{place}.{name}", str(error)) from None
+    if not group.slowness:
+        raise _invalid(path, f"{place}.slowness", "at least one is needed")
+
+
+def _invalid(path: Path, field: str, reason: str) -> InvalidFile:
+    return InvalidFile(str(path), line_of(path.read_text(), steps_of(field)), field, reason)
--- /dev/null
+++ b/madderwind/local/layout.py
@@ -0,0 +1,244 @@
+"""Who is where in a fleet on one machine: names, addresses, settings files and folders of all processes.
+
+Every process has a loopback address of its own. Where relays stand between the processes, what a process
+tells of itself is its relay's address; the one that it listens on differs in the third byte.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from madderwind.local.fleet_file import FleetFile, UpstreamGroup
+from madderwind.node_settings import CONTROL_PLANE_PORT
+from madderwind.standin.upstream_settings import UpstreamSettings
+
+CONTROL_PORT, FRONT_PORT, READY_PORT, UPSTREAM_PORT, SUPERVISOR_PORT = 8367, 8360, 8365, 8080, 8500
+INTERNAL_PORTS = (7500, 7515)
+# The third byte of the addresses, by kind of process; services' upstreams follow one another from theirs on.
+CONTROL_PLANES, DATA_PLANES, SUPERVISOR, UPSTREAMS = 1, 2, 3, 10
+# What is added to the third byte for the address that a process behind a relay listens on.
+BEHIND_RELAY = 100
+STATE_FILE = "fleet.json"
+
+
+class NodeKind(Enum):
+    """What a process is."""
+
+    CONTROL_PLANE = "control plane"
+    DATA_PLANE = "data plane"
+    UPSTREAM = "upstream"
+
+
+class RelayLayout(msgspec.Struct, frozen=True):
+    """A relay: whoever connects to `address` reaches `target`, a process of `node`."""
+
+    node: str
+    address: str
+    target: str
+
+
+class NodeLayout(msgspec.Struct, frozen=True):
+    """One process: its module, where its settings file and folder are, and what the file holds."""
+
+    name: str
+    kind: NodeKind
+    zone: str
+    module: str
+    folder: str
+    settings: dict[str, Any]
+    data_dir: str = ""
+    records: str = ""
+    front: str = ""
+    ready: str = ""
+    status: str = ""
+
+    @property
+    def settings_path(self) -> Path:
+        """The process's settings file."""
+        return Path(self.folder) / "settings.json"
+
+    @property
+    def log_path(self) -> Path:
+        """Where its standard output and error go."""
+        return Path(self.folder) / "log"
+
+
+class FleetLayout(msgspec.Struct, frozen=True):
+    """The whole fleet. `control` is where operators call; it is kept in the folder for other commands."""
+
+    name: str
+    folder: str
+    file: str
+    supervisor: str
+    control: tuple[str, ...]
+    nodes: tuple[NodeLayout, ...]
+    relays: tuple[RelayLayout, ...]
+
+    def node(self, name: str) -> NodeLayout:
+        """The node of that name; KeyError where there is none."""
+        return {node.name: node for node in self.nodes}[name]
+
+    def of_kind(self, kind: NodeKind) -> tuple[NodeLayout, ...]:
+        """All nodes of a kind."""
+        return tuple(node for node in self.nodes if node.kind is kind)
+
+
+def read_layout(folder: Path) -> FleetLayout:
+    """The fleet that runs by this folder; OSError or msgspec.MsgspecError where there is none."""
+    return msgspec.json.decode((folder / STATE_FILE).read_bytes(), type=FleetLayout)
+
+
+def lay_out(fleet: FleetFile, file: Path, folder: Path, net: int) -> FleetLayout:
+    """All processes of the fleet, with loopback addresses 127.`net`.*.*."""
+    return _Layouter(fleet, folder.resolve(), net).lay_out(file)
+
+
+class _Layouter:
+    def __init__(self, fleet: FleetFile, folder: Path, net: int) -> None:
+        self._fleet, self._folder, self._net = fleet, folder, net
+        self._relays: list[RelayLayout] = []
+
+    def lay_out(self, file: Path) -> FleetLayout:
+        fleet = self._fleet
+        control_planes = [self._control_plane(number) for number in range(fleet.control_planes)]
+        data_planes = [self._data_plane(number) for number in range(fleet.data_planes)]
+        upstreams = [
+            self._upstream(place, group, number)
+            for place, group in enumerate(fleet.upstreams)
+            for number in range(group.count)
+        ]
+        return FleetLayout(
+            name=fleet.name,
+            folder=str(self._folder),
+            file=str(file.resolve()),
+            supervisor=self._address(SUPERVISOR, 0, SUPERVISOR_PORT),
+            control=self._control_addresses(),
+            nodes=(*control_planes, *data_planes, *upstreams),
+            relays=tuple(self._relays),
+        )
+
+    def _ip(self, third: int, number: int) -> str:
+        return f"127.{self._net}.{third}.{number + 1}"
+
+    def _address(self, third: int, number: int, port: int) -> str:
+        return f"{self._ip(third, number)}:{port}"
+
+    def _behind(self, third: int) -> int:
+        return third + BEHIND_RELAY if self._fleet.relays else third
+
+    def _relayed(self, node: str, third: int, number: int, port: int) -> tuple[str, str]:
+        """The address that is told, and the one that is listened on."""
+        told, listened = self._address(third, number, port), self._address(self._behind(third), number, port)
+        if told != listened:
+            self._relays.append(RelayLayout(node, told, listened))
+        return told, listened
+
+    def _control_addresses(self) -> tuple[str, ...]:
+        numbers = range(self._fleet.control_planes)
+        return tuple(self._address(CONTROL_PLANES, number, CONTROL_PORT) for number in numbers)
+
+    def _zone(self, number: int) -> str:
+        return self._fleet.zones[number % len(self._fleet.zones)]
+
+    def _node_settings(self, name: str, ip: str, zone: str) -> dict[str, Any]:
+        """What control planes' and data planes' settings files have in common."""
+        fleet = self._fleet
+        return {
+            "node": name,
+            "ip": ip,
+            "zone": zone,
+            "region": fleet.name,
+            "zones": dict.fromkeys(fleet.zones, fleet.name),
+            "internal_ports": list(INTERNAL_PORTS),
+            "seeds": list(self._control_addresses()[:3]),
+            "bootstrap": True,
+            "heartbeat_ms": fleet.heartbeat_ms,
+            "fault_tolerance": {"machines": fleet.tolerance, "zones": 0, "regions": 0},
+            "limits": fleet.limits,
+            "bounds": fleet.bounds,
+        }
+
+    def _control_plane(self, number: int) -> NodeLayout:
+        name, zone = f"control-{number + 1}", self._zone(number)
+        folder = self._folder / name
+        internal_port = INTERNAL_PORTS[0] + CONTROL_PLANE_PORT
+        _, internal = self._relayed(name, CONTROL_PLANES, number, internal_port)
+        _, control = self._relayed(name, CONTROL_PLANES, number, CONTROL_PORT)
+        data_dir = str(folder / "data")
+        settings = {
+            **self._node_settings(name, self._ip(CONTROL_PLANES, number), zone),
+            "bind_ip": internal.rpartition(":")[0],
+            "listen": {"control": control},
+            "data_dir": data_dir,
+        }
+        return NodeLayout(
+            name=name,
+            kind=NodeKind.CONTROL_PLANE,
+            zone=zone,
+            module="madderwind.controlplane",
+            folder=str(folder),
+            settings=settings,
+            data_dir=data_dir,
+            status=internal,
+        )
+
+    def _data_plane(self, number: int) -> NodeLayout:
+        name, zone = f"data-{number + 1}", self._zone(number)
+        front = self._address(DATA_PLANES, number, FRONT_PORT)
+        ready = self._address(DATA_PLANES, number, READY_PORT)
+        settings = {
+            **self._node_settings(name, self._ip(DATA_PLANES, number), zone),
+            "listen": {"front": front, "ready": ready},
+            "data_dir": None,
+        }
+        return NodeLayout(
+            name=name,
+            kind=NodeKind.DATA_PLANE,
+            zone=zone,
+            module="madderwind.dataplane",
+            folder=str(self._folder / name),
+            settings=settings,
+            front=front,
+            ready=ready,
+        )
+
+    def _upstream(self, place: int, group: UpstreamGroup, number: int) -> NodeLayout:
+        name, zone = f"{group.service}-{number + 1}", self._zone(number)
+        folder = self._folder / name
+        told, listened = self._relayed(name, UPSTREAMS + place, number, UPSTREAM_PORT)
+        records = str(folder / "records.jsonl")
+        engine = group.engine_settings()
+        if engine is not None:
+            slowness = group.slowness[number % len(group.slowness)]
+            engine = msgspec.structs.replace(engine, slowness=slowness)
+        service = next(s for s in self._fleet.document().configuration.services if s.name == group.service)
+        settings = UpstreamSettings(
+            service=group.service,
+            zone=zone,
+            listen=listened,
+            address=told,
+            control=self._control_addresses(),
+            records=records,
+            heartbeat_ms=self._fleet.heartbeat_ms,
+            drain_ms=group.drain_ms,
+            health_path=service.health_path,
+            max_connections=group.max_connections,
+            cold_ms=group.cold_ms,
+            cold_slowness=group.cold_slowness,
+            mishaps=group.mishap_shares(),
+            engine=engine,
+            plain=group.plain_work(),
+        )
+        return NodeLayout(
+            name=name,
+            kind=NodeKind.UPSTREAM,
+            zone=zone,
+            module="madderwind.standin.upstream_process",
+            folder=str(folder),
+            settings=msgspec.to_builtins(settings),
+            records=records,
+        )
--- /dev/null
+++ b/madderwind/local/relays.py
@@ -0,0 +1,152 @@
+"""The relays between the processes of a fleet, and the cuts that are in force between nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping, Sequence
+
+import msgspec
+import psutil
+
+from madderwind.drill.relay import MS_PER_S, Address, Relay, RelayedConnection
+from madderwind.local.layout import RelayLayout
+
+# Who has which connection is looked up at most so often while a cut is in force.
+OWNERS_KEPT_S = 0.05
+CUT, SLOW = "cut", "slow"
+
+
+class LinkCondition(msgspec.Struct, frozen=True):
+    """Between `nodes` and `between` (all others where empty) nothing passes, or late by `late_ms`."""
+
+    kind: str
+    nodes: tuple[str, ...]
+    between: tuple[str, ...] = ()
+    late_ms: float = 0.0
+
+    def isolates(self, node: str) -> bool:
+        """Whether the node is cut from all others."""
+        return self.kind == CUT and not self.between and node in self.nodes
+
+    def concerns(self, source: str, target: str) -> bool:
+        """Whether it lies between these two; a source outside of the fleet has no name."""
+        return self._joins(source, target) or self._joins(target, source)
+
+    def _joins(self, one: str, other: str) -> bool:
+        if one not in self.nodes or one == other:
+            return False
+        return other in self.between if self.between else bool(other)
+
+
+class ConnectionOwners:
+    """Which node a connection comes from, by the sockets of its process."""
+
+    def __init__(self, pids: Callable[[], Mapping[str, int]]) -> None:
+        self._pids = pids
+        self._owners: dict[Address, str] = {}
+        self._looked_s = float("-inf")
+
+    def node_of(self, peer: Address) -> str:
+        """The node whose process has this end; empty where it is none of the fleet's."""
+        if peer not in self._owners and time.monotonic() - self._looked_s > OWNERS_KEPT_S:
+            self._look()
+        return self._owners.get(peer, "")
+
+    def _look(self) -> None:
+        self._looked_s = time.monotonic()
+        self._owners = {}
+        for node, pid in self._pids().items():
+            try:
+                connections = psutil.Process(pid).net_connections("tcp4")
+            except psutil.Error:
+                continue  # it ended meanwhile
+            for connection in connections:
+                if connection.laddr:
+                    self._owners[connection.laddr.ip, connection.laddr.port] = node
+
+
+class _FleetConnection(RelayedConnection):
+    """A connection between two nodes, or from outside of the fleet."""
+
+    def __init__(self, relay: FleetRelay, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        super().__init__(relay, reader, writer)
+        self.peer: Address = writer.get_extra_info("peername")[:2]
+        self.open = asyncio.Event()
+        self.late_ms = 0.0
+        relay.settle(self)
+
+
+class FleetRelay(Relay):
+    """The relay before one address of a node."""
+
+    def __init__(self, layout: RelayLayout, relays: FleetRelays) -> None:
+        super().__init__(_address(layout.address), _address(layout.target))
+        self.node, self._relays = layout.node, relays
+
+    def connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> RelayedConnection:
+        return _FleetConnection(self, reader, writer)
+
+    async def passes(self, connection: RelayedConnection) -> None:
+        assert isinstance(connection, _FleetConnection)
+        await super().passes(connection)
+        await connection.open.wait()
+        if connection.late_ms:
+            await asyncio.sleep(connection.late_ms / MS_PER_S)
+            await connection.open.wait()
+
+    def settle(self, connection: _FleetConnection) -> None:
+        """Give a connection what the conditions in force make of it."""
+        is_cut, connection.late_ms = self._relays.between(connection.peer, self.node)
+        if is_cut:
+            connection.open.clear()
+        else:
+            connection.open.set()
+
+    def settle_all(self) -> None:
+        """After the conditions changed."""
+        for connection in self.connections:
+            assert isinstance(connection, _FleetConnection)
+            self.settle(connection)
+
+
+class FleetRelays:
+    """All relays of a fleet. Needs a running loop."""
+
+    def __init__(self, layouts: Sequence[RelayLayout], pids: Callable[[], Mapping[str, int]]) -> None:
+        self._owners = ConnectionOwners(pids)
+        self._conditions: tuple[LinkCondition, ...] = ()
+        self._relays = [FleetRelay(layout, self) for layout in layouts]
+
+    def listen(self) -> None:
+        """Take connections at all addresses."""
+        for relay in self._relays:
+            relay.listen()
+
+    def close(self) -> None:
+        """Take no more."""
+        for relay in self._relays:
+            relay.be("", 0.0)
+            relay.close()
+
+    def set_conditions(self, conditions: Sequence[LinkCondition]) -> None:
+        """These hold from now on, and no others. A node cut from all others is not even connected to."""
+        self._conditions = tuple(conditions)
+        for relay in self._relays:
+            isolated = any(condition.isolates(relay.node) for condition in self._conditions)
+            relay.be("vanish" if isolated else "", 0.0)
+            relay.settle_all()
+
+    def between(self, peer: Address, node: str) -> tuple[bool, float]:
+        """Whether nothing passes between a connection's end and a node, and how late what passes is."""
+        if not self._conditions:
+            return False, 0.0
+        source = self._owners.node_of(peer)
+        found = [condition for condition in self._conditions if condition.concerns(source, node)]
+        is_cut = any(condition.kind == CUT for condition in found)
+        return is_cut, max((condition.late_ms for condition in found), default=0.0)
+
+
+def _address(text: str) -> Address:
+    ip, _, port = text.rpartition(":")
+    return ip, int(port)
--- /dev/null
+++ b/madderwind/local/supervisor.py
@@ -0,0 +1,162 @@
+"""Starts all processes of a fleet, keeps them running, and lets other commands act on them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from madderwind.drill.plan import take_net
+from madderwind.errors import LocalFleetError
+from madderwind.local.fleet_file import FleetFile
+from madderwind.local.layout import STATE_FILE, FleetLayout, NodeKind, lay_out
+from madderwind.local.node_process import LifeEvent, NodeProcess
+from madderwind.local.relays import FleetRelays, LinkCondition
+
+LIVES_FILE = "lives.jsonl"
+# All processes start within this, and a data plane is ready; a busy machine starts many at once.
+START_TIMEOUT_S = 60.0
+LOOK_S = 0.05
+# A process that ends by itself so often before it is up is not going to come up.
+MOST_FAILED_STARTS = 3
+ACTIONS = ("start", "kill", "term", "pause", "resume", "wipe", "fill_disk", "free_disk")
+
+
+class Supervisor:
+    """One fleet and its processes; to be used as an async context, which begins and ends all of them."""
+
+    def __init__(self, fleet: FleetFile, file: Path, folder: Path) -> None:
+        self._fleet = fleet
+        net, self._lock = _take_net()
+        self.layout: FleetLayout = lay_out(fleet, file, folder, net)
+        self._folder = folder
+        self._nodes = {node.name: NodeProcess(node, self._note) for node in self.layout.nodes}
+        self._runner: web.AppRunner | None = None
+
+    async def __aenter__(self) -> Supervisor:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._relays = FleetRelays(self.layout.relays, self._pids)
+        self._relays.listen()
+        await self._serve()
+        (self._folder / STATE_FILE).write_bytes(msgspec.json.encode(self.layout))
+        for node in self._nodes.values():
+            node.write_settings()
+        await asyncio.gather(*(node.start() for node in self._nodes.values()))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        (self._folder / STATE_FILE).unlink(missing_ok=True)
+        await asyncio.gather(*(node.end() for node in self._nodes.values()))
+        self._relays.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self._lock.close()
+
+    async def wait_until_control_answers(self) -> None:
+        """Return once each control plane takes connections; LocalFleetError where one does not."""
+        for node in self.layout.of_kind(NodeKind.CONTROL_PLANE):
+            await self._await(node.name, lambda address=node.status: _listens(address))  # type: ignore[misc]
+
+    async def wait_until_ready(self) -> None:
+        """Return once all data planes are ready; LocalFleetError where one is not."""
+        async with aiohttp.ClientSession() as session:
+            for node in self.layout.of_kind(NodeKind.DATA_PLANE):
+                url = f"http://{node.ready}/ready"
+                await self._await(node.name, lambda url=url: _answers_200(session, url))  # type: ignore[misc]
+
+    async def _await(self, name: str, holds: Callable[[], Awaitable[bool]]) -> None:
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while not await holds():
+                    if self._nodes[name].own_ends >= MOST_FAILED_STARTS:
+                        raise LocalFleetError(f"{name} does not start: {self._nodes[name].log_tail()}")
+                    await asyncio.sleep(LOOK_S)
+        except TimeoutError:
+            tail = self._nodes[name].log_tail()
+            raise LocalFleetError(f"{name} did not come up within {START_TIMEOUT_S:g} s: {tail}") from None
+
+    def _pids(self) -> dict[str, int]:
+        return {name: node.pid for name, node in self._nodes.items() if node.pid}
+
+    def _note(self, event: LifeEvent) -> None:
+        with (self._folder / LIVES_FILE).open("ab") as file:
+            file.write(msgspec.json.encode(event) + b"\n")
+
+    # --- what other commands ask for ---
+
+    async def _serve(self) -> None:
+        application = web.Application()
+        application.router.add_post("/nodes/{name}/{action}", self._act)
+        application.router.add_post("/links", self._set_links)
+        application.router.add_get("/nodes", self._list)
+        self._runner = web.AppRunner(application, access_log=None, handle_signals=False, shutdown_timeout=0.2)
+        await self._runner.setup()
+        ip, _, port = self.layout.supervisor.rpartition(":")
+        await web.TCPSite(self._runner, ip, int(port), reuse_address=True).start()
+
+    async def _act(self, request: web.Request) -> web.Response:
+        node = self._nodes.get(request.match_info["name"])
+        action = request.match_info["action"]
+        if node is None or action not in ACTIONS:
+            raise web.HTTPNotFound
+        match action:
+            case "start":
+                await node.wait_ended_if_ending()
+                await node.start()
+            case "kill":
+                await node.kill()
+            case "term":
+                await node.terminate()
+            case "pause":
+                node.pause()
+            case "resume":
+                node.resume()
+            case "wipe":
+                await node.wipe()
+            case "fill_disk":
+                node.refuse_writes(True)
+            case "free_disk":
+                node.refuse_writes(False)
+        return web.Response()
+
+    async def _set_links(self, request: web.Request) -> web.Response:
+        conditions = msgspec.json.decode(await request.read(), type=tuple[LinkCondition, ...])
+        if conditions and not self._fleet.relays:
+            raise web.HTTPConflict(text="this fleet runs without relays")
+        self._relays.set_conditions(conditions)
+        return web.Response()
+
+    async def _list(self, _: web.Request) -> web.Response:
+        told = {name: {"state": node.state.value, "pid": node.pid} for name, node in self._nodes.items()}
+        return web.Response(body=msgspec.json.encode(told), content_type="application/json")
+
+
+def _take_net() -> tuple[int, socket.socket]:
+    try:
+        return take_net(random.Random())
+    except OSError as error:
+        raise LocalFleetError(str(error)) from None
+
+
+async def _listens(address: str) -> bool:
+    ip, _, port = address.rpartition(":")
+    with contextlib.suppress(OSError):
+        _, writer = await asyncio.open_connection(ip, int(port))
+        writer.close()
+        return True
+    return False
+
+
+async def _answers_200(session: aiohttp.ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url, timeout=aiohttp.ClientTimeout(total=1.0)) as answer:
+            return answer.status == 200
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return False
--- /dev/null
+++ b/madderwind/local/yaml_files.py
@@ -0,0 +1,177 @@
+"""Files that people write in YAML or JSON, read into attrs classes; an error names the field and its line."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+import yaml
+from cattrs import (
+    AttributeValidationNote,
+    BaseValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationNote,
+)
+from cattrs.gen import make_dict_structure_fn
+
+from madderwind.errors import InvalidFile
+
+FileType = TypeVar("FileType")
+PathStep = str | int
+
+
+class _WrongValue(Exception):
+    """A value that its field can't take; the text tells why."""
+
+
+def read_yaml(path: Path, file_type: type[FileType]) -> FileType:
+    """The typed content of a file; InvalidFile names what is wrong, and where."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise InvalidFile(str(path), 0, "", str(error)) from None
+    return parse_yaml(text, file_type, str(path))
+
+
+def parse_yaml(text: str, file_type: type[FileType], name: str) -> FileType:
+    """As `read_yaml`, of text; `name` stands for the file in errors."""
+    try:
+        raw = yaml.safe_load(text)
+    except yaml.MarkedYAMLError as error:
+        line = error.problem_mark.line + 1 if error.problem_mark else 0
+        raise InvalidFile(name, line, "", error.problem or "is no YAML") from None
+    try:
+        return _converter.structure(raw, file_type)
+    except (BaseValidationError, _WrongValue, ValueError, TypeError) as error:
+        steps, reason = _first_fault(error)
+        raise InvalidFile(name, line_of(text, steps), field_name(steps), reason) from None
+
+
+def field_name(steps: Sequence[PathStep]) -> str:
+    """A place in a document, such as `routes[3].timeout_ms`."""
+    name = ""
+    for step in steps:
+        name += f"[{step}]" if isinstance(step, int) else f".{step}"
+    return name.removeprefix(".")
+
+
+def steps_of(field: str) -> list[PathStep]:
+    """The reverse of `field_name`."""
+    steps: list[PathStep] = []
+    for part in field.split("."):
+        key, *indices = part.split("[")
+        steps += [key] if key else []
+        steps += [int(index.rstrip("]")) for index in indices]
+    return steps
+
+
+def line_of(text: str, steps: Sequence[PathStep]) -> int:
+    """The line of a place in YAML or JSON text, or of the nearest part around it that is there; 0 where the
+    text can't be read."""
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+    except yaml.YAMLError:
+        return 0
+    if node is None:
+        return 0
+    line = node.start_mark.line + 1
+    for step in steps:
+        child = _child(node, step)
+        if child is None:
+            break
+        line, node = child.start_mark.line + 1, child
+    return line
+
+
+def _child(node: yaml.Node, step: PathStep) -> yaml.Node | None:
+    if isinstance(node, yaml.MappingNode):
+        return next((value for key, value in node.value if key.value == str(step)), None)
+    if isinstance(node, yaml.SequenceNode) and isinstance(step, int) and step < len(node.value):
+        child: yaml.Node = node.value[step]
+        return child
+    return None
+
+
+def _first_fault(error: BaseException) -> tuple[list[PathStep], str]:
+    """The first thing that is wrong and its place: cattrs notes on each nested error where it arose."""
+    steps: list[PathStep] = []
+    while isinstance(error, BaseValidationError) and not isinstance(error, ForbiddenExtraKeysError):
+        error = error.exceptions[0]
+        for note in getattr(error, "__notes__", ()):
+            if isinstance(note, AttributeValidationNote):
+                steps.append(note.name)
+            elif isinstance(note, IterableValidationNote):
+                steps.append(note.index)
+    if isinstance(error, ForbiddenExtraKeysError):
+        unknown = sorted(error.extra_fields)[0]
+        return [*steps, unknown], "is not known here"
+    if isinstance(error, KeyError):
+        return steps, "is missing"
+    return steps, str(error)
+
+
+def _number(value: Any, _: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise _WrongValue(f"a number was expected, not {value!r}")
+    return float(value)
+
+
+def _whole_number(value: Any, _: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise _WrongValue(f"a whole number was expected, not {value!r}")
+    return value
+
+
+def _text(value: Any, _: object) -> str:
+    if not isinstance(value, str):
+        raise _WrongValue(f"a text was expected, not {value!r}")
+    return value
+
+
+def _truth(value: Any, _: object) -> bool:
+    if not isinstance(value, bool):
+        raise _WrongValue(f"true or false was expected, not {value!r}")
+    return value
+
+
+def _object_of(item_type: type[Any]) -> Any:
+    structure = make_dict_structure_fn(item_type, _converter, _cattrs_forbid_extra_keys=True)
+
+    def structure_object(value: Any, _: object) -> Any:
+        if not isinstance(value, dict):
+            raise _WrongValue("a mapping of fields was expected")
+        return structure(value, item_type)
+
+    return structure_object
+
+
+def _list_of(tuple_type: Any) -> Any:
+    item_type = tuple_type.__args__[0]
+
+    def structure_list(value: Any, _: object) -> Any:
+        if not isinstance(value, list):
+            raise _WrongValue("a list was expected")
+        return tuple(_converter.structure(value, list[item_type]))  # type: ignore[valid-type]
+
+    return structure_list
+
+
+def _is_tuple(candidate: Any) -> bool:
+    return getattr(candidate, "__origin__", None) is tuple
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(detailed_validation=True)
+    converter.register_structure_hook(float, _number)
+    converter.register_structure_hook(int, _whole_number)
+    converter.register_structure_hook(str, _text)
+    converter.register_structure_hook(bool, _truth)
+    converter.register_structure_hook_factory(_is_tuple, _list_of)
+    converter.register_structure_hook_factory(attrs.has, _object_of)
+    return converter
+
+
+_converter = _make_converter()
--- a/madderwind/node_settings.py
+++ b/madderwind/node_settings.py
@@ -66,7 +66,8 @@
 
 @attrs.frozen
 class NodeSettings:
-    """One process's settings. Addresses are `ip:port`."""
+    """One process's settings. Addresses are `ip:port`. `bind_ip` is where to listen for other processes where
+    that is not `ip`, the one they connect to: behind a relay or an address translation."""
 
     node: str
     ip: str
@@ -78,6 +79,7 @@
     region: str = ""
     zones: dict[str, str] = attrs.field(factory=dict)
     data_dir: str | None = None
+    bind_ip: str | None = None
     heartbeat_ms: float = 1000.0
     limits: MachineLimits = attrs.field(factory=MachineLimits)
     fault_tolerance: FaultTolerance = attrs.field(factory=FaultTolerance)
@@ -87,6 +89,10 @@
         """Where this machine's process with that offset takes messages of other processes."""
         return f"{self.ip}:{self.internal_ports[0] + offset}"
 
+    def internal_bind_address(self, offset: int) -> str:
+        """Where this machine's process with that offset listens for other processes."""
+        return f"{self.bind_ip or self.ip}:{self.internal_ports[0] + offset}"
+
     def seed_addresses(self) -> tuple[str, ...]:
         """The control planes' internal addresses, as far as the seeds tell them."""
         port = self.internal_ports[0] + CONTROL_PLANE_PORT
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from madderwind.drill.links import reset
+from madderwind.drill.relay import reset
 from madderwind.drill.wire import Message, answer, chunk, read_message
 from tests.examples import HOST
 
