Control plane: GET /status at the internal address

Change: the standing tells the in-sync set, the publisher its subscribers with their lag; the internal server gives both with the upstreams as JSON. It is read-only and not served at the public address. Ruled out: the public address, which operators and upstreams reach and which the protocol describes whole.

--- a/madderwind/controlplane/core.py
+++ b/madderwind/controlplane/core.py
@@ -35,6 +35,7 @@
     RegistryGossip,
     RegistryRequested,
 )
+from madderwind.messages.status import ControlPlaneStatus, UpstreamStatus
 from madderwind.registry.heartbeats import read_heartbeat
 from madderwind.registry.registry import Registry
 from madderwind.replication.api import (
@@ -87,7 +88,7 @@
     def __init__(
         self, replica: Replica, own_address: str, seeds: Iterable[str], heartbeat_ms: float, rng: Random
     ) -> None:
-        self._replica = replica
+        self._replica, self._own_address = replica, own_address
         self._registry = Registry(heartbeat_ms)
         self._publisher = Publisher(replica.committed, rng)
         self._peers = Peers(own_address, seeds)
@@ -179,6 +180,24 @@
 
     # --- the operator ---
 
+    def status(self, now_ms: float, node: str, zone: str) -> ControlPlaneStatus:
+        """How this control plane stands, told under its node's name and zone."""
+        standing = self._replica.standing(now_ms)
+        return ControlPlaneStatus(
+            node=node,
+            address=self._own_address,
+            zone=zone,
+            is_primary=standing.is_primary,
+            primary=standing.primary,
+            epoch=standing.epoch,
+            committed_version=standing.committed_version,
+            members=standing.members,
+            in_sync=standing.in_sync,
+            fresh_age_ms=standing.fresh_age_ms,
+            data_planes=self._publisher.overview(),
+            upstreams=tuple(_upstream_status(record) for record in self._registry.snapshot(now_ms)),
+        )
+
     def submit(self, now_ms: float, call: int, order: Order | None) -> list[Effect]:
         """An order, or a read where it is None; the host draws `call` and answers when the call ends."""
         outputs = self._refresh_standing(now_ms)
@@ -292,6 +311,17 @@
         return effects
 
 
+def _upstream_status(record: UpstreamRecord) -> UpstreamStatus:
+    return UpstreamStatus(
+        instance=record.instance,
+        service=record.service,
+        address=record.address,
+        zone=record.zone,
+        state=record.state,
+        silent_ms=record.silent_ms,
+    )
+
+
 def _standing_line(standing: Standing) -> LogLine:
     return LogLine(
         "standing changed",
--- a/madderwind/controlplane/host.py
+++ b/madderwind/controlplane/host.py
@@ -13,6 +13,7 @@
 from madderwind.distribution.publisher import Close, SendTo, SendToAll
 from madderwind.messages.distribution import Subscribe, ToControlPlane
 from madderwind.messages.peering import PeerFrame, peer_frames
+from madderwind.messages.status import ControlPlaneStatus
 from madderwind.replication.api import LeaveRequested, Order, OrderResult, Rewrite, Write
 from madderwind.storage.record_file import RecordFile
 from madderwind.structured_log import Log
@@ -113,6 +114,10 @@
         self._carry_out(self._core.submit(self._now_ms(), call, None))
         return await ended
 
+    def status(self, node: str, zone: str) -> ControlPlaneStatus:
+        """How this control plane stands, for an operator."""
+        return self._core.status(self._now_ms(), node, zone)
+
     def leave(self) -> None:
         """The process is about to end."""
         self._carry_out(self._core.replica_event(self._now_ms(), LeaveRequested()))
--- a/madderwind/controlplane/process.py
+++ b/madderwind/controlplane/process.py
@@ -18,6 +18,7 @@
 from madderwind.controlplane.host import ControlPlaneHost
 from madderwind.controlplane.internal_server import InternalServer
 from madderwind.controlplane.public_server import PublicServer
+from madderwind.controlplane.status_handler import add_status
 from madderwind.errors import SettingsError, StorageError
 from madderwind.node_settings import CONTROL_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, read_settings
 from madderwind.replication.api import Action, Event, Standing
@@ -76,8 +77,9 @@
         loop.add_signal_handler(signal.SIGHUP, self._settings_changed.set)
         host = self._host()
         public_server = PublicServer(host, self._log)
-        internal_address = self._settings.internal_bind_address(CONTROL_PLANE_PORT)
-        await self._serve(InternalServer(host, self._log).application(), internal_address)
+        internal = InternalServer(host, self._log).application()
+        add_status(internal, host, self._settings.node, self._settings.zone)
+        await self._serve(internal, self._settings.internal_bind_address(CONTROL_PLANE_PORT))
         await self._serve(public_server.application(), self._settings.listen["control"])
         host.start()
         watching = asyncio.create_task(self._watch_settings(host))
--- a/madderwind/distribution/publisher.py
+++ b/madderwind/distribution/publisher.py
@@ -40,6 +40,7 @@
     UpstreamRecord,
     UsageReport,
 )
+from madderwind.messages.status import DataPlaneStatus
 
 FRESHNESS_INTERVAL_MS = 250.0
 EXCHANGE_INTERVAL_MS = 200.0
@@ -127,6 +128,7 @@
 class _Subscriber:
     participant: Participant
     address: str
+    zone: str
     applied_version: int
     state: SubscriberState = SubscriberState.FOLLOWING
     answered_version: int = -1
@@ -203,7 +205,9 @@
         replaced = [Close(older) for older in self._connections_of(participant) if older != connection]
         for close in replaced:
             del self._subscribers[close.connection]
-        self._subscribers[connection] = _Subscriber(participant, message.address, message.version)
+        self._subscribers[connection] = _Subscriber(
+            participant, message.address, message.zone, message.version
+        )
         self._away_since_ms.pop(participant, None)
         self._usage.join(participant)
         self._load.join(participant)
@@ -270,8 +274,24 @@
         }
         return len(nodes | {participant.node for participant in self._away_since_ms})
 
+    def overview(self) -> tuple[DataPlaneStatus, ...]:
+        """All subscribed data planes, for an operator."""
+        subscribers = sorted(self._subscribers.values(), key=lambda each: each.participant.node)
+        return tuple(self._status_of(subscriber) for subscriber in subscribers)
+
     # --- parts ---
 
+    def _status_of(self, subscriber: _Subscriber) -> DataPlaneStatus:
+        missing = self._configuration.orders_since(subscriber.applied_version)
+        return DataPlaneStatus(
+            node=subscriber.participant.node,
+            address=subscriber.address,
+            zone=subscriber.zone,
+            applied_version=subscriber.applied_version,
+            state=subscriber.state.value,
+            lag=None if missing is None else len(missing),
+        )
+
     def _connections_of(self, participant: Participant) -> list[int]:
         return [
             connection
--- a/madderwind/replication/api.py
+++ b/madderwind/replication/api.py
@@ -186,7 +186,8 @@
 
 class Standing(msgspec.Struct, frozen=True):
     """How a replica stands: `primary` is the internal address of the primary it follows, empty if unknown;
-    `fresh_age_ms`: since that primary is known to have held its lease."""
+    `fresh_age_ms`: since that primary is known to have held its lease; `in_sync`: those whose word every
+    commit needs."""
 
     is_primary: bool
     primary: str
@@ -194,3 +195,4 @@
     committed_version: int
     fresh_age_ms: float | None
     members: tuple[str, ...]  # internal addresses
+    in_sync: tuple[str, ...] = ()  # internal addresses
--- a/madderwind/replication/replica.py
+++ b/madderwind/replication/replica.py
@@ -156,6 +156,7 @@
             committed_version=self.committed.version,
             fresh_age_ms=self._fresh_age_ms(now_ms),
             members=tuple(member.address for member in view.members) if view is not None else (),
+            in_sync=_in_sync_addresses(view) if view is not None else (),
         )
 
     # --- events ---
@@ -575,3 +576,7 @@
 
 def _draw_name(rng: random.Random) -> str:
     return f"{rng.getrandbits(64):016x}"
+
+
+def _in_sync_addresses(view: View) -> tuple[str, ...]:
+    return tuple(member.address for member in view.members if member.incarnation in view.in_sync)
