--- a/madderwind/dataplane/__main__.py
+++ b/madderwind/dataplane/__main__.py
@@ -4,17 +4,17 @@
 
 import asyncio
 import gc
+import os
 import sys
+from pathlib import Path
 
-import fire
-
-from madderwind.dataplane.service import serve, settings_path
 from madderwind.errors import SettingsError
-from madderwind.node_settings import read_settings
-from madderwind.structured_log import BatchedOutput, open_log
+from madderwind.node_settings import SETTINGS_VARIABLE, NodeSettings, read_settings
 
 # A bigger first generation: connections and requests make few cycles, and collections cost time.
 COLLECT_AFTER = 20_000
+# Where TLS looks for the certificates that it trusts; aiohttp reads them all as it is imported.
+TLS_CERTIFICATES = "SSL_CERT_FILE"
 
 
 class Commands:
@@ -22,31 +22,53 @@
 
     def serve(self) -> None:
         """Serve by the settings file that MADDERWIND_CONFIG names."""
-        try:
-            path = settings_path()
-            settings = read_settings(str(path))
-        except SettingsError as error:
-            sys.exit(f"settings: {error}")
+        path, settings = _settings()
         gc.set_threshold(COLLECT_AFTER)
-        output = BatchedOutput()
-        log = open_log(settings.node, output)
-        try:
-            asyncio.run(serve(settings, path, lambda event, /, **fields: log.info(event, **fields)))
-        finally:
-            output.flush()
+        # The system speaks no TLS. Guards against a start that takes a quarter longer: every second of it is
+        # one in which a restarted machine serves nothing.
+        os.environ.setdefault(TLS_CERTIFICATES, os.devnull)
+        _serve(path, settings)
 
     def check_settings(self) -> None:
         """Read the settings file and say whether it can be used."""
-        try:
-            settings = read_settings(str(settings_path()))
-        except SettingsError as error:
-            sys.exit(f"settings: {error}")
+        _, settings = _settings()
         print(f"settings of {settings.node} can be used")
 
 
+def _settings() -> tuple[Path, NodeSettings]:
+    """The settings file and what it says; ends the process where it can't be used."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        return Path(path), read_settings(path)
+    except SettingsError as error:
+        sys.exit(f"settings: {error}")
+
+
+def _serve(path: Path, settings: NodeSettings) -> None:
+    # Imported late: an unusable settings file is told at once, and TLS's certificates stay unread.
+    from madderwind.dataplane.service import serve
+    from madderwind.structured_log import BatchedOutput, open_log
+
+    output = BatchedOutput()
+    log = open_log(settings.node, output)
+    gc.collect()
+    gc.freeze()
+    try:
+        asyncio.run(serve(settings, path, lambda event, /, **fields: log.info(event, **fields)))
+    except SettingsError as error:
+        sys.exit(f"settings: {error}")
+    finally:
+        output.flush()
+
+
 def main() -> None:
     """Run a command, `serve` where none is named."""
-    fire.Fire(Commands, command=sys.argv[1:] or ["serve"])
+    if len(sys.argv) == 1:
+        Commands().serve()
+        return
+    import fire  # takes time to import, and is needed only here
+
+    fire.Fire(Commands)
 
 
 if __name__ == "__main__":
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import secrets
 import signal
@@ -42,7 +41,7 @@
     UsageOfOthers,
     UsageReport,
 )
-from madderwind.node_settings import DATA_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, read_settings
+from madderwind.node_settings import DATA_PLANE_PORT, NodeSettings, read_settings
 from madderwind.placement.placement import Placement
 from madderwind.registry.upstreams import KnownUpstreams
 from madderwind.transport.listening import CallerTimes, Listener
@@ -130,6 +129,7 @@
         )
         self._ready_listener = ReadyListener(lambda: self.is_ready)
         self._usage_sequence = 0
+        self._was_in_touch = False
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -194,7 +194,9 @@
         configuration = action.document.configuration
         self.admission.configure(configuration)
         self.chooser.configure(configuration)
-        self.quota.configure(self._now_ms(), configuration.tenants)
+        now_ms = self._now_ms()
+        self.quota.configure(now_ms, configuration.tenants)
+        self._share_limits(now_ms)
         limits = configuration.limits
         self._listener.tune(
             CallerTimes(
@@ -224,16 +226,23 @@
             case _:
                 pass
 
+    def _share_limits(self, now_ms: float) -> bool:
+        """Tell all limits how many share them; whether the primary hears of what is used here."""
+        fleet, in_touch = self.subscriber.data_planes, self.subscriber.is_in_touch(now_ms)
+        if in_touch != self._was_in_touch:
+            self._was_in_touch = in_touch
+            self._log("in_touch_with_primary" if in_touch else "out_of_touch_with_primary")
+        self.quota.set_fleet(now_ms, fleet, in_touch)
+        self.budget.set_fleet(fleet)
+        self.placement.set_fleet(fleet)
+        return in_touch
+
     async def _report_usage(self) -> None:
-        """Tell the primary what was admitted and what is at upstreams; share the fleet's limits."""
+        """Tell the primary what was admitted."""
         while True:
             await asyncio.sleep(REPORT_S)
             now_ms = self._now_ms()
-            fleet, in_touch = self.subscriber.data_planes, self.subscriber.is_in_touch(now_ms)
-            self.quota.set_fleet(now_ms, fleet, in_touch)
-            self.budget.set_fleet(fleet)
-            self.placement.set_fleet(fleet)
-            if not in_touch:
+            if not self._share_limits(now_ms):
                 continue
             usage = self.quota.drain_usage(now_ms)
             if usage.used or usage.asked:
@@ -326,14 +335,6 @@
         return known.st_mtime_ns, known.st_size
 
 
-def settings_path() -> Path:
-    """The file that the environment names; SettingsError where it names none."""
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if not path:
-        raise SettingsError(SETTINGS_VARIABLE, "no settings file is named")
-    return Path(path)
-
-
 def _host_and_port(settings: NodeSettings, name: str) -> tuple[str, int]:
     address = settings.listen.get(name)
     if address is None:
