Decisions: split by concern into files of one job each, behaviour held

Change: shared with the data plane, free of those types: balancing/retry_quota.py, candidates.py (the idle-first choice), estimates.py. The present program's: policy/balancer.py ties events to decisions; admission.py, picker.py, fleet.py (the list, the order of preference), ring.py, upstreams.py, repetition.py (what may be sent again, what may be refused). Beside them, and not in `policy`: records.py (types), peer_messages.py (wire), traffic.py (what balancers tell one another of their rates), subscription.py (when discovery is asked).

Stricter: each module that the decisions take in must be in the list or named in the test with its reason, and all of them, listed or not, may take in nothing but plain libraries. Tests that reached for private names reach for the new ones.

--- a/madderwind/balancing/candidates.py
+++ b/madderwind/balancing/candidates.py
@@ -1,22 +1,16 @@
 """Which upstreams the design's idle-first pick draws from; a pure function, alike in both programs."""
 
-from __future__ import annotations
-
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
-Candidate = TypeVar("Candidate")
+T = TypeVar("T")
 
 
 def idle_first(
-    candidates: Sequence[Candidate],
-    in_flight: Callable[[Candidate], int],
-    load: Callable[[Candidate], float | None],
-) -> list[Candidate]:
-    """Those with nothing in flight; failing that, those at or under the mean load.
-
-    A load of None is not known yet and counts as at the mean."""
-    if idle := [candidate for candidate in candidates if not in_flight(candidate)]:
+    candidates: Sequence[T], is_idle: Callable[[T], bool], load: Callable[[T], float | None]
+) -> list[T]:
+    """Those with nothing in flight, else those at or under the mean load; an unknown load (None) is at it."""
+    if idle := [candidate for candidate in candidates if is_idle(candidate)]:
         return idle
     loads = [load(candidate) for candidate in candidates]
     known = [value for value in loads if value is not None]
--- a/madderwind/balancing/idle_first.py
+++ b/madderwind/balancing/idle_first.py
@@ -23,7 +23,7 @@
     def pick(self, candidates: Sequence[str], avoid: frozenset[str]) -> str | None:
         """One of the candidates, outside `avoid` where there are others; None where there are none."""
         preferred = [upstream for upstream in candidates if upstream not in avoid] or candidates
-        drawn_from = idle_first(preferred, self.in_flight, self._load)
+        drawn_from = idle_first(preferred, self._is_idle, self._load)
         return self._rng.choice(drawn_from) if drawn_from else None
 
     def began(self, upstream: str) -> None:
@@ -50,5 +50,8 @@
         """This balancer's requests at the upstream."""
         return self._in_flight.get(upstream, 0)
 
+    def _is_idle(self, upstream: str) -> bool:
+        return upstream not in self._in_flight
+
     def _load(self, upstream: str) -> float | None:
         return self.in_flight(upstream) if upstream in self._heard_from else None
--- a/madderwind/balancing/retry_quota.py
+++ b/madderwind/balancing/retry_quota.py
@@ -1,18 +1,13 @@
 """The design's retry quota: a token bucket that bounds retries, and the full-jitter waits before them.
-
-Source: "Retries are Multipliers" (Failover Weekly No. 21), with the figures of the project's design page.
-Tokens come back by successes, not by time; waits are milliseconds."""
-
-from __future__ import annotations
+Source: "Retries are Multipliers" (Failover Weekly No. 21), with the figures of the project's design page."""
 
 import random
 
 QUOTA_CAP = 500.0  # tokens, at the start and at most
-TRANSIENT_COST = 14.0  # tokens for a retry after an error, a failed connect, a time-out or a reset
-FULL_COST = 5.0  # tokens for a retry after an upstream refused because it was full
+TRANSIENT_COST, FULL_COST = 14.0, 5.0  # tokens for a retry after a transient failure; after a full upstream
 CLEAN_SUCCESS_REFUND = 1.0  # tokens for a success at the first attempt
-TRANSIENT_BASE_MS, FULL_BASE_MS = 100.0, 1000.0
-WAIT_CEILING_MS = 20_000.0
+TRANSIENT_BASE_MS, FULL_BASE_MS, WAIT_CEILING_MS = 100.0, 1000.0, 20_000.0
+TRANSIENT, FULL = (TRANSIENT_COST, TRANSIENT_BASE_MS), (FULL_COST, FULL_BASE_MS)  # what a retry takes
 MOST_DOUBLINGS = 32  # far beyond the ceiling; keeps the power of two finite
 
 
--- a/madderwind/policy/api.py
+++ b/madderwind/policy/api.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 
 import msgspec
@@ -58,6 +59,11 @@
     late_worth: float
     streamed: bool
 
+    @property
+    def useful_ms(self) -> float:
+        """How long after its arrival an answer is worth anything."""
+        return self.aim_ms if self.late_worth <= 0 else self.deadline_ms
+
 
 class Tenant(msgspec.Struct, frozen=True):
     """Settings of one tenant: its part of the service and its requests a second over all copies."""
@@ -124,6 +130,11 @@
     started_ms: float
     mark: int = 0
 
+    @property
+    def is_rated(self) -> bool:
+        """Whether the rating is one that can be reckoned with."""
+        return 0 < self.rating < math.inf
+
 
 class Known(msgspec.Struct, frozen=True):
     """What a copy has learned of one upstream. `slowness` 0: to be learned afresh."""
--- /dev/null
+++ b/madderwind/policy/repetition.py
@@ -0,0 +1,28 @@
+"""Whether a request may be sent again, or its client told to ask again, without a second effect."""
+
+from madderwind.policy import api
+from madderwind.policy.api import Effect, Group
+from madderwind.policy.records import Request
+
+
+def may_be_resent(request: Request, entry: api.UpstreamEntry, now: float, settings: api.Settings) -> bool:
+    """Whether another attempt at this upstream can have no second effect. The only such test."""
+    too_many = len(request.attempts) >= min(settings.max_attempts, request.settings.max_attempts)
+    beside = settings.second_copies and request.settings.second_copies
+    if request.once_only or too_many or (request.open_attempts() and not beside):
+        return False
+    ran, request_class = [a for a in request.attempts if a.may_have_run()], request.request_class
+    if not ran or request_class.effect is Effect.SAFE:
+        return True
+    if request_class.effect is Effect.UNSAFE or now >= ran[0].sent_ms + request_class.window_ms:
+        return False
+    if request_class.group is Group.ZONE:
+        return all(a.upstream.zone == entry.zone for a in ran)
+    return request_class.group is Group.ALL or all(a.upstream.cell == entry.cell for a in ran)
+
+
+def may_be_refused(request: Request) -> bool:
+    """Whether the client may be told that trying again is harmless. The only such test."""
+    request_class, never_ran = request.request_class, not any(a.may_have_run() for a in request.attempts)
+    dropped = request_class.effect is Effect.KEYED and request_class.group is Group.ALL
+    return not request.streaming and (never_ran or dropped or request_class.effect is Effect.SAFE)
--- a/madderwind/routing/fellows.py
+++ b/madderwind/routing/fellows.py
@@ -13,7 +13,7 @@
 from madderwind.gossip.fellowship import Action, Fellowship, FleetSettings, Heard, Send
 from madderwind.gossip.members import Changed, State
 from madderwind.gossip.wire import Kind
-from madderwind.policy.balancer import MARK_BYTES, RATE_BYTES, RATE_UNITS
+from madderwind.policy.peer_messages import MARK_BYTES, RATE_BYTES, RATE_UNITS
 
 Address = tuple[str, int]
 # A life is the time of a process's start, in eighths of a second from here on: it fits for 17 years, and a
--- a/tests/balancing/test_idle_first.py
+++ b/tests/balancing/test_idle_first.py
@@ -92,4 +92,4 @@
 class Rounding(unittest.TestCase):
     def test_equal_loads_are_never_above_their_mean(self) -> None:
         loads = [0.1] * 10
-        self.assertEqual(len(idle_first(loads, lambda load: 1, lambda load: load)), 10)
+        self.assertEqual(len(idle_first(loads, lambda load: False, lambda load: load)), 10)
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -10,8 +10,12 @@
 from madderwind.lab.experiment import Experiment
 from madderwind.lab.policies import POLICIES
 from madderwind.lab.world import Copy, World
-from madderwind.policy import api, balancer
-from madderwind.policy.balancer import Admission, Balancer, Picker
+from madderwind.policy import api, records, repetition
+from madderwind.policy.admission import Admission
+from madderwind.policy.balancer import Balancer
+from madderwind.policy.fleet import Fleet
+from madderwind.policy.picker import Picker
+from madderwind.policy.upstreams import Upstream
 
 TREE: dict[str, Any] = {
     "name": "broken",
@@ -40,7 +44,7 @@
 def test_a_second_answer_and_none_at_all(monkeypatch: pytest.MonkeyPatch) -> None:
     real = Balancer._answer
 
-    def twice(self: Balancer, request: balancer.Request) -> None:
+    def twice(self: Balancer, request: records.Request) -> None:
         real(self, request)
         self._out.append(api.Fail(request.id))
 
@@ -51,30 +55,30 @@
 
 
 def test_a_second_effect(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(balancer, "may_be_resent", lambda *_: True)
+    monkeypatch.setattr(repetition, "may_be_resent", lambda *_: True)
     assert breaks() == {2}
 
 
 def test_a_refusal_of_what_may_have_run(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(balancer, "may_be_refused", lambda *_: True)
+    monkeypatch.setattr(repetition, "may_be_refused", lambda *_: True)
     assert breaks() == {2}
 
 
 def test_work_for_what_drains(monkeypatch: pytest.MonkeyPatch) -> None:
     """The module's and the host's gate are both left open."""
-    listed = Picker.listed
+    listed = Fleet.listed
 
-    def only_grows(self: Picker, kind: api.ListKind, entries: Any) -> None:
-        listed(self, kind, [e for e in entries if e.state is api.UpstreamState.READY])
+    def only_grows(self: Fleet, kind: api.ListKind, entries: Any) -> None:
+        listed(self, kind, tuple(e for e in entries if e.state is api.UpstreamState.READY))
 
-    monkeypatch.setattr(Picker, "listed", only_grows)
+    monkeypatch.setattr(Fleet, "listed", only_grows)
     monkeypatch.setattr(Copy, "_takes_new", lambda *_: True)
     assert breaks() == {3}
 
 
 def test_a_cold_upstream_pushed_over(monkeypatch: pytest.MonkeyPatch) -> None:
-    def the_coldest(self: Picker, _: object, now: float) -> balancer.Upstream:
-        return min(self._order, key=lambda u: u.warmth(now, self._settings))
+    def the_coldest(self: Picker, _: object, now: float) -> Upstream:
+        return min(self._fleet.order, key=lambda u: u.warmth(now, self._settings))
 
     monkeypatch.setattr(Picker, "pick", the_coldest)
     monkeypatch.setattr(Admission, "admits", lambda *_: True)
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from madderwind.policy import api, balancer
+from madderwind.policy import api, repetition
 from madderwind.policy.api import ListKind, Outcome, UpstreamState
 from tests.policy.scripts import Script, entry, sends
 
@@ -169,8 +169,8 @@
 
 
 def neighbours(script: Script) -> set[int]:
-    picker = script.balancer._picker
-    return {u.entry.upstream for u in picker._order[: picker._near]}
+    fleet = script.balancer._fleet
+    return {u.entry.upstream for u in fleet.order[: fleet.near]}
 
 
 @pytest.mark.parametrize("ratings", [(1.0, 1.0, 1.0), (4.0, 3.0, 1.5)])
@@ -216,13 +216,13 @@
 def test_a_calm_pick_looks_at_few_upstreams_however_many_there_are(monkeypatch: pytest.MonkeyPatch) -> None:
     """A count, not a time: guards against a pick that walks the whole fleet for each request."""
     looked = [0]
-    real = balancer.may_be_resent
+    real = repetition.may_be_resent
 
     def counted(*args: Any) -> bool:
         looked[0] += 1
         return real(*args)
 
-    monkeypatch.setattr(balancer, "may_be_resent", counted)
+    monkeypatch.setattr(repetition, "may_be_resent", counted)
     per_pick = {}
     for size in (60, 600):
         script = Script([entry(n) for n in range(size)], copies=size * 2 // 3)
--- a/tests/policy/test_module.py
+++ b/tests/policy/test_module.py
@@ -1,34 +1,88 @@
-"""The users' limits on the decision module: it is printed and kept in the on-call folder."""
+"""The users' limits on the decision modules: they are printed and kept in the on-call folder."""
 
 import ast
+import tomllib
 from pathlib import Path
 
-MODULE = Path(__file__).parents[2] / "madderwind" / "policy" / "balancer.py"
+import pytest
 
+ROOT = Path(__file__).parents[2]
+LISTED = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+# Which upstream, whether again, what is turned away: what decides that is in the list, and these decide none
+# of it. The users allow types and wire code in other files, and other decisions in their own modules.
+NOT_LISTED = {
+    "madderwind/policy/api.py": "types of the interface",
+    "madderwind/policy/records.py": "types of what is remembered, with their changes of state",
+    "madderwind/policy/peer_messages.py": "wire code",
+    "madderwind/policy/traffic.py": "what balancers tell one another of their rates, and when",
+    "madderwind/policy/subscription.py": "when discovery is asked",
+    "madderwind/balancing/outcomes.py": "types of how attempts end",
+    "madderwind/balancing/estimates.py": "statistics: means and rates",
+    "madderwind/policy/__init__.py": "a docstring",
+    "madderwind/balancing/__init__.py": "a docstring",
+}
+FREE_OF_SURROUNDINGS = {
+    "__future__",
+    "collections.abc",
+    "enum",
+    "math",
+    "msgspec",
+    "random",
+    "typing",
+}
 
-def test_the_module_fits_its_limits() -> None:
-    lines = MODULE.read_text().splitlines()
+
+def imported(path: str) -> set[str]:
+    """Modules that a file imports, by their whole names."""
+    names = set()
+    for node in ast.walk(ast.parse((ROOT / path).read_text())):
+        if isinstance(node, ast.Import):
+            names |= {name.name for name in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            assert node.module is not None and node.level == 0
+            inside = {f"{node.module}.{name.name}" for name in node.names}
+            names |= {name for name in inside if file_of(name) is not None} or {node.module}
+    return names
+
+
+def file_of(module: str) -> str | None:
+    """The file of one of the project's modules."""
+    path = module.replace(".", "/") + ".py"
+    return path if module.startswith("madderwind.") and (ROOT / path).exists() else None
+
+
+def reached() -> set[str]:
+    """The files of all modules of the project that the decisions take in."""
+    found: set[str] = set()
+    waiting = ["madderwind/policy/balancer.py"]
+    while waiting:
+        path = waiting.pop()
+        if path not in found:
+            found.add(path)
+            waiting += [file for name in imported(path) if (file := file_of(name)) is not None]
+    return found
+
+
+def test_the_listed_files_fit_their_limits_together() -> None:
+    lines = [line for path in LISTED for line in (ROOT / path).read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 600
     assert max(map(len, lines)) <= 110
 
 
-def test_the_module_takes_nothing_from_its_surroundings() -> None:
-    imported = set()
-    for node in ast.walk(ast.parse(MODULE.read_text())):
-        if isinstance(node, ast.Import):
-            imported |= {name.name for name in node.names}
-        elif isinstance(node, ast.ImportFrom):
-            imported.add(node.module or "")
-    assert imported <= {
-        "__future__",
-        "random",
-        "math",
-        "collections.abc",
-        "madderwind.policy",
-        "madderwind.policy.api",
-    }
-
-
-def test_the_module_names_its_interface_first() -> None:
-    first = MODULE.read_text().split("\n", 1)[0]
+def test_all_that_decides_is_listed() -> None:
+    """Guards against decisions in files that nobody counts: each that is taken in is listed or named here."""
+    assert reached() == {*LISTED, *NOT_LISTED} - {path for path in NOT_LISTED if path.endswith("__init__.py")}
+    in_the_package = {str(path.relative_to(ROOT)) for path in (ROOT / "madderwind/policy").glob("*.py")}
+    assert in_the_package <= {*LISTED, *NOT_LISTED}
+    assert not {*LISTED} & {*NOT_LISTED}
+
+
+@pytest.mark.parametrize("path", sorted(reached()))
+def test_the_modules_take_nothing_from_their_surroundings(path: str) -> None:
+    assert {name for name in imported(path) if file_of(name) is None} <= FREE_OF_SURROUNDINGS
+    assert all(name.split(".")[1] in ("policy", "balancing") for name in imported(path) if file_of(name))
+
+
+def test_the_first_module_names_its_interface_first() -> None:
+    first = (ROOT / LISTED[0]).read_text().split("\n", 1)[0]
     assert "madderwind/policy/api.py" in first
--- a/tests/policy/test_pick.py
+++ b/tests/policy/test_pick.py
@@ -73,7 +73,7 @@
     script = Script([entry(1, rating=1.0), entry(2, rating=1.0)], ratings_tell_size=True)
     script.serve(elapsed_ms=100.0)
     slow = script.serve(elapsed_ms=300.0)
-    assert script.balancer._picker.slowness(script.balancer._picker.fleet[slow]) < 1.5
+    assert script.balancer._picker.slowness(script.balancer._fleet.upstreams[slow]) < 1.5
 
 
 def test_own_zone_is_preferred_only_where_crossing_is_priced() -> None:
@@ -159,7 +159,7 @@
     """Rounding can put the mean of equal loads under each of them, which would turn the request away."""
     for slowness in [n / 97 for n in range(1, 400)]:
         script = Script([entry(n) for n in range(6)], tier=1)
-        for upstream in script.balancer._picker.fleet.values():
+        for upstream in script.balancer._fleet.upstreams.values():
             upstream.slowness = slowness
             upstream.sent_ms[10**6, 0] = script.now
         assert sends(script.arrives()[1])
@@ -210,8 +210,8 @@
     looks = []
     for upstreams in (40, 400):
         (script, *_) = copies_of([entry(n) for n in range(upstreams)], 10 * upstreams, tier=1)
-        order = CountingOrder(script.balancer._picker._order)
-        script.balancer._picker._order = order
+        order = CountingOrder(script.balancer._fleet.order)
+        script.balancer._fleet.order = order
         for _ in range(50):
             script.serve(elapsed_ms=0.5)
         looks.append(order.looks)
@@ -274,6 +274,6 @@
         elapsed_ms = 400.0 if sent.upstream < 10 else 100.0
         script.ends(request, Outcome.OK, sent.upstream, elapsed_ms=elapsed_ms)
     unheard = {n // 10: n for n in range(30) if n not in heard}
-    assert picker.fleet[unheard[0]].slowness == picker.fleet[unheard[1]].slowness == 1.0
-    slow, usual = (picker._weight(picker.fleet[unheard[cell]]) for cell in (0, 1))
-    assert usual > 1.5 * slow
+    slow, usual = (script.balancer._fleet.upstreams[unheard[cell]] for cell in (0, 1))
+    assert slow.slowness == usual.slowness == 1.0
+    assert picker._weight(usual) > 1.5 * picker._weight(slow)
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from madderwind.balancing.retry_quota import RetryQuota
 from madderwind.policy import api
 from madderwind.policy.api import Outcome
-from madderwind.policy.balancer import RetryQuota
 from tests.policy.scripts import SAFE, UNSAFE, Script, a_class, answers, entry, sends, settings
 
 
--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -172,7 +172,7 @@
     script = warmed_up(3)
     request, actions = script.arrives(UNSAFE)
     silent = sends(actions)[0].upstream
-    fleet = script.balancer._picker.fleet
+    fleet = script.balancer._fleet.upstreams
     script.now += 2000
     script.arrives(UNSAFE)
     slowness = {n: script.balancer._picker.slowness(u) for n, u in fleet.items()}
@@ -219,14 +219,14 @@
     script = Script([entry(n) for n in range(4)], max_attempts=1)
     request, actions = script.arrives()
     script.ends(request, Outcome.RESET, sends(actions)[0].upstream)
-    picker = script.balancer._picker
+    fleet = script.balancer._fleet
     script.now += 100.0
-    (failed,) = (u for u in picker.fleet.values() if u.failures)
+    (failed,) = (u for u in fleet.upstreams.values() if u.failures)
     failed.aside_until_ms = script.now + 1000.0
-    assert picker.usable(script.now) == 4
+    assert fleet.usable(script.now) == 4
     failed.failures = 2
     script.now += 100.0
-    assert picker.usable(script.now) == 3
+    assert fleet.usable(script.now) == 3
 
 
 def test_an_attempt_into_silence_takes_no_room() -> None:
@@ -239,7 +239,7 @@
         _, actions = script.arrives()
         (dead,) = sends(actions)
         script.wait(1500.0)  # overdue: that upstream has failed
-        upstream = script.balancer._picker.fleet[dead.upstream]
+        upstream = script.balancer._fleet.upstreams[dead.upstream]
         upstream.failures, upstream.aside_until_ms = 2, script.now + 10_000.0  # as others told of it as well
         if not hangs:
             upstream.heard_ms = script.now  # it lives, and is merely slow: what it holds does crowd
@@ -256,7 +256,7 @@
 
 def test_what_was_learned_of_a_process_ends_with_it() -> None:
     script = Script([entry(n) for n in range(4)])
-    upstream = script.balancer._picker.fleet[2]
+    upstream = script.balancer._fleet.upstreams[2]
     upstream.slowness, upstream.failures = 30.0, 5
     script.listed([entry(n, started_ms=900.0 if n == 2 else 0.0) for n in range(4)])
     assert (upstream.slowness, upstream.failures) == (1.0, 0)
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -238,7 +238,9 @@
     for _ in range(8):
         script.serve()  # life after it
     assert (
-        min(u.warmth(script.now, script.balancer._settings) for u in script.balancer._picker.fleet.values())
+        min(
+            u.warmth(script.now, script.balancer._settings) for u in script.balancer._fleet.upstreams.values()
+        )
         == 1
     )
 
--- a/tests/policy/test_traffic.py
+++ b/tests/policy/test_traffic.py
@@ -166,13 +166,13 @@
     (word,) = [w for w in told(teller.wait(100)) if len(w) > 3]
     hearer = Script([entry(n) for n in range(8)], copies=COPIES, may_tell=True)
     hearer.event(api.PeerSpoke(3, word))
-    failures = {n: u.failures for n, u in hearer.balancer._picker.fleet.items()}
+    failures = {n: u.failures for n, u in hearer.balancer._fleet.upstreams.items()}
     assert failures == {n: int(n == sent.upstream) for n in range(8)}
     assert not [w for w in told(hearer.wait(500)) if len(w) > 3]  # hearsay is not told on
-    for upstream in hearer.balancer._picker.fleet.values():
+    for upstream in hearer.balancer._fleet.upstreams.values():
         upstream.failures, upstream.heard_ms = 0, hearer.now - 100.0  # it answers here
     hearer.event(api.PeerSpoke(4, word))
-    assert not any(u.failures for u in hearer.balancer._picker.fleet.values())
+    assert not any(u.failures for u in hearer.balancer._fleet.upstreams.values())
 
 
 def test_what_a_word_costs_does_not_grow_with_the_copies() -> None:
--- a/tests/policy/test_uneven.py
+++ b/tests/policy/test_uneven.py
@@ -96,7 +96,7 @@
         assert not sends(script.event(api.PeerSpoke(chance.randrange(-1, 9), word)))
     balancer = script.balancer
     assert balancer._quota.tokens == 500.0
-    assert set(balancer._picker.fleet) == {1, 2}
+    assert set(balancer._fleet.upstreams) == {1, 2}
     for _ in range(20):
         _, actions = script.arrives()
         assert {sent.upstream for sent in sends(actions)} <= {1}
@@ -139,7 +139,7 @@
     script = Script([entry(n) for n in range(20)], warm_keys=True)
     script.now += 100_000
     for home in homes:
-        script.balancer._picker.fleet[home].failed(script.now, 5000.0)
+        script.balancer._fleet.upstreams[home].failed(script.now, 5000.0)
     assert at(script) not in homes
     script = Script(
         [entry(n, started_ms=900.0 if n in homes else 0.0) for n in range(20)],
--- a/tests/program/test_discovery.py
+++ b/tests/program/test_discovery.py
@@ -193,9 +193,9 @@
             assert not running.agent.asked
             copy.watch_asked_for.set()  # as the module does, after a wait by chance
             watch = await within(running.agent.watches.get())
-            await until(lambda: copy._balancer._following)
+            await until(lambda: copy._balancer._subscription.following)
             watch.transport.abort()
-            await until(lambda: not copy._balancer._following)
+            await until(lambda: not copy._balancer._subscription.following)
             assert len(running.agent.asked) == 1
             copy.watch_asked_for.set()
             await within(running.agent.watches.get())
@@ -208,7 +208,7 @@
 ) -> None:
     """Guards against the module's own waits of up to twenty seconds, in which drains would be missed."""
     monkeypatch.setattr(discovery, "MOST_UNASKED", 0.003)
-    monkeypatch.setattr(Balancer, "_ask_later", lambda _: None)
+    monkeypatch.setattr(Balancer, "_ask_after", lambda *_: None)
 
     async def test() -> None:
         async with Running(tmp_path, Upstream(silent), discovery="on_request") as running:
--- a/tests/program/test_move.py
+++ b/tests/program/test_move.py
@@ -93,7 +93,7 @@
             members[1]["up_since_ms"] = started_ms
             watch = await within(running.agent.watches.get())
             tell(watch, examples.listing(*members, revision=42))
-            fleet = running.service.copy._balancer._picker.fleet
+            fleet = running.service.copy._balancer._fleet.upstreams
             while fleet[1].started_ms < started_ms:
                 await asyncio.sleep(0.001)
             caller = await Caller.connect(running.port)
@@ -111,8 +111,8 @@
             await running.upgrade()
             assert running.log.named("taken_over")[-1]["same_shape"] is False
             balancer = running.service.copy._balancer
-            now = {u.entry.mark: u for u in balancer._picker.fleet.values()}
-            then = {u.entry.mark: u for u in old.copy._balancer._picker.fleet.values()}
+            now = {u.entry.mark: u for u in balancer._fleet.upstreams.values()}
+            then = {u.entry.mark: u for u in old.copy._balancer._fleet.upstreams.values()}
             marks = [u.entry.mark for u in fleet.values()]
             assert now[marks[0]].failures >= 3 and now[marks[0]].aside_until_ms > time.time() * 1000 + 30_000
             assert now[marks[1]].started_ms == then[marks[1]].started_ms >= started_ms
@@ -138,11 +138,11 @@
     async def test() -> None:
         async with Running(tmp_path, Upstream(says(YES)), Upstream(says(YES))) as running:
             balancer = running.service.copy._balancer
-            balancer._picker.fleet[1].slowness, balancer._admission.room = 3.0, 5.5
+            balancer._fleet.upstreams[1].slowness, balancer._admission.room = 3.0, 5.5
             await running.upgrade()
             assert running.log.named("taken_over")[-1]["same_shape"] is True
             balancer = running.service.copy._balancer
-            assert balancer._picker.fleet[1].slowness == 3.0 and balancer._admission.room == 5.5
+            assert balancer._fleet.upstreams[1].slowness == 3.0 and balancer._admission.room == 5.5
 
     run(test())
 
--- a/tests/program/test_requests.py
+++ b/tests/program/test_requests.py
@@ -447,7 +447,7 @@
             for _ in range(6):
                 assert (await caller.ask()).status == 400
             assert sum(len(u.asked) for u in upstreams) == 6
-            fleet = running.service.copy._balancer._picker.fleet.values()
+            fleet = running.service.copy._balancer._fleet.upstreams.values()
             assert [u.failures for u in fleet] == [0, 0]
             assert not running.service.copy._balancer._requests
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -63,7 +63,10 @@
 # The two hosts know nothing of each other, and the control plane nothing of requests.
 SHARED_WITH_HOSTS = {"clock", "eventlog", "structured_log", "transport", "protocol"}
 BELOW["dataplane"] = {*SYSTEM, *SHARED_WITH_HOSTS}
+BELOW["structured_log"] = set()
+# Beside the programs: stand-ins of upstreams, and whole fleets as processes of one machine.
 BELOW["standin"] = {"errors", "messages", "placement"}
+BELOW["local"] = {*SYSTEM, "structured_log", "drill", "standin"}
 BELOW["controlplane"] = {*SYSTEM, *SHARED_WITH_HOSTS} - {"limits", "placement"}
 
 
