Upstreams are told a priority by the length of the prefill, then by rank

Prompts are read one after the other, so one long prompt made many short ones late. Short prefills now go before long ones in three lengths; the rank of the route or tenant decides among equals.

--- a/madderwind/dataplane/choosing.py
+++ b/madderwind/dataplane/choosing.py
@@ -90,6 +90,10 @@
         if generation is not None:
             self.placement.sent(now_ms, key, generation, instance)
 
+    def urgency(self, key: str, generation: Generation | None, rank: int) -> int:
+        """The `Priority` of the attempt `key`; `rank` is that of its route or tenant."""
+        return rank if generation is None else self.placement.urgency(key, rank)
+
     def stream_began(self, now_ms: float, key: str, instance: str) -> None:
         """The first event of a stream came."""
         self.streams.began(now_ms, instance)
--- a/madderwind/dataplane/forwarding.py
+++ b/madderwind/dataplane/forwarding.py
@@ -194,7 +194,7 @@
         letter = Letter(
             self._read.request.method,
             self._read.target,
-            self._headers_onward(attempt.instance),
+            self._headers_onward(attempt.instance, key),
             self._read.body,
             lambda: self._may_write(attempt),
             self._progress.is_idempotent,
@@ -212,13 +212,13 @@
             return outcome
         return self._result_of(outcome, attempt)
 
-    def _headers_onward(self, instance: str) -> CIMultiDict[str]:
+    def _headers_onward(self, instance: str, key: str) -> CIMultiDict[str]:
         resumes_after = self._events.last_id if self._progress.answer_begun else None
         onward = Onward(
             instance,
             self._admitted.until_ms - self._now_ms(),
             self._admitted.tenant,
-            self._admitted.priority,
+            self._shared.chooser.urgency(key, self._admitted.generation, self._admitted.priority),
             None if resumes_after is None else resumes_after.decode("latin-1"),
         )
         return headers_onward(self._headers, onward)
--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -37,6 +37,10 @@
 SLOWEST_STEP_MS = 30.0
 # Upstreams that cost the same are picked by chance.
 TIE_BREAK = 0.005
+# Prefills up to the first bound are short, those beyond the last are long.
+PREFILL_BOUNDS_MS = (120.0, 480.0)
+# How many ranks of routes are told apart.
+RANKS = 3
 BYTES_PER_PROMPT_TOKEN = 1.0
 BYTES_PER_OUTPUT_TOKEN = 25.0
 MS_PER_S = 1000.0
@@ -186,6 +190,20 @@
             self._outbox.append(SentPrompt(instance, ids, tuple(part.tokens for part in generation.parts)))
         self._requests[key] = instance
 
+    def urgency(self, key: str, rank: int) -> int:
+        """The `Priority` of a request that was sent, 0 foremost; `rank` is that of its route or tenant.
+
+        Short prefills go before long ones, so that one long prompt does not make many short ones late; among
+        those of a length the rank decides.
+        """
+        upstream = self._upstreams.get(self._requests.get(key, ""))
+        request = upstream.request(key) if upstream is not None else None
+        prefill_ms = 0.0
+        if request is not None:
+            prefill_ms = request.uncached * self._service(request.generation.service).model.ms_per_token
+        length = sum(prefill_ms > bound_ms for bound_ms in PREFILL_BOUNDS_MS)
+        return length * RANKS + min(max(rank, 0), RANKS - 1)
+
     def event(self, now_ms: float, key: str, first: bool) -> None:
         """An event of the answer came."""
         if not first:
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -95,6 +95,10 @@
         self._own_waiting += request.uncached
         self._own_held += request.generation.prompt_tokens + request.generation.output_tokens
 
+    def request(self, key: str) -> Sent | None:
+        """An own request that is there."""
+        return self._sent.get(key)
+
     def first_event(self, now_ms: float, key: str) -> Sent | None:
         """The first event of an own request came: its prompt has been prefilled."""
         request = self._sent.get(key)
--- a/madderwind/standin/fleet.py
+++ b/madderwind/standin/fleet.py
@@ -171,7 +171,8 @@
             return
         upstream = attempt.upstream
         arrival = attempt.served.arrival
-        request = EngineRequest(key, arrival.generation.parts, arrival.output_tokens)
+        urgency = attempt.plane.policy.urgency(key, arrival.kind.priority)
+        request = EngineRequest(key, arrival.generation.parts, arrival.output_tokens, urgency)
         if upstream.running and upstream.engine.submit(self._now_ms, request) is Admission.TAKEN:
             self._wake(upstream)
             return
--- a/madderwind/standin/policies.py
+++ b/madderwind/standin/policies.py
@@ -22,6 +22,9 @@
     def sent(self, now_ms: float, key: str, generation: Generation, instance: str) -> None:
         """The request went there."""
 
+    def urgency(self, key: str, rank: int) -> int:
+        """The priority that the upstream is given, 0 foremost."""
+
     def event(self, now_ms: float, key: str, first: bool) -> None:
         """An event came."""
 
@@ -61,6 +64,10 @@
         self._counts[instance] += 1
         self._at[key] = instance
 
+    def urgency(self, key: str, rank: int) -> int:
+        """That of the route."""
+        return rank
+
     def event(self, now_ms: float, key: str, first: bool) -> None:
         """Nothing is learned."""
 
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -139,6 +139,27 @@
         self.assertLess(presumed.predicted_first_ms, known.predicted_first_ms)
 
 
+class Urgency(unittest.TestCase):
+    def test_short_prefills_go_before_long_ones_and_ranks_count_among_equals(self) -> None:
+        placement = balancer()
+        sent = (("short", 500), ("middle", 8_000), ("long", 40_000))
+        for key, tokens in sent:
+            placement.sent(0.0, key, generation("none", key, 0, tokens), "i-0")
+        urgencies = [placement.urgency(key, rank) for key, _ in sent for rank in range(3)]
+        self.assertEqual(urgencies, sorted(set(urgencies)))
+        self.assertTrue(all(0 <= urgency <= 9 for urgency in urgencies))
+
+    def test_kept_parts_make_a_prefill_short(self) -> None:
+        placement = balancer()
+        placement.sent(0.0, "cold", generation("p", "x", 20_000, 500), "i-0")
+        placement.sent(1.0, "warm", generation("p", "y", 20_000, 500), "i-0")
+        self.assertLess(placement.urgency("warm", 1), placement.urgency("cold", 1))
+
+    def test_a_rank_beyond_those_told_apart_is_the_last(self) -> None:
+        placement = balancer()
+        self.assertEqual(placement.urgency("unknown", 99), placement.urgency("unknown", 2))
+
+
 class OwnLoad(unittest.TestCase):
     def test_load_rises_with_sends_and_is_gone_at_the_end(self) -> None:
         placement = balancer()
