--- /dev/null
+++ b/madderwind/cli/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m madderwind.cli`."""
+
+from madderwind.cli.commands import main
+
+main()
--- a/madderwind/drill/relay.py
+++ b/madderwind/drill/relay.py
@@ -119,9 +119,9 @@
         self._open = asyncio.Event()
         self._open.set()
         self._socket: socket.socket | None = None
-        self._accepting: asyncio.Task[None] | None = None
         self._filler: socket.socket | None = None
-        self._connections: dict[RelayedConnection, asyncio.Task[None]] = {}
+        self._connections: set[RelayedConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> RelayedConnection:
         """The object for a connection that was accepted."""
@@ -150,27 +150,41 @@
         self._socket.setblocking(False)
         self._socket.bind(self.address)
         self._socket.listen(128)
-        self._accepting = asyncio.create_task(self._accept(self._socket))
+        asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
     def close(self) -> None:
         """Take no more connections and reset those that are open."""
-        assert self._socket is not None and self._accepting is not None
-        self._accepting.cancel()
+        self._stop_accepting()
+        assert self._socket is not None
         self._socket.close()
         for connection in list(self._connections):
             connection.reset()
 
-    async def _accept(self, listening: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                taken, _ = await loop.sock_accept(listening)
-                reader, writer = await asyncio.open_connection(sock=taken)
-            except OSError:
-                continue  # it was gone before it was taken
-            connection = self.connection(reader, writer)
-            task = self._connections[connection] = asyncio.create_task(connection.run())
-            task.add_done_callback(lambda _, c=connection: self._connections.pop(c, None))  # type: ignore[misc]
+    def _accept(self) -> None:
+        """A connection came; one that is gone again already is passed over."""
+        assert self._socket is not None
+        with suppress(OSError):
+            taken, _ = self._socket.accept()
+            taken.setblocking(False)
+            task = asyncio.get_running_loop().create_task(self._serve(taken))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, taken: socket.socket) -> None:
+        try:
+            reader, writer = await asyncio.open_connection(sock=taken)
+        except OSError:
+            return
+        connection = self.connection(reader, writer)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    def _stop_accepting(self) -> None:
+        assert self._socket is not None
+        asyncio.get_running_loop().remove_reader(self._socket)
 
     def be(self, kind: str, late_ms: float) -> None:
         """Change to what a fault makes of it; no kind is none."""
@@ -192,8 +206,8 @@
 
     def _never_come_up(self) -> None:
         """With its queue full, a listener drops what would connect: that goes unanswered."""
-        assert self._socket is not None and self._accepting is not None
-        self._accepting.cancel()
+        self._stop_accepting()
+        assert self._socket is not None
         self._socket.listen(0)
         self._filler = socket.socket()
         self._filler.setblocking(False)
@@ -210,4 +224,4 @@
                 taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING)
                 taken.close()
         self._socket.listen(128)
-        self._accepting = asyncio.create_task(self._accept(self._socket))
+        asyncio.get_running_loop().add_reader(self._socket, self._accept)
--- /dev/null
+++ b/madderwind/local/baselines.py
@@ -0,0 +1,63 @@
+"""The same mix with other ways of choosing an upstream, in the in-memory fleet: simulated, not measured."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+
+import msgspec
+
+from madderwind.local.fleet_file import FleetFile, UpstreamGroup
+from madderwind.local.load import traffic_of
+from madderwind.local.traffic import workload_kind
+from madderwind.standin.experiment import Experiment
+from madderwind.standin.fleet import Fleet
+from madderwind.standin.report import Figures, figures
+
+# The name of each policy in the table. `idle-first` is this project's own choice without placement.
+POLICIES = {
+    "placement": "ours",
+    "idle-first": "ours without placement",
+    "least-loaded": "least-loaded",
+    "round-robin": "round-robin",
+    "random": "random",
+}
+MOST_AT_ONCE = 4
+
+
+class Baseline(msgspec.Struct, frozen=True):
+    """One policy's simulated figures."""
+
+    name: str
+    figures: Figures
+
+
+def simulate_baselines(fleet: FleetFile) -> list[Baseline]:
+    """Play the fleet's generations with every policy; empty where the file has none."""
+    group = _model_group(fleet)
+    kinds = [workload_kind(kind) for kind in traffic_of(fleet).kinds if kind.generation is not None]
+    if group is None or not kinds:
+        return []
+    experiment = Experiment(
+        name=fleet.name,
+        question="",
+        data_planes=fleet.data_planes,
+        upstreams=group.count,
+        kinds=kinds,
+        zones=len(fleet.zones),
+        slowness=list(group.slowness),
+        engine=group.engine or {},
+        bursts=[burst for burst in traffic_of(fleet).bursts if burst.kind in {kind.name for kind in kinds}],
+        for_s=traffic_of(fleet).for_s,
+        again_s=traffic_of(fleet).again_s,
+    )
+    with ProcessPoolExecutor(MOST_AT_ONCE) as pool:
+        results = pool.map(_play, [experiment] * len(POLICIES), POLICIES)
+    return [Baseline(POLICIES[found.policy], found) for found in results]
+
+
+def _model_group(fleet: FleetFile) -> UpstreamGroup | None:
+    return next((group for group in fleet.upstreams if group.engine is not None), None)
+
+
+def _play(experiment: Experiment, policy: str) -> Figures:
+    return figures(policy, experiment, Fleet(experiment, policy, seed=1).run())
--- /dev/null
+++ b/madderwind/local/cache_figures.py
@@ -0,0 +1,48 @@
+"""How much of what prompts share was read from an upstream's memory, and how much was prefilled again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from madderwind.standin.records import AnyRecord, PrefilledPart
+
+MS_PER_S = 1000.0
+
+
+class CacheFigures(msgspec.Struct, frozen=True):
+    """Tokens of shared parts: in all prompts that ran, prefilled, and prefilled again within the time after
+    their last use in which that counts."""
+
+    asked_tokens: int
+    prefilled_tokens: int
+    prefilled_again_tokens: int
+
+    @property
+    def hit_share(self) -> float:
+        """The part of the shared tokens that did not have to be prefilled."""
+        if not self.asked_tokens:
+            return 0.0
+        return max(0.0, 1.0 - self.prefilled_tokens / self.asked_tokens)
+
+    @property
+    def again_share(self) -> float:
+        """The part that was prefilled though an upstream had read it a short time before."""
+        return self.prefilled_again_tokens / self.asked_tokens if self.asked_tokens else 0.0
+
+
+def cache_figures(records: Iterable[AnyRecord], asked_tokens: int, again_s: float) -> CacheFigures:
+    """The figures of one load. `records` are those of all its upstreams."""
+    reads: Sequence[PrefilledPart] = sorted(
+        (record for record in records if isinstance(record, PrefilledPart) and record.shared),
+        key=lambda read: read.at_ms,
+    )
+    last_ms: dict[str, float] = {}
+    again_tokens = 0
+    for read in reads:
+        before_ms = last_ms.get(read.part)
+        if before_ms is not None and read.at_ms - before_ms <= again_s * MS_PER_S:
+            again_tokens += read.tokens
+        last_ms[read.part] = read.at_ms
+    return CacheFigures(asked_tokens, sum(read.tokens for read in reads), again_tokens)
--- /dev/null
+++ b/madderwind/local/checker.py
@@ -0,0 +1,124 @@
+"""Checks what a run left behind: nothing acknowledged is lost, run twice, or streamed with a gap. No I/O."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from enum import Enum
+
+import msgspec
+
+from madderwind.local.outcomes import Outcome
+from madderwind.standin.records import AnyRecord, Ran
+
+PROMISES = frozenset((408, 421, 429, 503))
+
+
+class Promise(Enum):
+    """What is checked."""
+
+    CONFIGURATION = "every acknowledged configuration is readable"
+    RUN_ONCE = "no request ran twice"
+    REFUSAL = "what was refused has not run"
+    STREAM = "no stream has a gap, a repeat or another's events"
+    ANSWER = "every success is an upstream's"
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """One promise broken."""
+
+    promise: Promise
+    text: str
+
+
+class ConfigurationRead(msgspec.Struct, frozen=True):
+    """What one control plane gave as the newest configuration at the end; `version` 0 where it gave none."""
+
+    node: str
+    version: int
+    matches_sent: bool = True
+
+
+class OrderSent(msgspec.Struct, frozen=True):
+    """An operator's order and whether it was acknowledged."""
+
+    version: int
+    acknowledged: bool
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """All that is known after a run. `idempotent_kinds` may run more than once."""
+
+    outcomes: Sequence[Outcome]
+    records: Sequence[AnyRecord]
+    orders: Sequence[OrderSent]
+    reads: Sequence[ConfigurationRead]
+    idempotent_kinds: frozenset[str]
+
+
+def check(evidence: Evidence) -> list[Violation]:
+    """Every violation that the evidence shows."""
+    runs = _runs(evidence.records)
+    return [
+        *_check_configuration(evidence),
+        *_check_runs(evidence.outcomes, runs, evidence.idempotent_kinds),
+        *_check_refusals(evidence.outcomes, runs, evidence.idempotent_kinds),
+        *_check_answers(evidence.outcomes),
+    ]
+
+
+def _runs(records: Iterable[AnyRecord]) -> Mapping[str, list[Ran]]:
+    runs: dict[str, list[Ran]] = defaultdict(list)
+    for record in records:
+        if isinstance(record, Ran):
+            runs[record.request].append(record)
+    return runs
+
+
+def _check_configuration(evidence: Evidence) -> Iterable[Violation]:
+    newest = max((order.version for order in evidence.orders if order.acknowledged), default=0)
+    if not newest:
+        return
+    if not any(read.version >= newest for read in evidence.reads):
+        read = {read.node: read.version for read in evidence.reads}
+        text = f"version {newest} was acknowledged, at the end there was {read or 'no answer'}"
+        yield Violation(Promise.CONFIGURATION, text)
+    for found in evidence.reads:
+        if found.version and (found.version < newest or not found.matches_sent):
+            text = f"{found.node} gave version {found.version} as the newest, {newest} was acknowledged"
+            yield Violation(Promise.CONFIGURATION, text if found.matches_sent else f"{text}: other content")
+
+
+def _check_runs(
+    outcomes: Sequence[Outcome], runs: Mapping[str, list[Ran]], idempotent_kinds: frozenset[str]
+) -> Iterable[Violation]:
+    for outcome in outcomes:
+        if outcome.kind in idempotent_kinds:
+            continue
+        for made in outcome.tries:
+            ran = runs.get(made.request_id, [])
+            if len(ran) > 1:
+                where = ", ".join(run.instance for run in ran)
+                yield Violation(Promise.RUN_ONCE, f"{outcome.kind} {made.request_id} ran at {where}")
+
+
+def _check_refusals(
+    outcomes: Sequence[Outcome], runs: Mapping[str, list[Ran]], idempotent_kinds: frozenset[str]
+) -> Iterable[Violation]:
+    for outcome in outcomes:
+        if outcome.kind in idempotent_kinds:
+            continue
+        for made in outcome.tries:
+            if made.status in PROMISES and made.how == "whole" and runs.get(made.request_id):
+                text = f"{outcome.kind} {made.request_id} got {made.status} and ran"
+                yield Violation(Promise.REFUSAL, text)
+
+
+def _check_answers(outcomes: Sequence[Outcome]) -> Iterable[Violation]:
+    for outcome in outcomes:
+        if outcome.fault:
+            yield Violation(Promise.STREAM, f"{outcome.kind} request {outcome.number}: {outcome.fault}")
+        for made in outcome.tries:
+            if made.status // 100 == 2 and made.how == "whole" and not made.signature:
+                text = f"{outcome.kind} {made.request_id} got {made.status} without a signature"
+                yield Violation(Promise.ANSWER, text)
--- /dev/null
+++ b/madderwind/local/event_check.py
@@ -0,0 +1,58 @@
+"""Reads a stream of events as a client does, and notices what is missing, repeated or another's. No I/O."""
+
+from __future__ import annotations
+
+_END = b"\n\n"
+
+
+class EventCheck:
+    """One generation's events over all tries that go on with it. `fault` tells the first thing wrong."""
+
+    def __init__(self, subject: str) -> None:
+        self._subject = subject
+        self._buffer = b""
+        self._total = 0
+        self.last = 0
+        self.fault = ""
+
+    def resume(self) -> None:
+        """A new try goes on after the last whole event."""
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> int:
+        """Take bytes; how many events became whole."""
+        *events, self._buffer = (self._buffer + data).split(_END)
+        for event in events:
+            self._take(event)
+        return len(events)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the last event came, and nothing after it."""
+        return bool(self._total) and self.last == self._total and not self._buffer
+
+    def ended_as_complete(self) -> None:
+        """The answer ended in order: all of it must have come."""
+        if not self.is_whole:
+            self._note(f"ended as complete after event {self.last} of {self._total or 'none'}")
+
+    def _take(self, event: bytes) -> None:
+        fields = dict(line.split(b": ", 1) for line in event.split(b"\n") if b": " in line)
+        try:
+            number = int(fields[b"id"])
+            subject, _, place = fields[b"data"].decode().partition(" ")
+            told, _, total = place.partition("/")
+            is_consistent = int(told) == number
+            self._total = self._total or int(total)
+        except (KeyError, ValueError):
+            self._note(f"an event that can't be read after event {self.last}")
+            return
+        if not is_consistent or subject != self._subject:
+            self._note(f"another's event after event {self.last}")
+        elif number != self.last + 1:
+            what = "a gap" if number > self.last else "a repeat"
+            self._note(f"{what}: event {number} after event {self.last}")
+        self.last = max(self.last, number)
+
+    def _note(self, fault: str) -> None:
+        self.fault = self.fault or fault
--- a/madderwind/local/fault_file.py
+++ b/madderwind/local/fault_file.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from madderwind.local.field_checks import between, not_empty, one_of
+
 FAULT_KINDS = ("kill", "term", "pause", "cut", "slow", "wipe", "disk_full")
 
 
@@ -19,10 +21,10 @@
     `nodes` are names such as `control-1`, or `primary`, or `control-*`; `count` of them are drawn, 0: all.
     """
 
-    what: str = attrs.field(validator=attrs.validators.in_(FAULT_KINDS))
-    nodes: tuple[str, ...] = attrs.field(validator=attrs.validators.min_len(1))
-    at_s: float = attrs.field(validator=attrs.validators.ge(0))
-    for_s: float = attrs.field(default=1.0, validator=attrs.validators.ge(0))
+    what: str = attrs.field(validator=one_of(FAULT_KINDS))
+    nodes: tuple[str, ...] = attrs.field(validator=not_empty)
+    at_s: float = attrs.field(validator=between(0))
+    for_s: float = attrs.field(default=1.0, validator=between(0))
     between: tuple[str, ...] = ()
     late_ms: float = 0.0
     count: int = 0
--- /dev/null
+++ b/madderwind/local/fault_player.py
@@ -0,0 +1,125 @@
+"""Plays the faults of a fleet file on a fleet that runs, and keeps what was done when."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from madderwind.errors import LocalFleetError
+from madderwind.local.fault_file import Fault
+from madderwind.local.fault_schedule import PRIMARY, Action, PlannedFault, plan_fault
+from madderwind.local.layout import FleetLayout, NodeKind
+from madderwind.local.relays import LinkCondition
+from madderwind.local.status_client import primary_of, read_status
+
+FAULTS_FILE = "faults.jsonl"
+MS_PER_S = 1000.0
+# How long a fault on the primary waits for there to be one.
+PRIMARY_WITHIN_S, LOOK_S = 5.0, 0.1
+
+
+class PlayedFault(msgspec.Struct, frozen=True):
+    """A fault that was played, on the steady clock."""
+
+    what: str
+    nodes: tuple[str, ...]
+    begin_ms: float
+    end_ms: float
+
+
+class FaultPlayer:
+    """Plays each fault at its time after `run` begins. To be used as an async context."""
+
+    def __init__(self, layout: FleetLayout, faults: Sequence[Fault], seed: int) -> None:
+        self._layout, self._faults = layout, faults
+        self._rng = random.Random(seed)
+        self._conditions: list[LinkCondition] = []
+        self.played: list[PlayedFault] = []
+
+    async def __aenter__(self) -> FaultPlayer:
+        self._session = aiohttp.ClientSession(trust_env=False)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._session.close()
+
+    async def run(self) -> None:
+        """Play all of them; returns after the last one's end."""
+        began_s = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for fault in self._faults:
+                group.create_task(self._play(fault, began_s))
+        path = Path(self._layout.folder) / FAULTS_FILE
+        path.write_bytes(b"".join(msgspec.json.encode(played) + b"\n" for played in self.played))
+
+    async def _play(self, fault: Fault, began_s: float) -> None:
+        await _sleep_until(began_s + fault.at_s)
+        planned = await self._plan(fault)
+        begin_ms = time.monotonic() * MS_PER_S
+        await self._begin(planned)
+        await _sleep_until(began_s + planned.end_s)
+        await self._end(planned)
+        end_ms = time.monotonic() * MS_PER_S
+        self.played.append(PlayedFault(planned.what, planned.nodes, begin_ms, end_ms))
+
+    async def _plan(self, fault: Fault) -> PlannedFault:
+        names = [node.name for node in self._layout.nodes]
+        primary = await self._primary() if PRIMARY in (*fault.nodes, *fault.between) else ""
+        return plan_fault(fault, names, primary, self._rng)
+
+    async def _primary(self) -> str:
+        addresses = [node.status for node in self._layout.of_kind(NodeKind.CONTROL_PLANE)]
+        give_up_s = time.monotonic() + PRIMARY_WITHIN_S
+        while time.monotonic() < give_up_s:
+            if primary := primary_of(await read_status(addresses)):
+                return primary
+            await asyncio.sleep(LOOK_S)
+        return ""
+
+    async def _begin(self, planned: PlannedFault) -> None:
+        if planned.actions is not None:
+            await self._act_on_all(planned.nodes, planned.actions[0])
+        elif planned.condition is not None:
+            self._conditions.append(planned.condition)
+            await self._set_links()
+
+    async def _end(self, planned: PlannedFault) -> None:
+        if planned.actions is not None:
+            await self._act_on_all(planned.nodes, planned.actions[1])
+        elif planned.condition is not None:
+            self._conditions.remove(planned.condition)
+            await self._set_links()
+
+    async def _act_on_all(self, nodes: Sequence[str], action: Action) -> None:
+        await asyncio.gather(*(self._post(f"/nodes/{node}/{action.value}", b"") for node in nodes))
+
+    async def _set_links(self) -> None:
+        await self._post("/links", msgspec.json.encode(self._conditions))
+
+    async def _post(self, path: str, body: bytes) -> None:
+        url = f"http://{self._layout.supervisor}{path}"
+        try:
+            async with self._session.post(url, data=body) as answer:
+                if answer.status != 200:
+                    raise LocalFleetError(f"{path}: {answer.status} {await answer.text()}")
+        except (aiohttp.ClientError, OSError) as error:
+            raise LocalFleetError(f"the fleet's supervisor does not answer: {error}") from None
+
+
+def read_faults(folder: Path) -> list[PlayedFault]:
+    """The faults that were played last; none where there is no record."""
+    path = folder / FAULTS_FILE
+    if not path.exists():
+        return []
+    decoder = msgspec.json.Decoder(PlayedFault)
+    return [decoder.decode(line) for line in path.read_bytes().splitlines()]
+
+
+async def _sleep_until(at_s: float) -> None:
+    await asyncio.sleep(max(0.0, at_s - time.monotonic()))
--- /dev/null
+++ b/madderwind/local/field_checks.py
@@ -0,0 +1,45 @@
+"""Checks of single fields in the files of local fleets. InvalidConfiguration names the field."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from typing import Any
+
+import attrs
+
+from madderwind.errors import InvalidConfiguration
+
+Check = Callable[[Any, "attrs.Attribute[Any]", Any], None]
+
+
+def between(least: float, most: float = float("inf")) -> Check:
+    """A number from `least` to `most`."""
+
+    def check(_: Any, attribute: attrs.Attribute[Any], value: float) -> None:
+        if not least <= value <= most:
+            wanted = f"at least {least:g}" if most == float("inf") else f"from {least:g} to {most:g}"
+            raise InvalidConfiguration(attribute.name, f"must be {wanted}, not {value:g}")
+
+    return check
+
+
+def above_zero(_: Any, attribute: attrs.Attribute[Any], value: float) -> None:
+    """A number above 0."""
+    if value <= 0:
+        raise InvalidConfiguration(attribute.name, f"must be above 0, not {value:g}")
+
+
+def one_of(options: Collection[str]) -> Check:
+    """One of some words."""
+
+    def check(_: Any, attribute: attrs.Attribute[Any], value: str) -> None:
+        if value not in options:
+            raise InvalidConfiguration(attribute.name, f"must be one of {', '.join(options)}, not {value!r}")
+
+    return check
+
+
+def not_empty(_: Any, attribute: attrs.Attribute[Any], value: Collection[Any]) -> None:
+    """At least one."""
+    if not value:
+        raise InvalidConfiguration(attribute.name, "at least one is needed")
--- a/madderwind/local/fleet_file.py
+++ b/madderwind/local/fleet_file.py
@@ -11,6 +11,7 @@
 from madderwind.configuration.reading import Document, read_document
 from madderwind.errors import InvalidConfiguration, InvalidFile
 from madderwind.local.fault_file import Fault, Operator
+from madderwind.local.field_checks import between, not_empty
 from madderwind.local.traffic_file import Traffic
 from madderwind.local.yaml_files import field_name, line_of, read_yaml, steps_of
 from madderwind.standin.engine import EngineSettings
@@ -19,21 +20,17 @@
 MOST_PROCESSES_OF_A_KIND = 90
 
 
-def _count(least: int) -> Any:
-    return attrs.validators.and_(attrs.validators.ge(least), attrs.validators.le(MOST_PROCESSES_OF_A_KIND))
-
-
 @attrs.frozen
 class UpstreamGroup:
     """The stand-in upstreams of one service: `engine` for a model's, `plain` for any other; their fields are
     those of `standin.engine.EngineSettings` and `standin.upstream_settings.PlainWork`."""
 
     service: str
-    count: int = attrs.field(default=2, validator=_count(1))
+    count: int = attrs.field(default=2, validator=between(1, MOST_PROCESSES_OF_A_KIND))
     engine: dict[str, Any] | None = None
     plain: dict[str, Any] | None = None
     mishaps: dict[str, Any] = attrs.field(factory=dict)
-    slowness: tuple[float, ...] = (1.0,)
+    slowness: tuple[float, ...] = attrs.field(default=(1.0,), validator=not_empty)
     drain_ms: float = 500.0
     cold_ms: float = 0.0
     cold_slowness: float = 1.0
@@ -60,9 +57,9 @@
     name: str
     configuration: dict[str, Any]
     upstreams: tuple[UpstreamGroup, ...]
-    zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
-    control_planes: int = attrs.field(default=3, validator=_count(1))
-    data_planes: int = attrs.field(default=3, validator=_count(1))
+    zones: tuple[str, ...] = attrs.field(default=("zone-a", "zone-b", "zone-c"), validator=not_empty)
+    control_planes: int = attrs.field(default=3, validator=between(1, MOST_PROCESSES_OF_A_KIND))
+    data_planes: int = attrs.field(default=3, validator=between(1, MOST_PROCESSES_OF_A_KIND))
     tolerance: int = 1
     heartbeat_ms: float = 500.0
     relays: bool = True
@@ -83,8 +80,6 @@
     _check_configuration(path, fleet)
     for index, group in enumerate(fleet.upstreams):
         _check_group(path, fleet, index, group)
-    if not fleet.zones:
-        raise _invalid(path, "zones", "at least one is needed")
     return fleet
 
 
@@ -111,8 +106,6 @@
             read()
         except msgspec.ValidationError as error:
             raise _invalid(path, f"{place}.{name}", str(error)) from None
-    if not group.slowness:
-        raise _invalid(path, f"{place}.slowness", "at least one is needed")
 
 
 def _invalid(path: Path, field: str, reason: str) -> InvalidFile:
--- /dev/null
+++ b/madderwind/local/load.py
@@ -0,0 +1,100 @@
+"""Sends the traffic of a fleet file to a fleet that runs, in an open loop: no request waits for another."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Sequence
+from pathlib import Path
+
+import aiohttp
+
+from madderwind.configuration.lookup import RoutingTable
+from madderwind.errors import LocalFleetError
+from madderwind.local.fleet_file import FleetFile
+from madderwind.local.ingress import Front, Ingress
+from madderwind.local.layout import FleetLayout, NodeKind, NodeLayout
+from madderwind.local.load_client import MS_PER_S, LoadClient, now_ms
+from madderwind.local.outcomes import OUTCOMES_FILE, Outcome, write_outcomes
+from madderwind.local.traffic import PlannedRequest, draw_requests
+from madderwind.local.traffic_file import Traffic
+
+QUERY_INTERVAL_S, QUERY_TIMEOUT_S = 0.5, 0.5
+HEAD_START_S = 0.3
+
+
+class Load:
+    """One run of the traffic."""
+
+    def __init__(self, fleet: FleetFile, layout: FleetLayout, traffic: Traffic) -> None:
+        self._traffic = traffic
+        configuration = fleet.document().configuration
+        self._table = RoutingTable(configuration)
+        self._keys = {tenant.name: tenant.api_keys[0] for tenant in configuration.tenants if tenant.api_keys}
+        self._kinds = {kind.name: kind for kind in traffic.kinds}
+        self._planes = layout.of_kind(NodeKind.DATA_PLANE)
+        self._ingress = Ingress([Front(node.name, node.zone, node.front) for node in self._planes])
+        self._zones = sorted({node.zone for node in self._planes})
+        self.outcomes: list[Outcome] = []
+
+    async def run(self) -> list[Outcome]:
+        """Send everything; what became of each request."""
+        requests = draw_requests(self._traffic, secrets.token_hex(4))
+        clients = [
+            LoadClient(
+                f"client-{number}", self._zones[number % len(self._zones)], self._ingress, self._key_of
+            )
+            for number in range(self._traffic.clients)
+        ]
+        querying = [asyncio.create_task(self._query(node)) for node in self._planes]
+        try:
+            await self._send_all(requests, clients)
+        finally:
+            for task in querying:
+                task.cancel()
+            await asyncio.gather(*querying, return_exceptions=True)
+            await asyncio.gather(*(client.close() for client in clients))
+        return self.outcomes
+
+    def _key_of(self, tenant: str) -> str:
+        return self._keys.get(tenant, "")
+
+    async def _send_all(self, requests: Sequence[PlannedRequest], clients: Sequence[LoadClient]) -> None:
+        began_ms = now_ms() + HEAD_START_S * MS_PER_S
+        async with asyncio.TaskGroup() as group:
+            for request in requests:
+                at_ms = began_ms + request.at_ms
+                await asyncio.sleep(max(0.0, (at_ms - now_ms()) / MS_PER_S))
+                group.create_task(self._make(clients[request.client], request, at_ms))
+
+    async def _make(self, client: LoadClient, request: PlannedRequest, at_ms: float) -> None:
+        kind = self._kinds[request.kind]
+        route = self._table.match(kind.host, kind.path)
+        self.outcomes.append(await client.make(request, kind, route, at_ms))
+
+    async def _query(self, node: NodeLayout) -> None:
+        """Ask a data plane again and again whether it is ready, as the platform does."""
+        timeout = aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                try:
+                    async with session.get(f"http://{node.ready}/ready") as answer:
+                        is_ready = answer.status == 200
+                except (aiohttp.ClientError, OSError, TimeoutError):
+                    is_ready = False
+                self._ingress.queried(node.name, is_ready)
+                await asyncio.sleep(QUERY_INTERVAL_S)
+
+
+def traffic_of(fleet: FleetFile) -> Traffic:
+    """The traffic that a fleet file describes; LocalFleetError where it has none."""
+    if fleet.traffic is None:
+        raise LocalFleetError(f"the file of fleet {fleet.name!r} has no traffic")
+    return fleet.traffic
+
+
+async def run_load(fleet: FleetFile, layout: FleetLayout) -> list[Outcome]:
+    """Send the fleet's traffic and keep what became of it in its folder."""
+    outcomes = await Load(fleet, layout, traffic_of(fleet)).run()
+    write_outcomes(Path(layout.folder) / OUTCOMES_FILE, outcomes)
+    return outcomes
--- /dev/null
+++ b/madderwind/local/load_client.py
@@ -0,0 +1,251 @@
+"""One client's requests: tries, waits and resumptions as the protocol's clients make them."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+
+import aiohttp
+
+from madderwind.configuration.documents import Route
+from madderwind.local.event_check import EventCheck
+from madderwind.local.ingress import Ingress
+from madderwind.local.outcomes import Fate, Outcome, TryOutcome
+from madderwind.local.traffic import PlannedRequest
+from madderwind.local.traffic_file import RequestKind
+
+MS_PER_S = 1000.0
+CONNECT_TIMEOUT_S = 1.0
+# Statuses which promise that the request has not run and never will.
+PROMISES = frozenset((408, 421, 429, 503))
+# After these, no try follows.
+FINAL = frozenset((400, 401, 404, 413, 431))
+# A client honours Retry-After up to this part of its time left.
+MOST_WAIT_PART = 1.0 / 3.0
+# Without an event for the longest of these, a client gives a stream up.
+LEAST_SILENCE_MS, SILENCE_AIMS, SILENCE_GAPS = 2000.0, 4.0, 8.0
+MODEL = "m"
+
+
+class Sessions:
+    """Connections of one client: some are kept, some requests open a new one."""
+
+    def __init__(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        self.kept, self.fresh = (
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=is_fresh),
+                timeout=timeout,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                skip_auto_headers=("Accept-Encoding", "User-Agent", "Accept"),
+            )
+            for is_fresh in (False, True)
+        )
+        # Guards against a second sending of a request whose kept connection breaks.
+        self.kept._retry_connection = False
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.kept.close()
+        await self.fresh.close()
+
+
+class LoadClient:
+    """One client in one zone."""
+
+    def __init__(self, name: str, zone: str, ingress: Ingress, key_of: Callable[[str], str]) -> None:
+        """`key_of`: the key of a tenant. Needs a running loop."""
+        self._name, self._zone, self._ingress, self._key_of = name, zone, ingress, key_of
+        self._sessions = Sessions()
+
+    async def close(self) -> None:
+        """Close its connections."""
+        await self._sessions.close()
+
+    async def make(
+        self, planned: PlannedRequest, kind: RequestKind, route: Route | None, at_ms: float
+    ) -> Outcome:
+        """Make one request, meant for `at_ms` on the steady clock; what became of it."""
+        request = _Request(planned, kind, route, at_ms)
+        deadline_s = (at_ms + kind.deadline_ms) / MS_PER_S
+        try:
+            async with asyncio.timeout(max(0.0, deadline_s - time.monotonic())):
+                await self._try_until_over(request)
+        except TimeoutError:
+            request.gave_up("deadline")
+        return request.finish()
+
+    async def _try_until_over(self, request: _Request) -> None:
+        tried: list[str] = []
+        while True:
+            front = self._ingress.choose(self._name, self._zone, tried)
+            tried.append(front.name)
+            made = request.begin_try(front.name)
+            is_fresh = request.planned.opens_connection or len(tried) > 1
+            session = self._sessions.fresh if is_fresh else self._sessions.kept
+            retry_after_s = await self._try(session, front.address, request, made)
+            made.ended_ms = now_ms()
+            if len(tried) > request.kind.retries or not request.may_try_again(made):
+                return
+            await asyncio.sleep(min(retry_after_s, request.left_s() * MOST_WAIT_PART))
+
+    async def _try(
+        self, session: aiohttp.ClientSession, address: str, request: _Request, made: TryOutcome
+    ) -> float:
+        """One try; for how long the answer asks the client to wait."""
+        url = f"http://{address}{request.kind.path}{request.planned.number:x}"
+        headers = request.headers(made, self._key_of(request.planned.tenant))
+        body = b"x" * request.kind.body_bytes
+        try:
+            async with session.request(request.kind.method, url, headers=headers, data=body) as answer:
+                made.status = answer.status
+                made.signature = answer.headers.get("X-Upstream-Signature", "")
+                if answer.status == 200 and request.events is not None:
+                    await self._read_events(answer, request, made)
+                else:
+                    await answer.read()
+                    made.how = "whole"
+                    request.answered(made)
+                return _seconds(answer.headers.get("Retry-After", ""))
+        except aiohttp.ServerTimeoutError:
+            made.how = "no connection"
+        except TimeoutError:
+            made.how = "silence"
+        except (aiohttp.ClientError, OSError) as error:
+            made.how = f"broken off: {type(error).__name__}"
+        return 0.0
+
+    async def _read_events(self, answer: aiohttp.ClientResponse, request: _Request, made: TryOutcome) -> None:
+        silence_s = request.longest_silence_ms / MS_PER_S
+        check = request.events
+        assert check is not None
+        while True:
+            async with asyncio.timeout(silence_s):
+                data = await answer.content.readany()
+            if not data:
+                break
+            if whole := check.feed(data):
+                made.events += whole
+                request.event_came()
+        check.ended_as_complete()
+        made.how = "whole"
+
+
+class _Request:
+    """One request while it is made."""
+
+    def __init__(self, planned: PlannedRequest, kind: RequestKind, route: Route | None, at_ms: float) -> None:
+        self.planned, self.kind, self._at_ms = planned, kind, at_ms
+        self._is_safe = route is not None and route.route_type == "safe"
+        self._is_resumable = route is not None and route.resumable
+        self.events = EventCheck(planned.parts[-1].id) if planned.parts else None
+        self._last_event_ms = 0.0
+        self.outcome = Outcome(
+            planned.number, kind.name, planned.tenant, at_ms, planned.shared_tokens, gaps_ms=[], tries=[]
+        )
+
+    @property
+    def longest_silence_ms(self) -> float:
+        """Without an event for so long, the stream is given up."""
+        kind = self.kind
+        return max(LEAST_SILENCE_MS, SILENCE_AIMS * kind.aim_ms, SILENCE_GAPS * kind.gap_aim_ms)
+
+    def left_s(self) -> float:
+        """Until the client's deadline."""
+        return max(0.0, (self._at_ms + self.kind.deadline_ms - now_ms()) / MS_PER_S)
+
+    def begin_try(self, front: str) -> TryOutcome:
+        """A new try, with an id of its own."""
+        made = TryOutcome(secrets.token_hex(8), front, now_ms())
+        if self.events is not None:
+            self.events.resume()
+            made.resumed_after = self.events.last
+        self.outcome.tries.append(made)
+        return made
+
+    def headers(self, made: TryOutcome, key: str) -> dict[str, str]:
+        """What a client sends with a try."""
+        headers = {
+            "Host": self.kind.host,
+            "X-Request-Id": made.request_id,
+            "X-Deadline-Ms": str(max(1, round(self.left_s() * MS_PER_S))),
+        }
+        if key:
+            headers["X-Key"] = key
+        planned = self.planned
+        if planned.parts:
+            headers["X-Model"] = MODEL
+            headers["X-Token-Usage"] = f"{planned.prompt_tokens},{planned.output_tokens}"
+            headers["X-Prompt-Prefix"] = ",".join(f"{part.id}:{part.tokens}" for part in planned.parts)
+        if made.resumed_after:
+            headers["Last-Event-Id"] = str(made.resumed_after)
+        return headers
+
+    def event_came(self) -> None:
+        """One event or more came just now."""
+        at_ms = now_ms()
+        if self.outcome.first_ms is None:
+            self.outcome.first_ms = at_ms - self._at_ms
+        else:
+            self.outcome.gaps_ms.append(round(at_ms - self._last_event_ms, 3))
+        self._last_event_ms = at_ms
+
+    def answered(self, made: TryOutcome) -> None:
+        """The whole answer of a request that is no stream came."""
+        if made.status == 200:
+            self.outcome.first_ms = now_ms() - self._at_ms
+
+    def may_try_again(self, made: TryOutcome) -> bool:
+        """Whether another try does no harm and may help."""
+        if (made.how == "whole" and made.status == 200) or made.status in FINAL:
+            return False
+        if made.status in PROMISES and made.how == "whole":
+            return True
+        if made.how == "silence":
+            return False
+        if self.events is not None and self.events.last:
+            return self._is_resumable
+        return self._is_safe or self._is_resumable
+
+    def gave_up(self, how: str) -> None:
+        """The client's time is over."""
+        if self.outcome.tries and not self.outcome.tries[-1].how:
+            self.outcome.tries[-1].how = how
+            self.outcome.tries[-1].ended_ms = now_ms()
+
+    def finish(self) -> Outcome:
+        """What became of it."""
+        outcome = self.outcome
+        outcome.ended_ms = now_ms() - self._at_ms
+        outcome.fate = self._fate()
+        outcome.fault = "" if self.events is None else self.events.fault
+        return outcome
+
+    def _fate(self) -> Fate:
+        outcome = self.outcome
+        last = outcome.tries[-1] if outcome.tries else None
+        if last is None or last.how != "whole":
+            return Fate.FAILED
+        if last.status in PROMISES:
+            return Fate.REFUSED
+        if last.status != 200 or (self.events is not None and not self.events.is_whole):
+            return Fate.FAILED
+        assert outcome.first_ms is not None
+        longest_gap_ms = max(outcome.gaps_ms, default=0.0)
+        in_time = outcome.first_ms <= self.kind.aim_ms and longest_gap_ms <= self.kind.gap_aim_ms
+        return Fate.IN_TIME if in_time else Fate.LATE
+
+
+def now_ms() -> float:
+    """The machine's steady clock."""
+    return time.monotonic() * MS_PER_S
+
+
+def _seconds(text: str) -> float:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/madderwind/local/load_figures.py
@@ -0,0 +1,84 @@
+"""The figures of a load: what was served, how soon first events came, the pauses between events."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from madderwind.local.outcomes import Fate, Outcome
+
+LONGEST_US, DIGITS, US_PER_MS = 120_000_000, 3, 1000.0
+
+
+class Times(msgspec.Struct, frozen=True):
+    """Quantiles in ms; all 0 where nothing was counted."""
+
+    count: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    longest_ms: float
+
+
+class KindFigures(msgspec.Struct, frozen=True):
+    """One kind of request, or all of them."""
+
+    kind: str
+    requests: int
+    in_time: int
+    late: int
+    refused: int
+    failed: int
+    tries: int
+    first: Times
+    between: Times
+
+    @property
+    def served_share(self) -> float:
+        """The part of the requests that were served whole, in time or late."""
+        return (self.in_time + self.late) / self.requests if self.requests else 0.0
+
+
+def times_of(values_ms: Iterable[float]) -> Times:
+    """The quantiles of some times, by a histogram of microseconds."""
+    histogram = HdrHistogram(1, LONGEST_US, DIGITS)
+    for value_ms in values_ms:
+        histogram.record_value(min(max(1, round(value_ms * US_PER_MS)), LONGEST_US))
+    count = histogram.get_total_count()
+    if not count:
+        return Times(0, 0.0, 0.0, 0.0, 0.0)
+    p50, p95, p99, longest = (
+        histogram.get_value_at_percentile(percentile) / US_PER_MS for percentile in (50, 95, 99, 100)
+    )
+    return Times(count, p50, p95, p99, longest)
+
+
+def kind_figures(kind: str, outcomes: Sequence[Outcome]) -> KindFigures:
+    """The figures of these outcomes, under that name."""
+    fates = Counter(outcome.fate for outcome in outcomes)
+    return KindFigures(
+        kind=kind,
+        requests=len(outcomes),
+        in_time=fates[Fate.IN_TIME],
+        late=fates[Fate.LATE],
+        refused=fates[Fate.REFUSED],
+        failed=fates[Fate.FAILED],
+        tries=sum(len(outcome.tries) for outcome in outcomes),
+        first=times_of(outcome.first_ms for outcome in outcomes if outcome.first_ms is not None),
+        between=times_of(gap_ms for outcome in outcomes for gap_ms in outcome.gaps_ms),
+    )
+
+
+def own_lateness(outcomes: Sequence[Outcome]) -> Times:
+    """How late the load itself was: a busy machine holds clients up too."""
+    return times_of(outcome.tries[0].sent_ms - outcome.at_ms for outcome in outcomes if outcome.tries)
+
+
+def all_figures(outcomes: Sequence[Outcome]) -> list[KindFigures]:
+    """By kind, and of all together in the end."""
+    kinds = sorted({outcome.kind for outcome in outcomes})
+    found = [kind_figures(kind, [o for o in outcomes if o.kind == kind]) for kind in kinds]
+    return [*found, kind_figures("all", outcomes)]
--- /dev/null
+++ b/madderwind/local/load_process.py
@@ -0,0 +1,68 @@
+"""The load as a process of its own, so that nothing else that the same program does holds its clients up."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+from madderwind.drill.fleet import dies_with_parent
+from madderwind.errors import LocalFleetError
+from madderwind.local.fleet_file import read_fleet_file
+from madderwind.local.layout import FleetLayout, read_layout
+from madderwind.local.load import run_load
+from madderwind.local.node_process import ROOT
+from madderwind.local.outcomes import OUTCOMES_FILE, Outcome, read_outcomes
+
+SENDING = b"sending\n"
+START_TIMEOUT_S = 30.0
+
+
+class LoadProcess:
+    """Sends the traffic of a fleet that runs. To be used as an async context, which ends it."""
+
+    def __init__(self, layout: FleetLayout) -> None:
+        self._layout = layout
+
+    async def __aenter__(self) -> LoadProcess:
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "madderwind.local.load_process",
+            self._layout.folder,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            cwd=ROOT,
+            preexec_fn=dies_with_parent,
+        )
+        assert self._process.stdout is not None
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                line = await self._process.stdout.readline()
+        except TimeoutError:
+            line = b""
+        if line != SENDING:
+            raise LocalFleetError("the load did not start")
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._process.returncode is None:
+            self._process.kill()
+            await self._process.wait()
+
+    async def wait(self) -> list[Outcome]:
+        """What became of all requests, once they are over."""
+        if await self._process.wait():
+            raise LocalFleetError("the load ended before all requests were over")
+        return read_outcomes(Path(self._layout.folder) / OUTCOMES_FILE)
+
+
+async def _send(folder: Path) -> None:
+    layout = read_layout(folder)
+    fleet = read_fleet_file(Path(layout.file))
+    print(SENDING.decode(), end="", flush=True)
+    await run_load(fleet, layout)
+
+
+if __name__ == "__main__":
+    asyncio.run(_send(Path(sys.argv[1])))
--- /dev/null
+++ b/madderwind/local/operator_load.py
@@ -0,0 +1,104 @@
+"""An operator at work while faults are played: small changes of the configuration, one after the other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+import msgspec
+
+from madderwind.configuration.reading import Document, read_document
+from madderwind.errors import InvalidConfiguration, OperatorCallFailed
+from madderwind.local.checker import ConfigurationRead, OrderSent
+from madderwind.local.layout import FleetLayout, NodeKind
+from madderwind.local.operator_client import OperatorClient
+
+# Versions rise by uneven steps.
+VERSION_STEP = 2
+ORDER_WITHIN_S, READ_WITHIN_S, READ_PAUSE_S = 6.0, 10.0, 0.1
+# The route that changes add and move.
+CHANGED_ROUTE = "changed-by-the-operator"
+
+
+class OperatorAtWork:
+    """Sends a change each `every_s` and keeps what was acknowledged."""
+
+    def __init__(self, layout: FleetLayout, every_s: float) -> None:
+        self._layout, self._every_s = layout, every_s
+        self.orders: list[OrderSent] = []
+        self._sent: dict[int, Document] = {}
+
+    async def run(self) -> None:
+        """Go on until cancelled."""
+        async with OperatorClient(self._layout.control, ORDER_WITHIN_S) as client:
+            while True:
+                await self._change(client)
+                await asyncio.sleep(self._every_s)
+
+    async def _change(self, client: OperatorClient) -> None:
+        try:
+            current = await client.read()
+            if not current.is_taken:
+                return
+            document = read_document(current.body)
+            change = _change_of(document)
+            after = document.updated(change)
+            self._sent[after.version] = after
+            self.orders.append(OrderSent(after.version, False))
+            answer = await client.update(document.version, change)
+        except (OperatorCallFailed, InvalidConfiguration):
+            return
+        if answer.is_taken:
+            self.orders[-1] = OrderSent(after.version, True)
+
+    async def read_back(self) -> list[ConfigurationRead]:
+        """What each control plane gives as the newest configuration, once it gives one."""
+        nodes = self._layout.of_kind(NodeKind.CONTROL_PLANE)
+        async with OperatorClient(self._layout.control) as client:
+            return list(
+                await asyncio.gather(
+                    *(
+                        self._read_at(client, node.name, address)
+                        for node, address in zip(nodes, self._layout.control, strict=True)
+                    )
+                )
+            )
+
+    async def _read_at(self, client: OperatorClient, node: str, address: str) -> ConfigurationRead:
+        try:
+            async with asyncio.timeout(READ_WITHIN_S):
+                while True:
+                    try:
+                        answer = await client.read_at(address)
+                    except OperatorCallFailed:
+                        await asyncio.sleep(READ_PAUSE_S)
+                        continue
+                    document = read_document(answer.body)
+                    return ConfigurationRead(node, document.version, self._matches(document))
+        except (TimeoutError, InvalidConfiguration):
+            return ConfigurationRead(node, 0)
+
+    def _matches(self, document: Document) -> bool:
+        sent = self._sent.get(document.version)
+        return sent is None or sent.configuration == document.configuration
+
+
+def _change_of(document: Document) -> bytes:
+    """Adds the operator's route, or gives it another time-out."""
+    first = document.configuration.routes[0]
+    version = document.version + VERSION_STEP
+    route = {
+        "name": CHANGED_ROUTE,
+        "host": first.host,
+        "path_prefix": f"/{CHANGED_ROUTE}/",
+        "route_type": "safe",
+        "timeout_ms": 1000 + version,
+        "service": first.service_names[0],
+        "max_attempts": 1,
+    }
+    return msgspec.json.encode({"version": version, "upsert": {"routes": [route]}})
+
+
+def acknowledged(orders: Sequence[OrderSent]) -> int:
+    """How many orders were acknowledged."""
+    return sum(order.acknowledged for order in orders)
--- a/madderwind/local/relays.py
+++ b/madderwind/local/relays.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
+import socket
+import struct
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 import msgspec
-import psutil
 
 from madderwind.drill.relay import MS_PER_S, Address, Relay, RelayedConnection
 from madderwind.local.layout import RelayLayout
 
 # Who has which connection is looked up at most so often while a cut is in force.
-OWNERS_KEPT_S = 0.05
+OWNERS_KEPT_S = 0.1
 CUT, SLOW = "cut", "slow"
+SOCKET_LINK = "socket:["
 
 
 class LinkCondition(msgspec.Struct, frozen=True):
@@ -40,7 +44,7 @@
 
 
 class ConnectionOwners:
-    """Which node a connection comes from, by the sockets of its process."""
+    """Which node a connection comes from, by the sockets that its process has open."""
 
     def __init__(self, pids: Callable[[], Mapping[str, int]]) -> None:
         self._pids = pids
@@ -48,22 +52,43 @@
         self._looked_s = float("-inf")
 
     def node_of(self, peer: Address) -> str:
-        """The node whose process has this end; empty where it is none of the fleet's."""
-        if peer not in self._owners and time.monotonic() - self._looked_s > OWNERS_KEPT_S:
-            self._look()
+        """The node whose process had this end when looked up; empty where it is none of the fleet's."""
         return self._owners.get(peer, "")
 
-    def _look(self) -> None:
+    def look_for(self, peer: Address) -> None:
+        """Look up again for a new connection's end, if that was not done a moment ago."""
+        if peer not in self._owners and time.monotonic() - self._looked_s > OWNERS_KEPT_S:
+            self.look()
+
+    def look(self) -> None:
+        """Look up all ends."""
+        node_by_inode = {inode: node for node, pid in self._pids().items() for inode in _socket_inodes(pid)}
+        self._owners = {
+            address: node_by_inode[inode] for address, inode in _tcp_sockets() if inode in node_by_inode
+        }
         self._looked_s = time.monotonic()
-        self._owners = {}
-        for node, pid in self._pids().items():
-            try:
-                connections = psutil.Process(pid).net_connections("tcp4")
-            except psutil.Error:
-                continue  # it ended meanwhile
-            for connection in connections:
-                if connection.laddr:
-                    self._owners[connection.laddr.ip, connection.laddr.port] = node
+
+
+def _socket_inodes(pid: int) -> Iterator[str]:
+    """The sockets of a process, as the kernel numbers them."""
+    folder = f"/proc/{pid}/fd"
+    with contextlib.suppress(OSError):  # it ended meanwhile
+        for descriptor in os.listdir(folder):
+            with contextlib.suppress(OSError):
+                target = os.readlink(f"{folder}/{descriptor}")
+                if target.startswith(SOCKET_LINK):
+                    yield target[len(SOCKET_LINK) : -1]
+
+
+def _tcp_sockets() -> Iterator[tuple[Address, str]]:
+    """Own address and inode of every TCP socket over IPv4."""
+    with open("/proc/net/tcp") as file:
+        next(file)
+        for line in file:
+            fields = line.split()
+            ip, _, port = fields[1].partition(":")
+            address = socket.inet_ntoa(struct.pack("<I", int(ip, 16)))
+            yield (address, int(port, 16)), fields[9]
 
 
 class _FleetConnection(RelayedConnection):
@@ -74,7 +99,7 @@
         self.peer: Address = writer.get_extra_info("peername")[:2]
         self.open = asyncio.Event()
         self.late_ms = 0.0
-        relay.settle(self)
+        relay.settle_new(self)
 
 
 class FleetRelay(Relay):
@@ -95,6 +120,11 @@
             await asyncio.sleep(connection.late_ms / MS_PER_S)
             await connection.open.wait()
 
+    def settle_new(self, connection: _FleetConnection) -> None:
+        """A connection was accepted."""
+        self._relays.look_for(connection.peer)
+        self.settle(connection)
+
     def settle(self, connection: _FleetConnection) -> None:
         """Give a connection what the conditions in force make of it."""
         is_cut, connection.late_ms = self._relays.between(connection.peer, self.node)
@@ -132,11 +162,18 @@
     def set_conditions(self, conditions: Sequence[LinkCondition]) -> None:
         """These hold from now on, and no others. A node cut from all others is not even connected to."""
         self._conditions = tuple(conditions)
+        if self._conditions:
+            self._owners.look()
         for relay in self._relays:
             isolated = any(condition.isolates(relay.node) for condition in self._conditions)
             relay.be("vanish" if isolated else "", 0.0)
             relay.settle_all()
 
+    def look_for(self, peer: Address) -> None:
+        """Make sure that the owner of a new connection's end is known, where that matters."""
+        if self._conditions:
+            self._owners.look_for(peer)
+
     def between(self, peer: Address, node: str) -> tuple[bool, float]:
         """Whether nothing passes between a connection's end and a node, and how late what passes is."""
         if not self._conditions:
--- /dev/null
+++ b/madderwind/local/run.py
@@ -0,0 +1,154 @@
+"""What the commands do with a fleet on one machine: start it, load it, break it, check it, report on it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+import msgspec
+
+from madderwind.configuration.lookup import RoutingTable
+from madderwind.errors import LocalFleetError
+from madderwind.local.baselines import simulate_baselines
+from madderwind.local.cache_figures import cache_figures
+from madderwind.local.checker import ConfigurationRead, Evidence, OrderSent, Violation, check
+from madderwind.local.fault_player import FaultPlayer, PlayedFault
+from madderwind.local.fleet_file import FleetFile, read_fleet_file
+from madderwind.local.layout import FleetLayout, read_layout
+from madderwind.local.load import traffic_of
+from madderwind.local.load_figures import all_figures, own_lateness
+from madderwind.local.load_process import LoadProcess
+from madderwind.local.node_process import LifeEvent
+from madderwind.local.operator_client import OperatorClient
+from madderwind.local.operator_load import OperatorAtWork, acknowledged
+from madderwind.local.outcomes import Outcome
+from madderwind.local.report import RunReport, draw_picture, render_report
+from madderwind.local.supervisor import LIVES_FILE, Supervisor
+from madderwind.standin.records import AnyRecord, read_records
+
+PICTURE_FILE, REPORT_FILE = "report.png", "report.txt"
+# After the last request, upstreams note what has ended.
+SETTLE_S = 0.3
+
+
+async def start_fleet(supervisor: Supervisor, fleet: FleetFile) -> None:
+    """Wait until the fleet has come up, install its configuration, wait until its data planes are ready."""
+    await supervisor.wait_until_control_answers()
+    async with OperatorClient(supervisor.layout.control) as client:
+        answer = await client.replace(0, fleet.document().raw)
+    if not answer.is_taken:
+        raise LocalFleetError(f"the configuration was refused: {answer.status} {answer.body.decode()}")
+    await supervisor.wait_until_ready()
+
+
+def running_fleet(folder: Path) -> tuple[FleetFile, FleetLayout]:
+    """The fleet that was started in a folder; LocalFleetError where none runs."""
+    try:
+        layout = read_layout(folder)
+    except (OSError, msgspec.MsgspecError):
+        raise LocalFleetError(f"no fleet runs in {folder}: start one with `local up`") from None
+    return read_fleet_file(Path(layout.file)), layout
+
+
+async def load_and_break(
+    fleet: FleetFile, layout: FleetLayout
+) -> tuple[list[Outcome], list[PlayedFault], OperatorAtWork]:
+    """The load from a process of its own, with the file's faults and operator's changes beside it."""
+    async with LoadProcess(layout) as load:
+        playing = asyncio.create_task(play_faults(fleet, layout))
+        try:
+            outcomes = await load.wait()
+            played, operator = await playing
+        finally:
+            playing.cancel()
+            await asyncio.gather(playing, return_exceptions=True)
+    return outcomes, played, operator
+
+
+async def play_faults(fleet: FleetFile, layout: FleetLayout) -> tuple[list[PlayedFault], OperatorAtWork]:
+    """The file's faults and operator's changes alone, beside a load that somebody else sends."""
+    operator = OperatorAtWork(layout, fleet.operator.change_every_s)
+    async with FaultPlayer(layout, fleet.faults, traffic_of(fleet).seed) as player:
+        changing = asyncio.create_task(operator.run()) if fleet.operator.change_every_s else None
+        try:
+            await player.run()
+        finally:
+            if changing is not None:
+                changing.cancel()
+                await asyncio.gather(changing, return_exceptions=True)
+    return player.played, operator
+
+
+async def read_back(operator: OperatorAtWork) -> list[ConfigurationRead]:
+    """What the control planes give as the newest configuration, once things are calm."""
+    await asyncio.sleep(SETTLE_S)
+    return await operator.read_back()
+
+
+def check_run(
+    fleet: FleetFile,
+    layout: FleetLayout,
+    outcomes: Sequence[Outcome],
+    orders: Sequence[OrderSent],
+    reads: Sequence[ConfigurationRead],
+) -> list[Violation]:
+    """The violations that a run left behind."""
+    table = RoutingTable(fleet.document().configuration)
+    idempotent = set()
+    for kind in traffic_of(fleet).kinds:
+        route = table.match(kind.host, kind.path)
+        if route is not None and (route.route_type == "safe" or route.resumable):
+            idempotent.add(kind.name)
+    records = list(upstream_records(layout))
+    return check(Evidence(outcomes, records, orders, reads, frozenset(idempotent)))
+
+
+def upstream_records(layout: FleetLayout) -> Iterator[AnyRecord]:
+    """What all stand-in upstreams noted."""
+    for node in layout.nodes:
+        if node.records and Path(node.records).exists():
+            yield from read_records(Path(node.records))
+
+
+def make_report(
+    fleet: FleetFile,
+    layout: FleetLayout,
+    outcomes: Sequence[Outcome],
+    faults: Sequence[PlayedFault],
+    operator: OperatorAtWork | None,
+    violations: Sequence[Violation] | None,
+    with_baselines: bool,
+) -> str:
+    """The report as text, also kept in the fleet's folder beside a picture."""
+    folder = Path(layout.folder)
+    began_ms = min((outcome.at_ms for outcome in outcomes), default=0.0)
+    records = [record for record in upstream_records(layout) if record.at_ms >= began_ms]
+    asked_tokens = sum(outcome.shared_tokens for outcome in outcomes if outcome.is_served)
+    orders = operator.orders if operator is not None else []
+    report = RunReport(
+        name=layout.name,
+        kinds=all_figures(outcomes),
+        own_lateness=own_lateness(outcomes),
+        cache=cache_figures(records, asked_tokens, traffic_of(fleet).again_s),
+        faults=faults,
+        baselines=simulate_baselines(fleet) if with_baselines else [],
+        acknowledged_orders=acknowledged(orders),
+        sent_orders=len(orders),
+        own_ends=_own_ends(folder),
+        violations=violations,
+    )
+    text = render_report(report)
+    (folder / REPORT_FILE).write_text(text)
+    if outcomes:
+        draw_picture(folder / PICTURE_FILE, outcomes, faults)
+    return text
+
+
+def _own_ends(folder: Path) -> int:
+    path = folder / LIVES_FILE
+    if not path.exists():
+        return 0
+    decoder = msgspec.json.Decoder(LifeEvent)
+    events = (decoder.decode(line) for line in path.read_bytes().splitlines())
+    return sum(event.what == "ended by itself" for event in events)
--- a/madderwind/local/traffic_file.py
+++ b/madderwind/local/traffic_file.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from madderwind.local.field_checks import above_zero, not_empty
 from madderwind.standin.workload import Burst, SharedPart, Tokens
 
 
@@ -34,7 +35,7 @@
     name: str
     host: str
     path: str
-    per_s: float = attrs.field(validator=attrs.validators.gt(0))
+    per_s: float = attrs.field(validator=above_zero)
     tenants: dict[str, float] = attrs.field(factory=dict)
     aim_ms: float = 1000.0
     gap_aim_ms: float = 300.0
@@ -50,7 +51,7 @@
     """What is sent: arrivals of each kind by a Poisson process, more of them in a burst. Clients are spread
     over the zones; each keeps connections, and `reconnect_share` of the requests open a new one."""
 
-    kinds: tuple[RequestKind, ...] = attrs.field(validator=attrs.validators.min_len(1))
+    kinds: tuple[RequestKind, ...] = attrs.field(validator=not_empty)
     for_s: float = 15.0
     seed: int = 1
     clients: int = 24
--- a/madderwind/local/yaml_files.py
+++ b/madderwind/local/yaml_files.py
@@ -17,7 +17,7 @@
 )
 from cattrs.gen import make_dict_structure_fn
 
-from madderwind.errors import InvalidFile
+from madderwind.errors import InvalidConfiguration, InvalidFile
 
 FileType = TypeVar("FileType")
 PathStep = str | int
@@ -45,7 +45,7 @@
         raise InvalidFile(name, line, "", error.problem or "is no YAML") from None
     try:
         return _converter.structure(raw, file_type)
-    except (BaseValidationError, _WrongValue, ValueError, TypeError) as error:
+    except (BaseValidationError, InvalidConfiguration, _WrongValue) as error:
         steps, reason = _first_fault(error)
         raise InvalidFile(name, line_of(text, steps), field_name(steps), reason) from None
 
@@ -108,6 +108,8 @@
     if isinstance(error, ForbiddenExtraKeysError):
         unknown = sorted(error.extra_fields)[0]
         return [*steps, unknown], "is not known here"
+    if isinstance(error, InvalidConfiguration):
+        return [*steps, *steps_of(error.field)], error.reason
     if isinstance(error, KeyError):
         return steps, "is missing"
     return steps, str(error)
--- /dev/null
+++ b/tests/local/test_checking.py
@@ -0,0 +1,130 @@
+"""Faults on nodes, and the checker: each promise broken on purpose is noticed, and only that one."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import Any
+
+from madderwind.errors import LocalFleetError
+from madderwind.local.cache_figures import cache_figures
+from madderwind.local.checker import ConfigurationRead, Evidence, OrderSent, Promise, check
+from madderwind.local.fault_file import Fault
+from madderwind.local.fault_schedule import Action, plan_fault
+from madderwind.local.outcomes import Fate, Outcome, TryOutcome
+from madderwind.local.relays import LinkCondition
+from madderwind.standin.records import PrefilledPart, Ran
+
+NODES = ("control-1", "control-2", "data-1", "model-1", "model-2")
+
+
+def ran(request: str, instance: str = "i-1") -> Ran:
+    return Ran(1.0, instance, request, "acme", "/x")
+
+
+def outcome(*tries: TryOutcome, kind: str = "unsafe", fault: str = "") -> Outcome:
+    return Outcome(1, kind, "acme", 0.0, 0, Fate.IN_TIME, tries=list(tries), fault=fault)
+
+
+def made(request: str = "r", status: int = 200, signature: str = "s") -> TryOutcome:
+    return TryOutcome(request, "data-1", 0.0, 1.0, status, "whole", signature)
+
+
+def broken(**changes: Any) -> list[Promise]:
+    """The promises that a run with this evidence broke."""
+    evidence: dict[str, Any] = {"outcomes": [], "records": [], "orders": [], "reads": []}
+    evidence |= {"idempotent_kinds": frozenset({"safe"}), **changes}
+    return [violation.promise for violation in check(Evidence(**evidence))]
+
+
+class TheChecker(unittest.TestCase):
+    def test_finds_nothing_in_a_run_that_went_well(self) -> None:
+        found = broken(
+            outcomes=[outcome(made("a", 503, ""), made("b"))],
+            records=[ran("b")],
+            orders=[OrderSent(3, True), OrderSent(5, False)],
+            reads=[ConfigurationRead("control-1", 3), ConfigurationRead("control-2", 5)],
+        )
+        self.assertEqual(found, [])
+
+    def test_a_second_run_of_one_request(self) -> None:
+        records = [ran("r", "i-1"), ran("r", "i-2")]
+        self.assertEqual(broken(outcomes=[outcome(made())], records=records), [Promise.RUN_ONCE])
+        self.assertEqual(broken(outcomes=[outcome(made(), kind="safe")], records=records), [])
+
+    def test_a_refusal_of_what_ran(self) -> None:
+        found = broken(outcomes=[outcome(made(status=503, signature=""))], records=[ran("r")])
+        self.assertEqual(found, [Promise.REFUSAL])
+
+    def test_a_stream_with_a_gap(self) -> None:
+        found = broken(outcomes=[outcome(made(), fault="a gap: event 3 after event 1")])
+        self.assertEqual(found, [Promise.STREAM])
+
+    def test_a_success_that_no_upstream_signed(self) -> None:
+        self.assertEqual(broken(outcomes=[outcome(made(signature=""))]), [Promise.ANSWER])
+
+    def test_an_acknowledged_configuration_that_is_gone(self) -> None:
+        orders = [OrderSent(3, True), OrderSent(5, True)]
+        older = [ConfigurationRead("control-1", 3)]
+        self.assertEqual(set(broken(orders=orders, reads=older)), {Promise.CONFIGURATION})
+        silent = [ConfigurationRead("control-1", 0)]
+        self.assertEqual(broken(orders=orders, reads=silent), [Promise.CONFIGURATION])
+        other = [ConfigurationRead("control-1", 5, matches_sent=False)]
+        self.assertEqual(broken(orders=orders, reads=other), [Promise.CONFIGURATION])
+        one_silent = [ConfigurationRead("control-1", 0), ConfigurationRead("control-2", 5)]
+        self.assertEqual(broken(orders=orders, reads=one_silent), [])
+
+
+class FaultsOnNodes(unittest.TestCase):
+    def plan(self, **changes: Any) -> Any:
+        fault = Fault(**{"what": "kill", "nodes": ("model-*",), "at_s": 1.0, "for_s": 2.0, **changes})
+        return plan_fault(fault, NODES, "control-2", random.Random(1))
+
+    def test_befall_all_that_a_pattern_names(self) -> None:
+        planned = self.plan()
+        self.assertEqual(planned.nodes, ("model-1", "model-2"))
+        self.assertEqual(planned.actions, (Action.KILL, Action.START))
+        self.assertEqual((planned.begin_s, planned.end_s), (1.0, 3.0))
+
+    def test_befall_some_of_them(self) -> None:
+        self.assertEqual(len(self.plan(count=1).nodes), 1)
+
+    def test_befall_who_is_the_primary_then(self) -> None:
+        self.assertEqual(self.plan(nodes=("primary",)).nodes, ("control-2",))
+
+    def test_on_unknown_nodes_are_refused(self) -> None:
+        with self.assertRaises(LocalFleetError):
+            self.plan(nodes=("modle-1",))
+        with self.assertRaises(LocalFleetError):
+            plan_fault(Fault("kill", ("primary",), 0.0), NODES, "", random.Random(1))
+
+    def test_a_cut_lies_between_its_nodes_and_the_others(self) -> None:
+        alone = self.plan(what="cut", nodes=("control-1",)).condition
+        self.assertTrue(alone.isolates("control-1"))
+        self.assertTrue(alone.concerns("control-1", "data-1"))
+        self.assertTrue(alone.concerns("data-1", "control-1"))
+        self.assertFalse(alone.concerns("data-1", "control-2"))
+        self.assertFalse(alone.concerns("", "control-2"))
+
+    def test_a_cut_between_two_groups_leaves_the_rest(self) -> None:
+        condition = LinkCondition("cut", ("data-1",), ("model-1",))
+        self.assertTrue(condition.concerns("data-1", "model-1"))
+        self.assertFalse(condition.concerns("data-1", "model-2"))
+        self.assertFalse(condition.isolates("data-1"))
+
+
+class CacheFigures(unittest.TestCase):
+    def test_what_is_prefilled_again_soon_is_told_apart(self) -> None:
+        reads = [
+            PrefilledPart(0.0, "i-1", "a", 100, True),
+            PrefilledPart(5_000.0, "i-2", "a", 100, True),
+            PrefilledPart(40_000.0, "i-1", "a", 100, True),
+            PrefilledPart(0.0, "i-1", "own", 50, False),
+        ]
+        figures = cache_figures(reads, 1000, again_s=10.0)
+        self.assertEqual((figures.prefilled_tokens, figures.prefilled_again_tokens), (300, 100))
+        self.assertAlmostEqual(figures.hit_share, 0.7)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -67,6 +67,7 @@
 # Beside the programs: stand-ins of upstreams, and whole fleets as processes of one machine.
 BELOW["standin"] = {"errors", "messages", "placement"}
 BELOW["local"] = {*SYSTEM, "structured_log", "drill", "standin"}
+BELOW["cli"] = {*SYSTEM, "local"}
 BELOW["controlplane"] = {*SYSTEM, *SHARED_WITH_HOSTS} - {"limits", "placement"}
 
 
