--- a/madderwind/standin/server.py
+++ b/madderwind/standin/server.py
@@ -21,6 +21,8 @@
 from madderwind.standin.upstream_settings import UpstreamSettings
 
 REPORT_PATH = "/report"
+# What is open at the end is broken off after so long.
+CLOSE_TIMEOUT_S = 0.05
 DEFAULT_DEADLINE_MS = 30_000.0
 DEFAULT_PRIORITY = 5
 MODEL = "m"
@@ -94,7 +96,7 @@
     async def stop(self) -> None:
         """Listen no more and break off what is open."""
         self._listening.close()
-        await self._server.shutdown(0.0)
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     def cold_remaining_ms(self) -> float:
         """For how long this upstream stays slow after its start."""
