--- a/madderwind/cli/commands.py
+++ b/madderwind/cli/commands.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Sequence
 
 from madderwind.errors import MadderwindError
 
+INTERRUPTED = 130
 DEFAULT_FOLDER = "target/local-fleet"
 
 
@@ -58,19 +60,20 @@
 
         return diff(old, new)
 
-    def apply(self, file: str, control: str, wait_s: float = 10.0) -> int:
+    def apply(self, file: str, control: str, status: str = "", wait_s: float = 10.0) -> int:
         """Send the configuration in FILE to a running fleet and show which data planes have taken it.
 
         Its version must be above the one in force.
 
         Args:
             file: the whole configuration.
-            control: address of a control plane, such as 10.1.0.6:8367, or several, separated by commas.
+            control: public address of a control plane, such as 10.1.0.6:8367, or several, with commas.
+            status: internal address of a control plane, such as 10.1.0.6:7500, to see the data planes.
             wait_s: for how long to wait for the data planes.
         """
         from madderwind.cli.config_commands import apply
 
-        return apply(file, _addresses(control), wait_s)
+        return apply(file, _addresses(control), _addresses(status), wait_s)
 
 
 class Commands:
@@ -133,7 +136,10 @@
         print(f"madderwind: needs {error.name}: pip install -r requirements-lab.txt", file=sys.stderr)
         sys.exit(1)
     except KeyboardInterrupt:
-        sys.exit(130)
+        sys.exit(INTERRUPTED)
+    except BrokenPipeError:  # who reads the output has enough
+        sys.stdout = open(os.devnull, "w")  # noqa: SIM115 (until the end)
+        sys.exit(0)
     if isinstance(result, int):
         sys.exit(result)
 
--- a/madderwind/cli/config_commands.py
+++ b/madderwind/cli/config_commands.py
@@ -48,10 +48,11 @@
     if path.suffix == ".json" or text.lstrip().startswith("{"):
         return text.encode()
     try:
-        return msgspec.json.encode(yaml.safe_load(text))
+        raw = yaml.safe_load(text)
     except yaml.MarkedYAMLError as error:
         line = error.problem_mark.line + 1 if error.problem_mark else 0
         raise InvalidFile(str(path), line, "", error.problem or "is no YAML") from None
+    return msgspec.json.encode(raw)
 
 
 # --- differences ---
@@ -115,12 +116,12 @@
 # --- sending ---
 
 
-def apply(file: str, control: Sequence[str], wait_s: float) -> int:
-    """Send a configuration and show who has taken it; 1 where it was refused or some lack it."""
-    return asyncio.run(_apply(read_configuration_file(Path(file)), list(control), wait_s))
+def apply(file: str, control: Sequence[str], status: Sequence[str], wait_s: float) -> int:
+    """Send a configuration and show who has taken it; 1 where some lack it. OperatorCallFailed: refused."""
+    return asyncio.run(_apply(read_configuration_file(Path(file)), control, status, wait_s))
 
 
-async def _apply(document: Document, control: list[str], wait_s: float) -> int:
+async def _apply(document: Document, control: Sequence[str], status: Sequence[str], wait_s: float) -> int:
     async with OperatorClient(control) as client:
         current = await client.read()
         base = _version_of(current)
@@ -132,25 +133,27 @@
         told = answer.body.decode(errors="replace")
         raise OperatorCallFailed(f"version {document.version} on top of {base}: {answer.status} {told}")
     print(f"version {document.version} is acknowledged, on top of {base}")
-    return await _show_who_took(document.version, control, wait_s)
+    if not status:
+        print("which data planes have taken it is told with --status")
+        return 0
+    return await _show_who_took(document.version, status, wait_s)
 
 
 def _version_of(answer: Answer) -> int:
     return read_document(answer.body).version if answer.is_taken else 0
 
 
-async def _show_who_took(version: int, control: Sequence[str], wait_s: float) -> int:
-    """Wait for the data planes, as far as control planes tell of them at the public address's machine."""
+async def _show_who_took(version: int, status: Sequence[str], wait_s: float) -> int:
+    """Wait for the data planes that these control planes tell of."""
     give_up_s = asyncio.get_running_loop().time() + wait_s
     while True:
-        planes = _applied(await read_status(control))
+        planes = _applied(await read_status(status))
         lacking = [node for node, applied in planes.items() if applied < version]
-        if not planes or not lacking or asyncio.get_running_loop().time() > give_up_s:
+        if (planes and not lacking) or asyncio.get_running_loop().time() > give_up_s:
             break
         await asyncio.sleep(LOOK_S)
     if not planes:
-        print("no status at these addresses: give internal addresses to `status` to see the data planes")
-        return 0
+        raise OperatorCallFailed(f"no control plane told of data planes at {', '.join(status)}")
     for node, applied in sorted(planes.items()):
         print(f"  {node:24}{'has taken it' if applied >= version else f'still has {applied}'}")
     return int(bool(lacking))
--- a/madderwind/drill/relay.py
+++ b/madderwind/drill/relay.py
@@ -50,6 +50,7 @@
         finally:
             for task in tasks:
                 task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
             self.ended()
             for writer in (self.writer, self._on):
                 if writer is not None:
@@ -87,6 +88,7 @@
         finally:
             if back is not None:
                 back.cancel()
+                await asyncio.gather(back, return_exceptions=True)
         raise ConnectionResetError  # the connecting side has ended
 
     async def _pass_back(self, reader: asyncio.StreamReader) -> None:
