--- /dev/null
+++ b/madderwind/limits/quota.py
@@ -0,0 +1,161 @@
+"""Tenants' quotas over all data planes: what one admits, knowing what the others used a moment ago."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from madderwind.configuration.documents import Tenant
+from madderwind.limits.isolated_bucket import IsolatedBucket
+from madderwind.limits.quota_terms import QuotaTerms, quota_terms
+from madderwind.limits.shared_bucket import SharedBucket
+from madderwind.node_settings import Bounds
+
+# After touch was regained, what was used meanwhile is reported so much later, when the others are back, too.
+HOLD_BACK_MS = 500.0
+# Demand below this is told to nobody, units a second.
+LEAST_DEMAND_TOLD = 1e-3
+
+
+@attrs.frozen
+class Usage:
+    """What a data plane reports, by tenant: what it admitted since its last report; its demand a second."""
+
+    used: Mapping[str, float]
+    asked: Mapping[str, float]
+
+
+class _TenantState:
+    """One tenant's buckets here. The isolated one is there only while the others are not heard of."""
+
+    def __init__(self, now_ms: float, terms: QuotaTerms, level: float) -> None:
+        self.shared = SharedBucket(now_ms, terms, level)
+        self.isolated: IsolatedBucket | None = None
+        self.unreported = 0.0
+        self.held_back = 0.0
+        self._report_held_back_ms = now_ms
+        self.is_configured = True
+        self._is_heard = True
+
+    def asked(self, now_ms: float, amount: float) -> None:
+        self.shared.asked(now_ms, amount)
+        if self.isolated is not None:
+            self.isolated.asked(now_ms, amount)
+
+    def _end_isolation(self, now_ms: float) -> None:
+        if self.shared.is_settled(now_ms):
+            self.isolated = None
+
+    def chance(self, now_ms: float) -> float:
+        self._end_isolation(now_ms)
+        chance = self.shared.chance(now_ms)
+        return chance if self.isolated is None else min(chance, self.isolated.chance(now_ms))
+
+    def spend(self, now_ms: float, amount: float) -> None:
+        self.shared.spend(now_ms, amount)
+        if self.isolated is not None:
+            self.isolated.spend(now_ms, amount)
+        self.unreported += amount
+
+    def drain(self, now_ms: float) -> float:
+        """What is to be reported now."""
+        amount = max(0.0, self.unreported)  # what was given back beyond that goes against the next
+        self.unreported -= amount
+        if now_ms >= self._report_held_back_ms:
+            amount, self.held_back = amount + self.held_back, 0.0
+        return amount
+
+    def set_heard(self, now_ms: float, is_heard: bool, data_planes: int) -> None:
+        """The isolated bucket stays until what was used meanwhile has been reported by all."""
+        if is_heard and not self._is_heard:
+            self.held_back, self.unreported = self.held_back + self.unreported, 0.0
+            self._report_held_back_ms = now_ms + HOLD_BACK_MS
+        self._is_heard = is_heard
+        self.shared.set_heard(now_ms, is_heard)
+        self._end_isolation(now_ms)
+        if not is_heard and self.isolated is None:
+            self.isolated = IsolatedBucket(
+                now_ms,
+                self.shared.terms,
+                headroom=self.shared.headroom(now_ms),
+                share=1.0 / data_planes,
+                used_unnoticed=self.shared.used_unnoticed(now_ms),
+                others_unnoticed=self.shared.others_unnoticed(now_ms),
+            )
+
+
+class TenantQuota:
+    """All tenants' quotas at one data plane. `is_founding`: this is the first start of the whole system, so
+    that nothing was spent before; any other process starts with little, as it can't know what was spent."""
+
+    def __init__(self, bounds: Bounds, rng: random.Random, *, is_founding: bool = False) -> None:
+        self._bounds = bounds
+        self._rng = rng
+        self._starts_full = is_founding
+        self._tenants: dict[str, _TenantState] = {}
+        self._data_planes = 1
+        self._is_heard = False
+
+    def configure(self, now_ms: float, tenants: Iterable[Tenant]) -> None:
+        """Take the limits of a configuration. A tenant that is new to a running process is new to all and
+        starts full; one that was removed keeps its level, so that removing and adding refills nothing."""
+        for state in self._tenants.values():
+            state.is_configured = False
+        for tenant in tenants:
+            terms = quota_terms(tenant, self._bounds)
+            if terms is not None:
+                self._configure(now_ms, tenant.name, terms)
+        self._starts_full = True
+
+    def admit(self, now_ms: float, tenant_name: str, amount: float) -> bool:
+        """Whether a request of that size may go on now; if so it is drawn."""
+        state = self._tenants.get(tenant_name)
+        if state is None or not state.is_configured:
+            return True
+        state.asked(now_ms, amount)
+        chance = state.chance(now_ms)
+        if chance < 1.0 and self._rng.random() >= chance:
+            return False
+        state.spend(now_ms, amount)
+        return True
+
+    def give_back(self, now_ms: float, tenant_name: str, amount: float) -> None:
+        """An admitted request provably didn't and won't run."""
+        state = self._tenants.get(tenant_name)
+        if state is not None:
+            state.spend(now_ms, -amount)
+
+    def drain_usage(self, now_ms: float) -> Usage:
+        """What to report to the others; what was used counts as reported. Not to be called while there is
+        nobody to report to: what was used meanwhile is reported later."""
+        drained = {name: state.drain(now_ms) for name, state in self._tenants.items()}
+        used = {name: amount for name, amount in drained.items() if amount}
+        demands = {name: state.shared.own_demand(now_ms) for name, state in self._tenants.items()}
+        asked = {name: per_s for name, per_s in demands.items() if per_s >= LEAST_DEMAND_TOLD}
+        return Usage(used, asked)
+
+    def others(self, now_ms: float, used: Mapping[str, float], asked: Mapping[str, float]) -> None:
+        """What the other data planes used since they were last heard of, and are asked for a second."""
+        for name, amount in used.items():
+            if (state := self._tenants.get(name)) is not None:
+                state.shared.others_used(now_ms, amount)
+        for name, state in self._tenants.items():
+            state.shared.others_asked(now_ms, asked.get(name, 0.0))
+
+    def set_fleet(self, now_ms: float, data_planes: int, in_touch: bool) -> None:
+        """How many data planes there are, and whether this one hears of the others' use."""
+        self._data_planes = max(1, data_planes)
+        self._is_heard = in_touch
+        for state in self._tenants.values():
+            state.set_heard(now_ms, in_touch, self._data_planes)
+
+    def _configure(self, now_ms: float, name: str, terms: QuotaTerms) -> None:
+        state = self._tenants.get(name)
+        if state is None:
+            state = _TenantState(now_ms, terms, terms.burst if self._starts_full else terms.newborn_level)
+            state.set_heard(now_ms, self._is_heard, self._data_planes)
+            self._tenants[name] = state
+        state.shared.change_terms(now_ms, terms)
+        state.is_configured = True
