Drills: the programs broken on purpose reach the split decisions

Cause: tests/drill/broken.py patched names of policy/balancer.py that moved with the split; mypy over the whole project says so, mypy over the folders touched did not. Ruled out: keeping the old names there for tests alone. Each way breaks what it broke before: the picker, admission and the test for resending, in their new modules.

--- a/tests/drill/broken.py
+++ b/tests/drill/broken.py
@@ -18,8 +18,12 @@
 
 from madderwind.leaving import leaving  # noqa: E402
 from madderwind.leaving.sights import ZoneSight  # noqa: E402
-from madderwind.policy import balancer  # noqa: E402
+from madderwind.policy import repetition  # noqa: E402
+from madderwind.policy.admission import Admission  # noqa: E402
 from madderwind.policy.api import UpstreamState  # noqa: E402
+from madderwind.policy.picker import Picker  # noqa: E402
+from madderwind.policy.records import Request  # noqa: E402
+from madderwind.policy.upstreams import Upstream  # noqa: E402
 from madderwind.program import cli, service  # noqa: E402
 from madderwind.protocol import listing  # noqa: E402
 from madderwind.routing import exchange  # noqa: E402
@@ -87,21 +91,21 @@
     setattr(Peers, "tell", tell)  # noqa: B010
 
 
-def _insists(on: Callable[[balancer.Upstream], bool]) -> None:
+def _insists(on: Callable[[Upstream], bool]) -> None:
     """Every second pick falls on such an upstream, where there is one, and all are let in."""
-    sound = balancer.Picker.pick
+    sound = Picker.pick
 
-    def pick(self: balancer.Picker, request: balancer.Request, now: float) -> balancer.Upstream | None:
-        such = [u for u in self.fleet.values() if on(u)]
+    def pick(self: Picker, request: Request, now: float) -> Upstream | None:
+        such = [u for u in self._fleet.upstreams.values() if on(u)]
         resent = bool(request.attempts)
         return such[0] if such and not resent and next(_calls) % 2 else sound(self, request, now)
 
-    setattr(balancer.Picker, "pick", pick)  # noqa: B010
-    setattr(balancer.Admission, "admits", lambda *_: True)  # noqa: B010
+    setattr(Picker, "pick", pick)  # noqa: B010
+    setattr(Admission, "admits", lambda *_: True)  # noqa: B010
 
 
 def _resends() -> None:
-    setattr(balancer, "may_be_resent", lambda *_: True)  # noqa: B010
+    setattr(repetition, "may_be_resent", lambda *_: True)  # noqa: B010
     _insists(lambda u: u.entry.upstream == 1)  # so that enough attempts end with a reset
 
 
