--- a/madderwind/standin/engine.py
+++ b/madderwind/standin/engine.py
@@ -1,7 +1,8 @@
 """A model server on a simulated clock: a batch of sequences, prompts prefilled in chunks between tokens.
 
-Each step makes one token for every sequence that decodes, and prefills at most one chunk of prompts. The host
-calls `advance` once the clock has passed `next_ms`, and passes on the events that come back.
+Each step makes one token for every sequence that decodes, and prefills at most one chunk of prompts: those
+already begun first, in the order of their admission, then the most urgent that wait. The host calls `advance`
+once the clock has passed `next_ms`, and passes on the events that come back.
 """
 
 from __future__ import annotations
@@ -192,25 +193,23 @@
     # --- a step ---
 
     def _begin_step(self, at_ms: float) -> None:
+        self._chunks = self._continue_prefills()
         self._admit(at_ms)
         if not self._running:
             self._in_step = False
             self.next_ms = min((sequence.ready_ms for sequence in self._waiting), default=math.inf)
             return
-        self._chunks = self._plan_prefill()
         self._in_step = True
         self.next_ms = at_ms + self._step_ms()
 
-    def _plan_prefill(self) -> list[tuple[Sequence, int]]:
+    def _continue_prefills(self) -> list[tuple[Sequence, int]]:
         left = self.settings.chunk_tokens
         chunks = []
-        prefilling = [sequence for sequence in self._running if sequence.state is SequenceState.PREFILL]
-        for sequence in sorted(prefilling, key=lambda sequence: sequence.urgency):
-            tokens = min(left, sequence.to_prefill)
-            chunks.append((sequence, tokens))
-            left -= tokens
-            if left <= 0:
-                break
+        for sequence in self._running:
+            if sequence.state is SequenceState.PREFILL and left > 0:
+                tokens = min(left, sequence.to_prefill)
+                chunks.append((sequence, tokens))
+                left -= tokens
         return chunks
 
     def _step_ms(self) -> float:
@@ -255,12 +254,16 @@
     # --- memory ---
 
     def _admit(self, at_ms: float) -> None:
+        left = self.settings.chunk_tokens - sum(tokens for _, tokens in self._chunks)
         ready = [sequence for sequence in self._waiting if sequence.ready_ms <= at_ms]
         for sequence in sorted(ready, key=lambda sequence: sequence.urgency):
-            if not self._make_place(sequence):
+            if left <= 0 or not self._make_place(sequence):
                 return
             self._waiting.remove(sequence)
             self._running.append(sequence)
+            tokens = min(left, sequence.to_prefill)
+            self._chunks.append((sequence, tokens))
+            left -= tokens
 
     def _make_place(self, sequence: Sequence) -> bool:
         """Take a place in the batch and memory for the prompt; less urgent ones give way for it."""
