Control plane: a drain is acknowledged once another machine has told its data planes too

Cause: a machine that acknowledged a drain and lost power at once could take the news with it where a peer's connection was just being made anew; the data planes would go on sending. Ruled out: the registry on disk, as heartbeats bring it back within seconds.

--- a/madderwind/controlplane/calls.py
+++ b/madderwind/controlplane/calls.py
@@ -33,6 +33,8 @@
 RESUBMIT_AFTER_MS = 50.0
 # An order that was taken waits for the connected data planes no longer than this.
 APPLY_WAIT_MS = 400.0
+# Where no primary was known for so long, this machine is likely cut off: calls wait for one just a little.
+CUT_OFF_AFTER_MS, WAIT_WHEN_CUT_OFF_MS = 1_500.0, 150.0
 MOST_CALLS = 64
 
 _UNCLEAR = OrderResult(OrderOutcome.UNCLEAR)
@@ -98,6 +100,7 @@
     token: int
     caller: LocalCaller | PeerCaller
     order: Order | None
+    submitted_ms: float
     deadline_ms: float
     state: CallState = CallState.WAITING_FOR_PRIMARY
     submit_at_ms: float = 0.0
@@ -141,10 +144,16 @@
         self._data_planes = data_planes
         self._newest = newest
         self._calls: dict[int, _Call] = {}
+        self._primary_known_ms: float | None = None
 
     def __len__(self) -> int:
         return len(self._calls)
 
+    def note_primary(self, now_ms: float) -> None:
+        """Take note of whether a primary is known now."""
+        if self._primary_known_ms is None or self._standing().primary:
+            self._primary_known_ms = now_ms
+
     # --- calls begin ---
 
     def submit(self, now_ms: float, caller: LocalCaller | PeerCaller, order: Order | None) -> list[Output]:
@@ -153,7 +162,7 @@
             return []  # forwarded again while it is under way
         allowed_ms = CALL_DEADLINE_MS + (len(order.body) / DEADLINE_BYTES_PER_MS if order else 0.0)
         self._last_token += 1
-        call = _Call(self._last_token, caller, order, now_ms + allowed_ms)
+        call = _Call(self._last_token, caller, order, now_ms, now_ms + allowed_ms)
         self._calls[call.token] = call
         if len(self._calls) > MOST_CALLS:
             return self._end(call)
@@ -218,7 +227,7 @@
     def _advance(self, now_ms: float, call: _Call) -> list[Output]:
         if call.state is CallState.WAITING_FOR_DATA_PLANES:
             return self._wait_for_data_planes(now_ms, call)
-        if now_ms >= call.deadline_ms:
+        if now_ms >= call.deadline_ms or self._is_cut_off(now_ms, call):
             return self._end(call)
         if call.state is CallState.FORWARDED and call.destination != self._destination():
             call.enter(CallState.WAITING_FOR_PRIMARY)
@@ -226,6 +235,13 @@
             return self._place(now_ms, call)
         return []
 
+    def _is_cut_off(self, now_ms: float, call: _Call) -> bool:
+        """Whether a call waits for a primary at a machine that is likely to find none."""
+        if call.state is not CallState.WAITING_FOR_PRIMARY or self._primary_known_ms is None:
+            return False
+        is_alone = now_ms - self._primary_known_ms > CUT_OFF_AFTER_MS
+        return is_alone and now_ms - call.submitted_ms > WAIT_WHEN_CUT_OFF_MS
+
     def _place(self, now_ms: float, call: _Call) -> list[Output]:
         """Bring a call that waits for a primary to it, where one is known."""
         call.submit_at_ms = now_ms + RESUBMIT_AFTER_MS
--- a/madderwind/controlplane/core.py
+++ b/madderwind/controlplane/core.py
@@ -20,24 +20,19 @@
 )
 from madderwind.controlplane.effects import Effect, LogLine, SendToPeer
 from madderwind.controlplane.peers import Peers
+from madderwind.controlplane.upstreams import Upstreams
 from madderwind.distribution.publisher import PublishedConfiguration, PublishedStanding, Publisher
 from madderwind.messages.distribution import Subscribe, ToControlPlane, UpstreamRecord
 from madderwind.messages.peering import (
     ForwardOrder,
     ForwardRead,
-    Hello,
-    LivenessReport,
     OrderReply,
     PeerFrame,
     PeeringBase,
     PeeringMessage,
     ReadReply,
-    RegistryGossip,
-    RegistryRequested,
 )
 from madderwind.messages.status import ControlPlaneStatus, UpstreamStatus
-from madderwind.registry.heartbeats import read_heartbeat
-from madderwind.registry.registry import Registry
 from madderwind.replication.api import (
     Action,
     Committed,
@@ -62,10 +57,6 @@
 
 # How often the host calls `tick`.
 TICK_MS = 25.0
-LIVENESS_INTERVAL_MS = 1_000.0
-SILENCE_CHECK_INTERVAL_MS = 250.0
-# All upstreams are told to a peer that lacks some, at most so often.
-SNAPSHOT_INTERVAL_MS = 500.0
 
 
 class Replica(Protocol):
@@ -86,18 +77,22 @@
     """Everything that a control plane decides."""
 
     def __init__(
-        self, replica: Replica, own_address: str, seeds: Iterable[str], heartbeat_ms: float, rng: Random
+        self,
+        replica: Replica,
+        own_address: str,
+        seeds: Iterable[str],
+        heartbeat_ms: float,
+        tolerance: int,
+        rng: Random,
     ) -> None:
         self._replica, self._own_address = replica, own_address
-        self._registry = Registry(heartbeat_ms)
         self._publisher = Publisher(replica.committed, rng)
         self._peers = Peers(own_address, seeds)
+        self._upstreams = Upstreams(heartbeat_ms, tolerance, self._peers, self._publisher.upstreams_changed)
         self._standing = replica.standing(0.0)
         self._calls = OperatorCalls(
             rng.getrandbits(62), lambda: self._standing, self._publisher, self._newest
         )
-        self._liveness_due_ms = self._silence_due_ms = 0.0
-        self._snapshot_told_ms: dict[str, float] = {}
 
     # --- the replica ---
 
@@ -110,14 +105,8 @@
     def tick(self, now_ms: float) -> list[Effect]:
         """Let time pass."""
         outputs = self._handle(now_ms, TimePassed())
-        if now_ms >= self._silence_due_ms:
-            self._silence_due_ms = now_ms + SILENCE_CHECK_INTERVAL_MS
-            changed = self._registry.tick(now_ms, self._peers.all_reported(now_ms))
-            outputs += self._publisher.upstreams_changed(changed)
-        if now_ms >= self._liveness_due_ms:
-            self._liveness_due_ms = now_ms + LIVENESS_INTERVAL_MS
-            self._peers.forget_silent(now_ms)
-            outputs += self._to_peers(LivenessReport(self._registry.liveness(now_ms)))
+        self._peers.forget_silent(now_ms)
+        outputs += self._upstreams.tick(now_ms)
         effects = self._run(now_ms, outputs)
         effects += self._publisher.tick(now_ms)
         return effects
@@ -125,7 +114,7 @@
     @property
     def is_at_rest(self) -> bool:
         """Whether this process may end: it is not the primary, and nobody waits for an answer."""
-        return not self._standing.is_primary and not self._calls
+        return not self._standing.is_primary and not self._calls and self._upstreams.is_at_rest
 
     def set_seeds(self, now_ms: float, seeds: tuple[str, ...]) -> list[Effect]:
         """The settings file names other seeds now."""
@@ -136,7 +125,7 @@
 
     def peer_connected(self, now_ms: float, address: str) -> list[Effect]:
         """The connection to a peer is up, and empty so far."""
-        return [self._registry_for(now_ms, address)]
+        return [self._upstreams.registry_for(now_ms, address)]
 
     def peer_message(self, now_ms: float, sender: str, message: PeerFrame) -> list[Effect]:
         """A message from the control plane at this internal address."""
@@ -151,8 +140,10 @@
     def subscribe(self, now_ms: float, connection: int, message: Subscribe) -> list[Effect]:
         """A data plane's connection begins."""
         outputs = self._refresh_standing(now_ms)
-        outputs += self._publisher.subscribe(now_ms, connection, message, self._registry.snapshot(now_ms))
-        outputs.append(LogLine("data plane subscribed", {"node": message.node, "version": message.version}))
+        outputs += self._publisher.subscribe(now_ms, connection, message, self._upstreams.snapshot(now_ms))
+        outputs.append(
+            LogLine("data plane subscribed", {"data_plane": message.node, "version": message.version})
+        )
         return self._run(now_ms, outputs)
 
     def data_plane_message(self, now_ms: float, connection: int, message: ToControlPlane) -> list[Effect]:
@@ -167,16 +158,13 @@
 
     # --- upstreams ---
 
-    def heartbeat(self, now_ms: float, instance: str, body: bytes) -> list[Effect]:
-        """An upstream's heartbeat, to be acknowledged once the effects are carried out; raises
-        InvalidHeartbeat."""
-        return self._upstream_changed(
-            self._registry.heartbeat(now_ms, instance, read_heartbeat(instance, body))
-        )
+    def heartbeat(self, now_ms: float, call: int, instance: str, body: bytes) -> list[Effect]:
+        """An upstream's heartbeat, answered when told under the number `call`; raises InvalidHeartbeat."""
+        return self._upstreams.heartbeat(now_ms, call, instance, body)
 
-    def deregister(self, now_ms: float, instance: str) -> list[Effect]:
-        """An upstream says that it ends."""
-        return self._upstream_changed(self._registry.deregister(now_ms, instance))
+    def deregister(self, now_ms: float, call: int, instance: str) -> list[Effect]:
+        """An upstream says that it ends; answered as a heartbeat is."""
+        return self._upstreams.deregister(now_ms, call, instance)
 
     # --- the operator ---
 
@@ -195,7 +183,7 @@
             in_sync=standing.in_sync,
             fresh_age_ms=standing.fresh_age_ms,
             data_planes=self._publisher.overview(),
-            upstreams=tuple(_upstream_status(record) for record in self._registry.snapshot(now_ms)),
+            upstreams=tuple(_upstream_status(record) for record in self._upstreams.snapshot(now_ms)),
         )
 
     def submit(self, now_ms: float, call: int, order: Order | None) -> list[Effect]:
@@ -210,15 +198,6 @@
         return NewestDocument(committed.version, committed.document.raw if committed.document else b"")
 
     def _peering(self, now_ms: float, sender: str, message: PeeringMessage) -> list[Output]:
-        if isinstance(message, LivenessReport):
-            self._peers.reported(now_ms, sender)
-            if self._registry.merge_liveness(now_ms, message.heard):
-                return []
-            return [SendToPeer(sender, RegistryRequested())]
-        if isinstance(message, RegistryGossip):
-            return [*self._publisher.upstreams_changed(self._registry.merge(now_ms, message.upstreams))]
-        if isinstance(message, RegistryRequested):
-            return self._tell_registry_again(now_ms, sender)
         if isinstance(message, ForwardOrder):
             return self._calls.submit(now_ms, PeerCaller(sender, message.token), forwarded_order(message))
         if isinstance(message, ForwardRead):
@@ -227,31 +206,7 @@
             return self._calls.order_replied(now_ms, message)
         if isinstance(message, ReadReply):
             return self._calls.read_replied(now_ms, message)
-        assert isinstance(message, Hello)
-        return []
-
-    def _tell_registry_again(self, now_ms: float, address: str) -> list[Output]:
-        if now_ms - self._snapshot_told_ms.get(address, -SNAPSHOT_INTERVAL_MS) < SNAPSHOT_INTERVAL_MS:
-            return []
-        return [self._registry_for(now_ms, address)]
-
-    def _registry_for(self, now_ms: float, address: str) -> SendToPeer:
-        self._snapshot_told_ms[address] = now_ms
-        return SendToPeer(address, RegistryGossip(self._registry.snapshot(now_ms)))
-
-    def _upstream_changed(self, record: UpstreamRecord | None) -> list[Effect]:
-        if record is None:
-            return []
-        fields: dict[str, str | int | float | bool] = {
-            "instance": record.instance,
-            "service": record.service,
-            "state": record.state,
-        }
-        told: list[Effect] = [*self._publisher.upstreams_changed((record,))]
-        return [*told, *self._to_peers(RegistryGossip((record,))), LogLine("upstream changed", fields)]
-
-    def _to_peers(self, message: PeeringMessage) -> list[SendToPeer]:
-        return [SendToPeer(address, message) for address in self._peers.addresses()]
+        return [*self._upstreams.peer_message(now_ms, sender, message)]
 
     def _handle(self, now_ms: float, event: Event) -> list[Output]:
         """Let the replica take an event; its actions, and what its new standing leads to."""
@@ -280,6 +235,7 @@
         before, self._standing = self._standing, self._replica.standing(now_ms)
         standing = self._standing
         self._peers.set_members(standing.members)
+        self._calls.note_primary(now_ms)
         published = PublishedStanding(
             epoch=standing.epoch,
             fresh_age_ms=standing.fresh_age_ms,
--- a/madderwind/controlplane/effects.py
+++ b/madderwind/controlplane/effects.py
@@ -32,6 +32,13 @@
     document: bytes | None
 
 
+class UpstreamAnswered(msgspec.Struct, frozen=True):
+    """Answer an upstream's call: accepted, or to be made to another control plane."""
+
+    call: int
+    is_accepted: bool
+
+
 class LogLine(msgspec.Struct, frozen=True):
     """Something for the log."""
 
@@ -39,4 +46,15 @@
     fields: dict[str, str | int | float | bool]
 
 
-Effect = SendToPeer | SendTo | SendToAll | Close | OrderEnded | ReadEnded | Write | Rewrite | LogLine
+Effect = (
+    SendToPeer
+    | SendTo
+    | SendToAll
+    | Close
+    | OrderEnded
+    | ReadEnded
+    | UpstreamAnswered
+    | Write
+    | Rewrite
+    | LogLine
+)
--- a/madderwind/controlplane/host.py
+++ b/madderwind/controlplane/host.py
@@ -7,7 +7,14 @@
 
 from madderwind.controlplane.core import TICK_MS, ControlPlaneCore
 from madderwind.controlplane.disk_thread import Completion, DiskThread
-from madderwind.controlplane.effects import Effect, LogLine, OrderEnded, ReadEnded, SendToPeer
+from madderwind.controlplane.effects import (
+    Effect,
+    LogLine,
+    OrderEnded,
+    ReadEnded,
+    SendToPeer,
+    UpstreamAnswered,
+)
 from madderwind.controlplane.peer_links import PeerLinks
 from madderwind.controlplane.subscriber_streams import SubscriberStreams
 from madderwind.distribution.publisher import Close, SendTo, SendToAll
@@ -33,6 +40,7 @@
         self._disk = DiskThread(record_file, self._report_from_thread)
         self._orders: dict[int, asyncio.Future[OrderResult]] = {}
         self._reads: dict[int, asyncio.Future[ReadEnded]] = {}
+        self._upstream_calls: dict[int, asyncio.Future[bool]] = {}
         self._last_call = 0
         self._ticker: asyncio.TimerHandle | None = None
         self._links_checked_s = 0.0
@@ -45,6 +53,7 @@
             Close: self._streams.close,
             OrderEnded: self._end_order,
             ReadEnded: self._end_read,
+            UpstreamAnswered: self._answer_upstream,
             Write: self._disk.submit,
             Rewrite: self._disk.submit,
             LogLine: self._write_log,
@@ -90,13 +99,15 @@
         """A data plane's stream ended."""
         self._carry_out(self._core.data_plane_closed(self._now_ms(), connection))
 
-    def heartbeat(self, instance: str, body: bytes) -> None:
-        """An upstream's heartbeat; raises InvalidHeartbeat."""
-        self._carry_out(self._core.heartbeat(self._now_ms(), instance, body))
+    async def heartbeat(self, instance: str, body: bytes) -> bool:
+        """An upstream's heartbeat; whether it is accepted. Raises InvalidHeartbeat."""
+        call = self._draw_call()
+        return await self._answered(call, self._core.heartbeat(self._now_ms(), call, instance, body))
 
-    def deregister(self, instance: str) -> None:
-        """An upstream ends."""
-        self._carry_out(self._core.deregister(self._now_ms(), instance))
+    async def deregister(self, instance: str) -> bool:
+        """An upstream ends; whether that is accepted."""
+        call = self._draw_call()
+        return await self._answered(call, self._core.deregister(self._now_ms(), call, instance))
 
     async def order(self, order: Order) -> OrderResult:
         """Bring an operator's order to its end."""
@@ -128,6 +139,12 @@
 
     # --- parts ---
 
+    async def _answered(self, call: int, effects: list[Effect]) -> bool:
+        answered: asyncio.Future[bool] = self._loop.create_future()
+        self._upstream_calls[call] = answered
+        self._carry_out(effects)
+        return await answered
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
 
@@ -171,5 +188,10 @@
         if not ended.done():
             ended.set_result(effect)
 
+    def _answer_upstream(self, effect: UpstreamAnswered) -> None:
+        answered = self._upstream_calls.pop(effect.call)
+        if not answered.done():
+            answered.set_result(effect.is_accepted)
+
     def _write_log(self, effect: LogLine) -> None:
         self._log.info(effect.event, **effect.fields)
--- a/madderwind/controlplane/internal_server.py
+++ b/madderwind/controlplane/internal_server.py
@@ -83,7 +83,7 @@
             await asyncio.gather(sending, return_exceptions=True)
             streams.forget(number)
             self._host.data_plane_closed(number)
-            self._log.info("data plane unsubscribed", node=first.node)
+            self._log.info("data plane unsubscribed", data_plane=first.node)
 
 
 async def _accepted(request: web.Request) -> web.WebSocketResponse:
--- a/madderwind/controlplane/process.py
+++ b/madderwind/controlplane/process.py
@@ -117,6 +117,7 @@
             self._own_address(),
             settings.seed_addresses(),
             settings.heartbeat_ms,
+            settings.fault_tolerance.machines,
             rng,
         )
         return ControlPlaneHost(core, self._record_file, self._own_address(), self._log)
--- a/madderwind/controlplane/public_server.py
+++ b/madderwind/controlplane/public_server.py
@@ -55,17 +55,16 @@
         body = await _body(request, LONGEST_HEARTBEAT_BYTES, HEARTBEAT_BODY_WITHIN_S)
         instance = request.match_info["instance"]
         try:
-            self._host.heartbeat(instance, body)
+            is_accepted = await self._host.heartbeat(instance, body)
         except InvalidHeartbeat as error:
             self._log.warning("invalid heartbeat", instance=instance, reason=str(error))
             return _json(400, {"error": str(error)})
-        return _json(200, {})
+        return _answer_to_upstream(is_accepted)
 
     async def _deregister(self, request: web.Request) -> web.Response:
         if self._is_leaving:
             return _unavailable("this process is about to end")
-        self._host.deregister(request.match_info["instance"])
-        return _json(200, {})
+        return _answer_to_upstream(await self._host.deregister(request.match_info["instance"]))
 
     async def _replace(self, request: web.Request) -> web.Response:
         return await self._order(request, OrderKind.REPLACE)
@@ -117,6 +116,10 @@
     return body
 
 
+def _answer_to_upstream(is_accepted: bool) -> web.Response:
+    return _json(200, {}) if is_accepted else _unavailable("no other control plane has confirmed it")
+
+
 def _answer_to_order(result: OrderResult) -> web.Response:
     if result.outcome is OrderOutcome.UNCLEAR:
         return _unavailable("no clear answer here and now")
--- /dev/null
+++ b/madderwind/controlplane/upstreams.py
@@ -0,0 +1,144 @@
+"""The control plane's part that deals with upstreams: their calls, and the exchange with peers about them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from madderwind.controlplane.departures import Departures
+from madderwind.controlplane.effects import Effect, LogLine, SendToPeer, UpstreamAnswered
+from madderwind.controlplane.peers import Peers
+from madderwind.distribution.publisher import Delivery
+from madderwind.messages.distribution import UpstreamRecord
+from madderwind.messages.peering import (
+    FinalStateNoted,
+    FinalStateNotice,
+    LivenessReport,
+    PeeringMessage,
+    RegistryGossip,
+    RegistryRequested,
+)
+from madderwind.registry.heartbeats import read_heartbeat
+from madderwind.registry.registry import Registry
+from madderwind.registry.states import UpstreamState, state_named
+
+LIVENESS_INTERVAL_MS = 1_000.0
+SILENCE_CHECK_INTERVAL_MS = 250.0
+# All upstreams are told to a peer that lacks some, at most so often.
+SNAPSHOT_INTERVAL_MS = 500.0
+
+Publish = Callable[[Sequence[UpstreamRecord]], list[Delivery]]
+
+
+class Upstreams:
+    """Registry, departures and their exchange with the peers. `publish` tells the data planes."""
+
+    def __init__(self, heartbeat_ms: float, tolerance: int, peers: Peers, publish: Publish) -> None:
+        self._registry = Registry(heartbeat_ms)
+        self._departures = Departures(tolerance)
+        self._tolerance = tolerance
+        self._peers = peers
+        self._publish = publish
+        self._liveness_due_ms = self._silence_due_ms = 0.0
+        self._snapshot_told_ms: dict[str, float] = {}
+
+    @property
+    def is_at_rest(self) -> bool:
+        """Whether no upstream waits for an acknowledgement."""
+        return not self._departures
+
+    def snapshot(self, now_ms: float) -> tuple[UpstreamRecord, ...]:
+        """All upstreams that are known."""
+        return self._registry.snapshot(now_ms)
+
+    # --- upstreams call ---
+
+    def heartbeat(self, now_ms: float, call: int, instance: str, body: bytes) -> list[Effect]:
+        """An upstream's heartbeat; raises InvalidHeartbeat."""
+        heartbeat = read_heartbeat(instance, body)
+        changed = self._registry.heartbeat(now_ms, instance, heartbeat)
+        return [*self._tell(changed), *self._answer(now_ms, call, instance)]
+
+    def deregister(self, now_ms: float, call: int, instance: str) -> list[Effect]:
+        """An upstream says that it ends."""
+        changed = self._registry.deregister(now_ms, instance)
+        return [*self._tell(changed), *self._answer(now_ms, call, instance)]
+
+    # --- peers tell ---
+
+    def registry_for(self, now_ms: float, address: str) -> SendToPeer:
+        """All that is known, for a peer."""
+        self._snapshot_told_ms[address] = now_ms
+        return SendToPeer(address, RegistryGossip(self._registry.snapshot(now_ms)))
+
+    def peer_message(self, now_ms: float, sender: str, message: PeeringMessage) -> list[Effect]:
+        """A peer's message, where it concerns upstreams."""
+        if isinstance(message, LivenessReport):
+            return self._take_liveness(now_ms, sender, message)
+        if isinstance(message, RegistryGossip):
+            return [*self._publish(self._registry.merge(now_ms, message.upstreams))]
+        if isinstance(message, FinalStateNotice):
+            return self._note_final_state(now_ms, sender, message.upstream)
+        if isinstance(message, FinalStateNoted):
+            self._registry.share(message.instance, state_named(message.state))
+            return [*self._departures.confirm(sender, message.instance, message.state)]
+        if isinstance(message, RegistryRequested):
+            return self._tell_registry_again(now_ms, sender)
+        return []
+
+    # --- time passes ---
+
+    def tick(self, now_ms: float) -> list[Effect]:
+        """What is due by time."""
+        effects: list[Effect] = []
+        if now_ms >= self._silence_due_ms:
+            self._silence_due_ms = now_ms + SILENCE_CHECK_INTERVAL_MS
+            effects += self._publish(self._registry.tick(now_ms, self._peers.all_reported(now_ms)))
+        if now_ms >= self._liveness_due_ms:
+            self._liveness_due_ms = now_ms + LIVENESS_INTERVAL_MS
+            effects += self._to_peers(LivenessReport(self._registry.liveness(now_ms)))
+        if self._departures:
+            effects += self._departures.refuse_late(now_ms)
+            for notice in self._departures.to_repeat(now_ms):
+                effects += self._to_peers(notice)
+        return effects
+
+    # --- parts ---
+
+    def _tell(self, changed: UpstreamRecord | None) -> list[Effect]:
+        """Tell data planes and peers of a change that was learned here."""
+        if changed is None:
+            return []
+        line = LogLine(
+            "upstream changed",
+            {"instance": changed.instance, "service": changed.service, "state": changed.state},
+        )
+        return [*self._publish((changed,)), *self._to_peers(RegistryGossip((changed,))), line]
+
+    def _answer(self, now_ms: float, call: int, instance: str) -> list[Effect]:
+        """Acknowledge a call at once, or once the state that it leaves the instance in is known elsewhere."""
+        record = self._registry.unshared(now_ms, instance) if self._tolerance else None
+        if record is None:
+            return [UpstreamAnswered(call, is_accepted=True)]
+        return [*self._to_peers(self._departures.begin(now_ms, call, record))]
+
+    def _take_liveness(self, now_ms: float, sender: str, message: LivenessReport) -> list[Effect]:
+        self._peers.reported(now_ms, sender)
+        if self._registry.merge_liveness(now_ms, message.heard):
+            return []
+        return [SendToPeer(sender, RegistryRequested())]
+
+    def _note_final_state(self, now_ms: float, sender: str, record: UpstreamRecord) -> list[Effect]:
+        told = self._publish(self._registry.merge(now_ms, (record,)))
+        state = state_named(record.state)
+        if state is UpstreamState.READY:
+            return [*told]
+        noted = FinalStateNoted(record.instance, "gone" if state is UpstreamState.GONE else "draining")
+        return [*told, SendToPeer(sender, noted)]
+
+    def _tell_registry_again(self, now_ms: float, address: str) -> list[Effect]:
+        if now_ms - self._snapshot_told_ms.get(address, -SNAPSHOT_INTERVAL_MS) < SNAPSHOT_INTERVAL_MS:
+            return []
+        return [self.registry_for(now_ms, address)]
+
+    def _to_peers(self, message: PeeringMessage) -> list[SendToPeer]:
+        return [SendToPeer(address, message) for address in self._peers.addresses()]
--- a/madderwind/messages/peering.py
+++ b/madderwind/messages/peering.py
@@ -39,6 +39,19 @@
     upstreams: tuple[UpstreamRecord, ...]
 
 
+class FinalStateNotice(PeeringBase, frozen=True):
+    """An upstream drains or is gone. Its acknowledgement waits until the receiver told its data planes."""
+
+    upstream: UpstreamRecord
+
+
+class FinalStateNoted(PeeringBase, frozen=True):
+    """The receiver's data planes were told that the instance has this state."""
+
+    instance: str
+    state: Literal["draining", "gone"]
+
+
 class RegistryRequested(PeeringBase, frozen=True):
     """The sender lacks some upstream: all are to be told again."""
 
@@ -87,6 +100,8 @@
 PeeringMessage = (
     Hello
     | RegistryGossip
+    | FinalStateNotice
+    | FinalStateNoted
     | RegistryRequested
     | LivenessReport
     | ForwardOrder
--- a/madderwind/registry/registry.py
+++ b/madderwind/registry/registry.py
@@ -39,6 +39,7 @@
     sequence: int
     cold_until_ms: float
     heard_ms: float
+    shared_state: UpstreamState = UpstreamState.READY  # the last that another control plane knows too
     told_silent: bool = False
     heard_here: bool = False  # directly, since the last liveness report
 
@@ -93,9 +94,25 @@
 
     def merge(self, now_ms: float, records: Iterable[UpstreamRecord]) -> tuple[UpstreamRecord, ...]:
         """Take other control planes' records; those that changed something here."""
-        taken = [record.instance for record in records if self._take(now_ms, record)]
+        taken = []
+        for record in records:
+            if self._take(now_ms, record):
+                taken.append(record.instance)
+            self.share(record.instance, state_named(record.state))
         return tuple(self._record(now_ms, instance) for instance in taken)
 
+    def share(self, instance: str, state: UpstreamState) -> None:
+        """Another control plane knows that the instance has this state."""
+        if (entry := self._entries.get(instance)) is not None:
+            entry.shared_state = furthest(entry.shared_state, state)
+
+    def unshared(self, now_ms: float, instance: str) -> UpstreamRecord | None:
+        """The instance's record where it drains or is gone and no other control plane is known to know."""
+        entry = self._entries.get(instance)
+        if entry is None or entry.state is entry.shared_state:
+            return None
+        return self._record(now_ms, instance)
+
     def liveness(self, now_ms: float) -> tuple[Liveness, ...]:
         """What was heard here since the last call of this, for the other control planes."""
         reports = []
--- a/tests/controlplane/fleet.py
+++ b/tests/controlplane/fleet.py
@@ -7,7 +7,14 @@
 
 from madderwind.configuration.history import ConfigurationHistory
 from madderwind.controlplane.core import TICK_MS, ControlPlaneCore
-from madderwind.controlplane.effects import Effect, LogLine, OrderEnded, ReadEnded, SendToPeer
+from madderwind.controlplane.effects import (
+    Effect,
+    LogLine,
+    OrderEnded,
+    ReadEnded,
+    SendToPeer,
+    UpstreamAnswered,
+)
 from madderwind.distribution.publisher import Close, SendTo, SendToAll
 from madderwind.messages.distribution import Subscribe, ToControlPlane, ToDataPlane
 from madderwind.messages.peering import PeerFrame, peer_frames
@@ -15,6 +22,7 @@
 from tests.controlplane.scripted_replica import ScriptedReplica
 
 HEARTBEAT_MS = 1000.0
+TOLERANCE = 1
 
 
 def heartbeat(sequence: int, state: str = "ready") -> bytes:
@@ -31,9 +39,12 @@
     def __init__(self, address: str, members: tuple[str, ...], history: ConfigurationHistory) -> None:
         self.address = address
         self.replica = ScriptedReplica(address, members, history)
-        self.core = ControlPlaneCore(self.replica, address, members, HEARTBEAT_MS, random.Random(address))
+        self.core = ControlPlaneCore(
+            self.replica, address, members, HEARTBEAT_MS, TOLERANCE, random.Random(address)
+        )
         self.orders: dict[int, OrderEnded] = {}
         self.reads: dict[int, ReadEnded] = {}
+        self.accepted: dict[int, bool] = {}  # upstreams' calls
         self.told: dict[int, list[ToDataPlane]] = {}
         self.log: list[LogLine] = []
 
@@ -77,8 +88,14 @@
         self.deliver()
 
     def heartbeat(self, plane: ControlPlaneInMemory, sequence: int, state: str = "ready") -> None:
-        """The upstream i-1 calls a control plane."""
-        self.carry_out(plane, plane.core.heartbeat(self.now_ms, "i-1", heartbeat(sequence, state)))
+        """The upstream i-1 calls a control plane; its sequence is the number of the call."""
+        body = heartbeat(sequence, state)
+        self.carry_out(plane, plane.core.heartbeat(self.now_ms, sequence, "i-1", body))
+        self.deliver()
+
+    def deregister(self, plane: ControlPlaneInMemory, call: int) -> None:
+        """The upstream i-1 ends."""
+        self.carry_out(plane, plane.core.deregister(self.now_ms, call, "i-1"))
         self.deliver()
 
     def subscribe(self, plane: ControlPlaneInMemory, connection: int, node: str, version: int = 0) -> None:
@@ -119,5 +136,7 @@
                 plane.orders[effect.call] = effect
             elif isinstance(effect, ReadEnded):
                 plane.reads[effect.call] = effect
+            elif isinstance(effect, UpstreamAnswered):
+                plane.accepted[effect.call] = effect.is_accepted
             elif isinstance(effect, LogLine):
                 plane.log.append(effect)
--- a/tests/controlplane/test_core.py
+++ b/tests/controlplane/test_core.py
@@ -5,7 +5,13 @@
 import unittest
 from typing import TypeVar
 
-from madderwind.controlplane.calls import APPLY_WAIT_MS, CALL_DEADLINE_MS
+from madderwind.controlplane.calls import (
+    APPLY_WAIT_MS,
+    CALL_DEADLINE_MS,
+    CUT_OFF_AFTER_MS,
+    WAIT_WHEN_CUT_OFF_MS,
+)
+from madderwind.controlplane.departures import CONFIRM_WITHIN_MS
 from madderwind.messages.distribution import (
     ConfigurationApplied,
     ConfigurationSnapshot,
@@ -85,6 +91,16 @@
         self.assertEqual(self.outcome(self.second, 1), OrderOutcome.UNCLEAR)
         self.assertIsNone(self.second.reads[2].document)
 
+    def test_and_hardly_at_a_machine_that_is_cut_off(self) -> None:
+        self.fleet.run(CUT_OFF_AFTER_MS + 25.0)
+        self.fleet.submit(self.second, 1, replacement(0, 5))
+        self.fleet.run(WAIT_WHEN_CUT_OFF_MS + 50.0)
+        self.assertEqual(self.outcome(self.second, 1), OrderOutcome.UNCLEAR)
+        self.fleet.submit(self.second, 2, replacement(0, 5))
+        self.fleet.make_primary(self.first)
+        self.fleet.run(100.0)
+        self.assertEqual(self.outcome(self.second, 2), OrderOutcome.TAKEN)
+
     def test_a_large_body_is_given_longer(self) -> None:
         self.fleet.submit(self.second, 1, replacement(0, 5, routes=4000))
         self.fleet.run(CALL_DEADLINE_MS + 25.0)
@@ -180,8 +196,7 @@
         self.fleet.heartbeat(self.third, 2, "draining")
         self.assertEqual(self.states(), [["ready", "draining"]] * 3)
         self.fleet.heartbeat(self.first, 3)
-        self.fleet.carry_out(self.first, self.first.core.deregister(self.fleet.now_ms, "i-1"))
-        self.fleet.deliver()
+        self.fleet.deregister(self.first, 4)
         self.assertEqual(self.states(), [["ready", "draining", "gone"]] * 3)
 
     def test_plain_heartbeats_are_told_to_nobody(self) -> None:
@@ -222,6 +237,57 @@
         self.assertEqual([record.instance for record in snapshot.upstreams], ["i-1"])
 
 
+class AnAcknowledgedDepartureOutlivesItsMachine(FleetStory):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet.subscribe(self.second, 1, "front-1")
+        self.fleet.heartbeat(self.first, 1)
+
+    def test_heartbeats_are_accepted_at_once_by_a_machine_alone(self) -> None:
+        self.fleet.cut.add(self.third.address)
+        self.fleet.heartbeat(self.third, 2)
+        self.assertEqual(self.third.accepted, {2: True})
+
+    def test_draining_is_accepted_once_another_has_told_its_data_planes(self) -> None:
+        self.fleet.heartbeat(self.first, 2, "draining")
+        self.assertEqual(self.first.accepted[2], True)
+        self.assertEqual(told(self.second, 1, RegistryDelta)[-1].upstreams[0].state, "draining")
+
+    def test_a_machine_alone_refuses_and_spreads_it_later(self) -> None:
+        self.fleet.cut.add(self.first.address)
+        self.fleet.heartbeat(self.first, 2, "draining")
+        self.assertNotIn(2, self.first.accepted)
+        self.fleet.cut.clear()
+        self.fleet.cut.update({self.second.address, self.third.address})
+        self.fleet.run(CONFIRM_WITHIN_MS + 25.0)
+        self.assertEqual(self.first.accepted[2], False)
+        self.fleet.cut.clear()
+        self.fleet.heartbeat(self.first, 3, "draining")
+        self.assertEqual(self.first.accepted[3], True)
+
+    def test_a_lost_notice_is_repeated(self) -> None:
+        self.fleet.cut.update({self.second.address, self.third.address})
+        self.fleet.heartbeat(self.first, 2, "draining")
+        self.fleet.cut.clear()
+        self.assertFalse(self.first.core.is_at_rest)
+        self.fleet.run(200.0)
+        self.assertEqual(self.first.accepted[2], True)
+        self.assertTrue(self.first.core.is_at_rest)
+
+    def test_a_confirmed_drain_confirms_no_end(self) -> None:
+        self.fleet.heartbeat(self.first, 2, "draining")
+        self.fleet.cut.update({self.second.address, self.third.address})
+        self.fleet.heartbeat(self.first, 3, "draining")
+        self.fleet.deregister(self.first, 4)
+        self.assertEqual(self.first.accepted, {1: True, 2: True, 3: True})
+
+    def test_what_a_peer_told_is_known_to_two(self) -> None:
+        self.fleet.heartbeat(self.first, 2, "draining")
+        self.fleet.cut.add(self.second.address)
+        self.fleet.heartbeat(self.second, 3, "draining")
+        self.assertEqual(self.second.accepted, {3: True})
+
+
 class TheEndOfAProcess(FleetStory):
     def test_it_may_end_once_it_is_no_primary_and_all_are_answered(self) -> None:
         self.fleet.make_primary(self.first)
--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -99,7 +99,7 @@
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         log = open_log(f"core-{number}", BatchedOutput(self.written))
         core = ControlPlaneCore(
-            self.replicas[number], self.internal[number], self.internal, 1000.0, random.Random(number)
+            self.replicas[number], self.internal[number], self.internal, 1000.0, 1, random.Random(number)
         )
         host = ControlPlaneHost(core, RecordFile(FileDisk(folder)), self.internal[number], log)
         public = PublicServer(host, log)
