Metrics for Prometheus at an address of their own, off unless listen.metrics names one

Change: samples are plain values that a process gives when it is asked; the exporter turns them into the client library's families and serves GET /metrics. The library is imported only where the setting is there, so a data plane without it starts and weighs as before.

--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -14,6 +14,7 @@
 from madderwind.dataplane.admission import Admission
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.forwarding import Forwarder, Shared
+from madderwind.dataplane.metrics import data_plane_samples
 from madderwind.dataplane.readiness import ReadyListener
 from madderwind.dataplane.retrying import Retries
 from madderwind.dataplane.subscriber_links import SubscriberLinks
@@ -41,6 +42,7 @@
     UsageOfOthers,
     UsageReport,
 )
+from madderwind.metrics.exporter import start_exporter
 from madderwind.node_settings import DATA_PLANE_PORT, NodeSettings, read_settings
 from madderwind.placement.placement import Placement
 from madderwind.registry.upstreams import KnownUpstreams
@@ -301,8 +303,11 @@
         loop.add_signal_handler(number, end)
     loop.add_signal_handler(signal.SIGHUP, watch.read_again)
     watching = loop.create_task(watch.run())
+    exporter = await start_exporter(settings.listen, lambda: data_plane_samples(plane))
     await plane.wait_until_ended()
     watching.cancel()
+    if exporter is not None:
+        await exporter.close()
 
 
 class SettingsWatch:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -61,9 +61,10 @@
 )
 BELOW |= {part: set(SYSTEM[:place]) for place, part in enumerate(SYSTEM) if part != "balancing"}
 # The two hosts know nothing of each other, and the control plane nothing of requests.
-SHARED_WITH_HOSTS = {"clock", "eventlog", "structured_log", "transport", "protocol"}
+SHARED_WITH_HOSTS = {"clock", "eventlog", "structured_log", "transport", "protocol", "metrics"}
 BELOW["dataplane"] = {*SYSTEM, *SHARED_WITH_HOSTS}
 BELOW["structured_log"] = set()
+BELOW["metrics"] = {"errors"}
 # Beside the programs: stand-ins of upstreams, and whole fleets as processes of one machine.
 BELOW["standin"] = {"errors", "messages", "placement"}
 BELOW["local"] = {*SYSTEM, "structured_log", "drill", "standin"}
