Leaving a zone: a relapse of all no longer stops the tick that ends some copies' own hold

Seen: drawn event traces through the package ended with a KeyError in a tick. Cause: `tick` goes over a list of the holds, and a relapse of the hold of all drops those of one zone and of this copy alone from the table, so the loop meets one that is gone. It needs a step-0 word that was lost on its way while the zone's copies held one of their own. The rest of that tick was dropped, so nothing was withheld until the next. Ruled out: leaving the narrower hold in place, as two returns of one area would run beside each other. A test replays it; it failed with the KeyError before.

--- a/madderwind/leaving/leaving.py
+++ b/madderwind/leaving/leaving.py
@@ -245,7 +245,8 @@
                 self._judge(now, area, scope)
             self._judge_alone(now, area, own)
         for slot in list(self._held):
-            self._go_on(now, slot, own)
+            if slot in self._held:  # a relapse of all ends what some hold of the same area
+                self._go_on(now, slot, own)
         self._withhold(now)
         self._take_back(now)
         return self._done()
--- a/tests/leaving/test_leaving.py
+++ b/tests/leaving/test_leaving.py
@@ -166,6 +166,22 @@
     assert not copy.withheld and copy.counts["alone"] == 1
 
 
+def test_a_relapse_of_all_ends_the_hold_of_one_zone_in_the_same_tick() -> None:
+    """Guards against an error in the tick where the step-0 word of a new episode was lost on its way."""
+    copy = copy_of(0)
+    for scope, episode, step in ((0, 1, words.FULL), (zone_mark("a"), 1, 1), (0, 2, 1)):
+        hold = words.Hold(zone_mark("b"), scope, episode, 1, step)
+        copy.heard_hold(0.0, hold.order, words.write_hold(hold))
+    assert copy.left() == [("b", 1), ("b", 1)]
+    copy.tick(100.0)
+    data = words.write_view(150.0, "a", 9.0, {"b": ZoneSight(frozenset({2, 4, 6}), frozenset())}, frozenset())
+    for other in (2, 4):
+        copy.heard_words(150.0)
+        copy.heard_view(150.0, other, data)
+    copy.tick(200.0)
+    assert copy.left() == [("b", 0)]
+
+
 @pytest.mark.parametrize(
     ("regions", "said"),
     [
