Data plane: a retry that waits into the time an attempt needs is not made; connects end after 250 ms

Cause: after a refusal the design's wait is 0.5 s on the mean, and an objective is 0.15 to 0.8 s: a retry that is sent after it can only be late, where a refusal at once brings the client back within its objective. A machine without power held each attempt for 500 ms. Ruled out: a smaller base for throttled waits, which is the design's. Change: the wait must leave half of the objective; the pause allowed within a head is its own constant.

--- a/madderwind/dataplane/admission.py
+++ b/madderwind/dataplane/admission.py
@@ -16,6 +16,8 @@
 
 STREAMING, SAFE = "streaming", "safe"
 TOKENS = "tokens"
+# An attempt needs this part of the objective: a retry that waits into it would only be late.
+NEEDED_PART = 0.5
 # A refusal within a quarter of the objective, served in time when it comes back, keeps half of its worth: the
 # client is asked to come back after this part of the objective.
 LEAST_COMEBACK, MOST_COMEBACK = 0.1, 0.25
@@ -41,7 +43,7 @@
     quota_amount: float  # what was drawn for it
     priority: int
     until_ms: float  # the client's deadline or the route's timeout, whichever comes first
-    aim_ms: float  # when the answer has to begin to be worth most
+    worthwhile_until_ms: float  # an attempt begun by then can still answer within the route's objective
     generation: Generation | None  # for a service that is a model's
 
     @property
@@ -139,7 +141,7 @@
         service = choose_backend(route, self._rng.random())
         priority = route.priority if tenant is None or tenant.priority is None else tenant.priority
         until_ms = arrived_ms + min(milliseconds(headers, DEADLINE) or route.timeout_ms, route.timeout_ms)
-        aim_ms = arrived_ms + route.target_latency_ms if route.target_latency_ms else until_ms
+        worthwhile_ms = route.target_latency_ms * (1 - NEEDED_PART) or until_ms - arrived_ms
         generation = None
         if table.service(service).engine is not None:
             parts = _prompt_parts(headers)
@@ -154,7 +156,7 @@
             quota_amount=amount,
             priority=priority,
             until_ms=until_ms,
-            aim_ms=aim_ms,
+            worthwhile_until_ms=min(until_ms, arrived_ms + worthwhile_ms),
             generation=generation,
         )
 
--- a/madderwind/dataplane/forwarding.py
+++ b/madderwind/dataplane/forwarding.py
@@ -135,10 +135,9 @@
         """Whether there is to be another attempt, once its wait is over."""
         now_ms = self._now_ms()
         admitted = self._admitted
-        useful_until_ms = admitted.until_ms if self._progress.answer_begun else admitted.aim_ms
-        wait_ms = self._shared.retries.wait_ms(
-            now_ms, self._progress, admitted.service, useful_until_ms - now_ms
-        )
+        resumes = self._progress.answer_begun
+        until_ms = admitted.until_ms if resumes else admitted.worthwhile_until_ms
+        wait_ms = self._shared.retries.wait_ms(now_ms, self._progress, admitted.service, until_ms - now_ms)
         if wait_ms is None:
             return False
         if wait_ms:
--- a/madderwind/dataplane/upstream_pool.py
+++ b/madderwind/dataplane/upstream_pool.py
@@ -13,7 +13,9 @@
 from madderwind.balancing.outcomes import Outcome
 from madderwind.transport.upstreams import ConnectionOptions, Letter, Upstreams
 
-CONNECT_TIMEOUT_MS = 500.0
+CONNECT_TIMEOUT_MS = 250.0
+# The longest pause within the head of an answer.
+HEAD_STALL_S = 1.0
 # How long an idle connection is kept at most, and where the upstream does not tell.
 MOST_IDLE_MS, UNTOLD_IDLE_S = 120_000.0, 4.0
 # A peer that acknowledges nothing for so long is taken for gone: a machine without power says nothing.
@@ -29,6 +31,7 @@
     def __init__(self, most_connections: int) -> None:
         options = ConnectionOptions(
             socket_factory=_open_socket,
+            stall_s=HEAD_STALL_S,
             passing_stall_s=0.0,
             distrusts_resets=False,
             untold_idle_s=UNTOLD_IDLE_S,
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -203,11 +203,13 @@
 
 
 class ConnectionOptions(NamedTuple):
-    """What differs between the programs. `passing_stall_s`: the longest silence within an answer that passes
+    """What differs between the programs. `stall_s`: the longest silence within an answer, None for the time in
+    which a connection comes up. `passing_stall_s`: the longest silence within an answer that passes
     on, 0 for no bound of its own. `untold_idle_s`: how long a connection is kept whose upstream did not tell,
     where that is shorter than for one whose upstream did."""
 
     socket_factory: Callable[[Any], socket.socket] | None = None
+    stall_s: float | None = None
     passing_stall_s: float = PASSING_STALL_S
     distrusts_resets: bool = True
     untold_idle_s: float = float("inf")
@@ -228,8 +230,10 @@
 
     def tune(self, idle_s: float, stall_s: float) -> None:
         self._keepalive_timeout = idle_s
-        loop, passing_stall_s = asyncio.get_running_loop(), self._options.passing_stall_s
-        self._factory = functools.partial(OneAnswer, loop, stall_s, passing_stall_s)  # type: ignore[assignment]
+        loop, options = asyncio.get_running_loop(), self._options
+        stall_s = stall_s if options.stall_s is None else options.stall_s
+        factory = functools.partial(OneAnswer, loop, stall_s, options.passing_stall_s)
+        self._factory = factory  # type: ignore[assignment]
 
     async def connect(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -399,6 +399,10 @@
         self.assertEqual(self.admitted("/quick/x", X_Deadline_Ms="4000").until_ms, 120.0)
         self.assertEqual(self.admitted().until_ms, 5000.0)
 
+    def test_keeps_time_for_an_attempt_within_the_objective(self) -> None:
+        self.assertEqual(self.admitted().worthwhile_until_ms, 1500.0)  # of 3000 ms
+        self.assertEqual(self.admitted("/quick/x").worthwhile_until_ms, 120.0)
+
     def test_knows_a_generation_by_its_services_engine(self) -> None:
         self.assertIsNone(self.admitted(X_Token_Usage="1460,80").generation)
         self.configure(services=[{"name": "app", "engine": {"slots": 8, "kv_tokens": 9000, "stride": 2}}])
