Control plane serves metrics where listen.metrics asks; a local fleet ends without a word

Cause: the control plane's samples were not wired; Ctrl-C on `local up` printed tasks that were pending at the end.

Change: the relay's ways are one task group, and its end waits for them; `up` takes SIGINT and SIGTERM as requests, so a second one does not cut its end short. `metrics: true` in a fleet file gives each process an address for figures.

--- a/madderwind/cli/local_commands.py
+++ b/madderwind/cli/local_commands.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import shutil
+import signal
 import time
 from pathlib import Path
 
@@ -35,15 +36,14 @@
 
 
 async def _up(fleet: FleetFile, file: Path, folder: Path) -> None:
+    asked_to_end = asyncio.Event()
     async with Supervisor(fleet, file, folder) as supervisor:
         await start_fleet(supervisor, fleet)
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, asked_to_end.set)
         print(_described(supervisor.layout))
         print("Ctrl-C ends it.", flush=True)
-        try:
-            await asyncio.Event().wait()
-        except asyncio.CancelledError:
-            print("ending", flush=True)
-            raise
+        await asked_to_end.wait()
 
 
 def _described(layout: FleetLayout) -> str:
--- a/madderwind/controlplane/process.py
+++ b/madderwind/controlplane/process.py
@@ -17,9 +17,11 @@
 from madderwind.controlplane.core import ControlPlaneCore
 from madderwind.controlplane.host import ControlPlaneHost
 from madderwind.controlplane.internal_server import InternalServer
+from madderwind.controlplane.metrics import control_plane_samples
 from madderwind.controlplane.public_server import PublicServer
 from madderwind.controlplane.status_handler import add_status
 from madderwind.errors import SettingsError, StorageError
+from madderwind.metrics.exporter import start_exporter
 from madderwind.node_settings import CONTROL_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, read_settings
 from madderwind.replication.api import Action, Event, Standing
 from madderwind.replication.replica import Replica
@@ -82,6 +84,10 @@
         await self._serve(internal, self._settings.internal_bind_address(CONTROL_PLANE_PORT))
         await self._serve(public_server.application(), self._settings.listen["control"])
         host.start()
+        node, zone = self._settings.node, self._settings.zone
+        exporter = await start_exporter(
+            self._settings.listen, lambda: control_plane_samples(host.status(node, zone))
+        )
         watching = asyncio.create_task(self._watch_settings(host))
         self._log.info("control plane started", address=self._own_address())
         gc.collect()
@@ -90,6 +96,8 @@
         watching.cancel()
         public_server.refuse_new_calls()
         await self._hand_over(host)
+        if exporter is not None:
+            await exporter.close()
         await self._close(host)
 
     def _own_address(self) -> str:
--- a/madderwind/drill/relay.py
+++ b/madderwind/drill/relay.py
@@ -42,15 +42,13 @@
 
     async def run(self) -> None:
         """Pass on until one side ends."""
-        tasks = [asyncio.create_task(self._take()), asyncio.create_task(self._pass_on())]
         try:
-            await asyncio.gather(*tasks)
-        except (OSError, asyncio.IncompleteReadError):
+            async with asyncio.TaskGroup() as ways:
+                ways.create_task(self._take())
+                ways.create_task(self._pass_on(ways))
+        except* (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
             self.ended()
             for writer in (self.writer, self._on):
                 if writer is not None:
@@ -71,24 +69,18 @@
         self.ended()  # given up, or over
         await self._held.put(b"")
 
-    async def _pass_on(self) -> None:
+    async def _pass_on(self, ways: asyncio.TaskGroup) -> None:
         """What it wrote, on to the other end, once anything passes."""
-        back: asyncio.Task[None] | None = None
-        try:
-            while piece := await self._held.get():
-                await self._relay.passes(self)
-                if self._on is None:
-                    if not self.may_connect():
-                        self.reset()
-                        raise ConnectionResetError
-                    reader, self._on = await self._relay.connect_on()
-                    back = asyncio.create_task(self._pass_back(reader))
-                self._on.write(piece)
+        while piece := await self._held.get():
             await self._relay.passes(self)
-        finally:
-            if back is not None:
-                back.cancel()
-                await asyncio.gather(back, return_exceptions=True)
+            if self._on is None:
+                if not self.may_connect():
+                    self.reset()
+                    raise ConnectionResetError
+                reader, self._on = await self._relay.connect_on()
+                ways.create_task(self._pass_back(reader))
+            self._on.write(piece)
+        await self._relay.passes(self)
         raise ConnectionResetError  # the connecting side has ended
 
     async def _pass_back(self, reader: asyncio.StreamReader) -> None:
@@ -162,6 +154,15 @@
         for connection in list(self._connections):
             connection.reset()
 
+    async def end(self) -> None:
+        """Close for good, and return once nothing of it is left."""
+        self.be("", 0.0)
+        self.close()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _accept(self) -> None:
         """A connection came; one that is gone again already is passed over."""
         assert self._socket is not None
--- a/madderwind/local/fleet_file.py
+++ b/madderwind/local/fleet_file.py
@@ -52,7 +52,8 @@
 @attrs.frozen
 class FleetFile:
     """The whole file. `configuration` is the operator's, as it is sent; `bounds` and `limits` go into the
-    settings files as they are. With `relays`, what lies between the processes can be cut."""
+    settings files as they are. With `relays`, what lies between the processes can be cut; with `metrics`,
+    they serve figures for Prometheus."""
 
     name: str
     configuration: dict[str, Any]
@@ -63,6 +64,7 @@
     tolerance: int = 1
     heartbeat_ms: float = 500.0
     relays: bool = True
+    metrics: bool = False
     bounds: dict[str, Any] = attrs.field(factory=dict)
     limits: dict[str, Any] = attrs.field(factory=dict)
     traffic: Traffic | None = None
--- a/madderwind/local/layout.py
+++ b/madderwind/local/layout.py
@@ -17,6 +17,7 @@
 from madderwind.standin.upstream_settings import UpstreamSettings
 
 CONTROL_PORT, FRONT_PORT, READY_PORT, UPSTREAM_PORT, SUPERVISOR_PORT = 8367, 8360, 8365, 8080, 8500
+METRICS_PORT = 9464
 INTERNAL_PORTS = (7500, 7515)
 # The third byte of the addresses, by kind of process; services' upstreams follow one another from theirs on.
 CONTROL_PLANES, DATA_PLANES, SUPERVISOR, UPSTREAMS = 1, 2, 3, 10
@@ -144,6 +145,10 @@
     def _zone(self, number: int) -> str:
         return self._fleet.zones[number % len(self._fleet.zones)]
 
+    def _metrics(self, ip: str) -> dict[str, str]:
+        """Where a process serves its figures, if it is to."""
+        return {"metrics": f"{ip}:{METRICS_PORT}"} if self._fleet.metrics else {}
+
     def _node_settings(self, name: str, ip: str, zone: str) -> dict[str, Any]:
         """What control planes' and data planes' settings files have in common."""
         fleet = self._fleet
@@ -172,7 +177,7 @@
         settings = {
             **self._node_settings(name, self._ip(CONTROL_PLANES, number), zone),
             "bind_ip": internal.rpartition(":")[0],
-            "listen": {"control": control},
+            "listen": {"control": control, **self._metrics(internal.rpartition(":")[0])},
             "data_dir": data_dir,
         }
         return NodeLayout(
@@ -192,7 +197,7 @@
         ready = self._address(DATA_PLANES, number, READY_PORT)
         settings = {
             **self._node_settings(name, self._ip(DATA_PLANES, number), zone),
-            "listen": {"front": front, "ready": ready},
+            "listen": {"front": front, "ready": ready, **self._metrics(self._ip(DATA_PLANES, number))},
             "data_dir": None,
         }
         return NodeLayout(
--- a/madderwind/local/relays.py
+++ b/madderwind/local/relays.py
@@ -153,11 +153,9 @@
         for relay in self._relays:
             relay.listen()
 
-    def close(self) -> None:
-        """Take no more."""
-        for relay in self._relays:
-            relay.be("", 0.0)
-            relay.close()
+    async def end(self) -> None:
+        """Take no more connections and end those that are open."""
+        await asyncio.gather(*(relay.end() for relay in self._relays))
 
     def set_conditions(self, conditions: Sequence[LinkCondition]) -> None:
         """These hold from now on, and no others. A node cut from all others is not even connected to."""
--- a/madderwind/local/supervisor.py
+++ b/madderwind/local/supervisor.py
@@ -54,7 +54,7 @@
     async def __aexit__(self, *_: object) -> None:
         (self._folder / STATE_FILE).unlink(missing_ok=True)
         await asyncio.gather(*(node.end() for node in self._nodes.values()))
-        self._relays.close()
+        await self._relays.end()
         if self._runner is not None:
             await self._runner.cleanup()
         self._lock.close()
