--- a/madderwind/messages/codec.py
+++ b/madderwind/messages/codec.py
@@ -19,7 +19,7 @@
 
     def __init__(self, union: object) -> None:
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder: msgspec.msgpack.Decoder[MessageType] = msgspec.msgpack.Decoder(union)  # type: ignore[arg-type]
+        self._decoder: msgspec.msgpack.Decoder[MessageType] = msgspec.msgpack.Decoder(union)
 
     def encode(self, message: MessageType) -> bytes:
         """The message's bytes."""
