Local fleet: Ctrl-C ends a fleet in order while it starts, too

Change: `up` and `demo` cancel their work once on SIGINT or SIGTERM; a second signal does not cut the end short.

--- a/madderwind/cli/local_commands.py
+++ b/madderwind/cli/local_commands.py
@@ -6,7 +6,9 @@
 import shutil
 import signal
 import time
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 from madderwind.errors import LocalFleetError
 from madderwind.local.checker import Violation
@@ -28,22 +30,42 @@
 )
 from madderwind.local.supervisor import Supervisor
 
+INTERRUPTED = 130
+
 
 def up(file: str, folder: str) -> None:
     """Keep a fleet running until interrupted."""
     fleet = read_fleet_file(Path(file))
-    asyncio.run(_up(fleet, Path(file), _empty(Path(folder))))
+    asyncio.run(_until_interrupted(_up(fleet, Path(file), _empty(Path(folder)))))
+
+
+async def _until_interrupted(work: Coroutine[Any, Any, int]) -> int:
+    """Carry work out; SIGINT or SIGTERM cancels it, once: what it then does to end is not cut short."""
+    task = asyncio.ensure_future(work)
+    interrupted = asyncio.Event()
+
+    def interrupt() -> None:
+        if not interrupted.is_set():
+            interrupted.set()
+            task.cancel()
+
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, interrupt)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        if not interrupted.is_set():
+            raise
+        return INTERRUPTED
 
 
-async def _up(fleet: FleetFile, file: Path, folder: Path) -> None:
-    asked_to_end = asyncio.Event()
+async def _up(fleet: FleetFile, file: Path, folder: Path) -> int:
     async with Supervisor(fleet, file, folder) as supervisor:
         await start_fleet(supervisor, fleet)
-        for number in (signal.SIGINT, signal.SIGTERM):
-            asyncio.get_running_loop().add_signal_handler(number, asked_to_end.set)
         print(_described(supervisor.layout))
         print("Ctrl-C ends it.", flush=True)
-        await asked_to_end.wait()
+        await asyncio.Event().wait()
+    return 0
 
 
 def _described(layout: FleetLayout) -> str:
@@ -63,7 +85,7 @@
     """Start, load, break, check, report; 1 where a promise was broken."""
     fleet = read_fleet_file(Path(file))
     traffic_of(fleet)
-    return asyncio.run(_demo(fleet, Path(file), _empty(Path(folder)), baselines))
+    return asyncio.run(_until_interrupted(_demo(fleet, Path(file), _empty(Path(folder)), baselines)))
 
 
 async def _demo(fleet: FleetFile, file: Path, folder: Path, with_baselines: bool) -> int:
