Data plane: the tie-break among idle upstreams is the own zone, then a connection that stands

The design leaves the tie-break free. Ruled out: keeping connections beyond 0.8 of what upstreams tell. One story is made stricter: a misdirected request proves both instances gone, and no late record brings one back.

--- a/madderwind/dataplane/choosing.py
+++ b/madderwind/dataplane/choosing.py
@@ -22,10 +22,14 @@
         rng: random.Random,
         upstreams: KnownUpstreams,
         placement: Placement,
+        zone: str,
         has_room: Callable[[str, str], bool],
+        keeps: Callable[[str], bool],
     ) -> None:
-        """`has_room`: whether another connection to this instance of this service may be used."""
-        self._upstreams, self._has_room = upstreams, has_room
+        """`has_room`: whether another connection to this instance of this service may be used; `keeps`:
+        whether one to it stands idle."""
+        self._upstreams, self._zone = upstreams, zone
+        self._has_room, self._keeps = has_room, keeps
         self.placement = placement
         self.health = UpstreamHealth(rng)
         self.streams = StreamSilence()
@@ -77,10 +81,21 @@
         avoid: frozenset[str],
     ) -> str | None:
         if generation is None:
-            return self._idle_first.pick(candidates, avoid)
+            return self._idle_first.pick(self._cheapest_idle(candidates, avoid), avoid)
         choice = self.placement.choose(now_ms, generation, candidates, avoid)
         return None if choice is None else choice.instance
 
+    def _cheapest_idle(self, candidates: tuple[str, ...], avoid: frozenset[str]) -> tuple[str, ...]:
+        """The tie-break among those with nothing in flight: the own zone, then a connection that stands."""
+        idle = [c for c in candidates if c not in avoid and not self._idle_first.in_flight(c)]
+        near = [instance for instance in idle if self._is_near(instance)] or idle
+        kept = [instance for instance in near if self._keeps(instance)] or near
+        return tuple(kept) or candidates
+
+    def _is_near(self, instance: str) -> bool:
+        known = self._upstreams.get(instance)
+        return known is not None and known.zone == self._zone
+
     # --- an attempt's life ---
 
     def began(self, now_ms: float, key: str, generation: Generation | None, instance: str) -> None:
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -99,7 +99,9 @@
         self.placement = Placement(rng, settings.zone)
         connections = max(16, settings.limits.max_fds - OWN_DESCRIPTORS) // 2
         self.pool = UpstreamPool(connections)
-        self.chooser = UpstreamChooser(rng, self.upstreams, self.placement, self._has_room)
+        self.chooser = UpstreamChooser(
+            rng, self.upstreams, self.placement, settings.zone, self._has_room, self.pool.keeps
+        )
         self.quota = TenantQuota(bounds, rng, is_founding=settings.bootstrap)
         self.budget = FleetRetryBudget(
             bounds.retry_budget_ratio, bounds.retry_slack, bounds.budget_window_s * MS_PER_S
--- a/madderwind/dataplane/upstream_pool.py
+++ b/madderwind/dataplane/upstream_pool.py
@@ -45,6 +45,11 @@
         """How many connections to it are in use, or coming up."""
         return self._in_use[instance]
 
+    def keeps(self, instance: str) -> bool:
+        """Whether a connection to it stands idle."""
+        number = self._numbers.get(instance)
+        return number is not None and self._upstreams.keeps(number)
+
     def held(self) -> int:
         """How many connections there are."""
         return self._upstreams.held()
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -203,10 +203,12 @@
 
 
 class ConnectionOptions(NamedTuple):
-    """What differs between the programs. `stall_s`: the longest silence within an answer, None for the time in
-    which a connection comes up. `passing_stall_s`: the longest silence within an answer that passes
-    on, 0 for no bound of its own. `untold_idle_s`: how long a connection is kept whose upstream did not tell,
-    where that is shorter than for one whose upstream did."""
+    """What differs between the programs.
+
+    `stall_s`: the longest silence within an answer, None for the time in which a connection comes up;
+    `passing_stall_s`: the same within one that passes on, 0 for no bound of its own; `untold_idle_s`: how
+    long a connection is kept whose upstream did not tell, where that is shorter than for one whose upstream did.
+    """
 
     socket_factory: Callable[[Any], socket.socket] | None = None
     stall_s: float | None = None
@@ -420,6 +422,10 @@
             await sink.write(part)
         return Answer(response.status, response.headers, b"")
 
+    def keeps(self, upstream: int) -> bool:
+        """Whether a connection to it stands idle, as far as is known."""
+        return any(key.proxy_headers_hash == upstream for key in self._connector._conns)
+
     def close_idle(self, upstream: int) -> None:
         """Close the idle connections to one upstream."""
         for key in [k for k in self._connector._conns if k.proxy_headers_hash == upstream]:
--- /dev/null
+++ b/tests/dataplane/test_choosing.py
@@ -0,0 +1,92 @@
+"""Stories of the choice of an upstream, without sockets or clocks."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from madderwind.dataplane.choosing import UpstreamChooser
+from madderwind.messages.distribution import UpstreamRecord
+from madderwind.placement.placement import Placement
+from madderwind.placement.prompts import Generation, PromptPart
+from madderwind.registry.upstreams import KnownUpstreams
+
+GENERATION = Generation("app", (PromptPart("aa", 900), PromptPart("bb", 100)), 1000, 40, 1, 800.0, 9000.0)
+
+
+class AChoice(unittest.TestCase):
+    def setUp(self) -> None:
+        rng = random.Random(5)
+        self.upstreams = KnownUpstreams(1000.0)
+        self.full: set[str] = set()
+        self.kept: set[str] = set()
+        self.chooser = UpstreamChooser(
+            rng,
+            self.upstreams,
+            Placement(rng, "z1"),
+            "z1",
+            lambda instance, _: instance not in self.full,
+            lambda instance: instance in self.kept,
+        )
+        for number, zone in enumerate(("z1", "z1", "z2")):
+            self.tell(f"i-{number}", zone)
+
+    def tell(self, instance: str, zone: str, state: str = "ready", sequence: int = 1) -> None:
+        address = f"10.0.0.{instance[2:]}:80"
+        record = UpstreamRecord(instance, "app", address, zone, "v1", 8, state, sequence, 0.0, 0.0)
+        self.chooser.changed(self.upstreams.merge(0.0, [record]))
+
+    def chosen(
+        self, generation: Generation | None = None, tried: frozenset[str] = frozenset(), now_ms: float = 0.0
+    ) -> set[str | None]:
+        return {self.chooser.choose(now_ms, "app", generation, tried) for _ in range(60)}
+
+    def test_is_among_idle_ones_of_the_own_zone(self) -> None:
+        self.assertEqual(self.chosen(), {"i-0", "i-1"})
+        self.chooser.began(0.0, "k", None, "i-0")
+        self.assertEqual(self.chosen(), {"i-1"})
+        self.chooser.began(0.0, "l", None, "i-1")
+        self.assertEqual(self.chosen(), {"i-2"})
+
+    def test_prefers_a_connection_that_stands(self) -> None:
+        self.kept = {"i-1", "i-2"}
+        self.assertEqual(self.chosen(), {"i-1"})
+
+    def test_leaves_out_what_drains_and_what_has_no_room(self) -> None:
+        self.tell("i-0", "z1", "draining", 2)
+        self.full = {"i-1"}
+        for generation in (None, GENERATION):
+            self.assertEqual(self.chosen(generation), {"i-2"})
+        self.full = {"i-1", "i-2"}
+        for generation in (None, GENERATION):
+            self.assertEqual(self.chosen(generation), {None})
+
+    def test_avoids_those_just_tried_where_there_are_others(self) -> None:
+        for generation in (None, GENERATION):
+            self.assertNotIn("i-0", self.chosen(generation, frozenset({"i-0"})))
+            everywhere = frozenset({"i-0", "i-1", "i-2"})
+            self.assertNotIn(None, self.chosen(generation, everywhere))
+
+    def test_avoids_one_that_failed_until_its_time_is_over(self) -> None:
+        self.chooser.health.connect_failed(0.0, "i-0")
+        for generation in (None, GENERATION):
+            self.assertNotIn("i-0", self.chosen(generation, now_ms=50.0))
+        for instance in ("i-1", "i-2"):
+            self.chooser.health.connect_failed(0.0, instance)
+        self.assertNotIn(None, self.chosen(now_ms=50.0))  # where all are out, all are used
+
+    def test_avoids_one_whose_streams_are_all_silent(self) -> None:
+        home = self.chosen(GENERATION).pop()
+        assert home is not None
+        self.chooser.began(0.0, "k", GENERATION, home)
+        self.chooser.stream_began(10.0, "k", home)
+        self.assertNotIn(home, self.chosen(GENERATION, now_ms=1000.0))
+        self.chooser.streams.heard(1001.0, home)
+        self.assertIn(home, self.chosen(GENERATION, now_ms=1002.0))
+
+    def test_knows_nothing_of_other_services(self) -> None:
+        self.assertIsNone(self.chooser.choose(0.0, "other", None, frozenset()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/dataplane/test_hazards.py
+++ b/tests/dataplane/test_hazards.py
@@ -174,12 +174,18 @@
                 request_id = message.header("X-Request-Id") or ""
                 writer.write(answer(421, X_Request_Id=request_id, X_Upstream_Instance="i-new"))
 
-            async with Fleet(elsewhere, elsewhere, served(), document=document()) as fleet:
-                while len(fleet.known()) > 1:
-                    got = await fleet.ask("/unsafe/x")
-                    self.assertIn(got.status, (200, 503))
-                self.assertEqual(fleet.known(), ("i-2",))
+            async with Fleet(elsewhere, elsewhere, document=document()) as fleet:
+                got = await fleet.ask("/unsafe/x")
+                self.assertEqual((got.status, got.header("Retry-After") is None), (503, False))
+                self.assertEqual([len(u.asked) for u in fleet.upstreams], [1, 1])
+                self.assertEqual(fleet.known(), ())
+                for upstream in fleet.upstreams:
+                    upstream.behave = served()
+                await fleet.control.register(record(fleet.upstreams[0], "i-0", sequence=2))  # a late record
+                await fleet.control.register(record(fleet.upstreams[0], "i-new"))
+                await until(lambda: fleet.known() == ("i-new",))
                 self.assertEqual((await fleet.ask("/unsafe/x")).status, 200)
+                self.assertEqual(fleet.upstreams[0].asked[-1].header("X-Expect-Instance"), "i-new")
 
         run(story())
 
