Control plane: a version is encoded once for all data planes, and large frames share a budget

Cause: with many data planes each fetch encoded the whole document anew, and every connection's buffer could hold a copy: 89 of 4 MiB are more than the process may use. Also, each new view named no primary for some ms, so every data plane was told twice; the former stays named for 300 ms.

--- a/madderwind/controlplane/core.py
+++ b/madderwind/controlplane/core.py
@@ -57,6 +57,8 @@
 
 # How often the host calls `tick`.
 TICK_MS = 25.0
+# A primary that is unknown for no longer is still named to others.
+PRIMARY_UNKNOWN_AFTER_MS = 300.0
 
 
 class Replica(Protocol):
@@ -90,6 +92,8 @@
         self._peers = Peers(own_address, seeds)
         self._upstreams = Upstreams(heartbeat_ms, tolerance, self._peers, self._publisher.upstreams_changed)
         self._standing = replica.standing(0.0)
+        self._last_primary = self._logged_primary = ""
+        self._last_primary_ms = 0.0
         self._calls = OperatorCalls(
             rng.getrandbits(62), lambda: self._standing, self._publisher, self._newest
         )
@@ -236,22 +240,28 @@
         standing = self._standing
         self._peers.set_members(standing.members)
         self._calls.note_primary(now_ms)
+        primary = self._published_primary(now_ms)
         published = PublishedStanding(
             epoch=standing.epoch,
             fresh_age_ms=standing.fresh_age_ms,
             is_primary=standing.is_primary,
-            primary=standing.primary,
+            primary=primary,
             members=standing.members,
         )
         outputs: list[Output] = [*self._publisher.update(now_ms, published, self._replica.committed)]
-        if (before.primary, before.epoch, before.is_primary) != (
-            standing.primary,
-            standing.epoch,
-            standing.is_primary,
-        ):
-            outputs.append(_standing_line(standing))
+        if before.is_primary is not standing.is_primary or self._logged_primary != primary:
+            self._logged_primary = primary
+            outputs.append(_standing_line(standing, primary))
         return outputs
 
+    def _published_primary(self, now_ms: float) -> str:
+        """The primary as others are told: the former until a new view's primary is heard."""
+        if self._standing.primary:
+            self._last_primary, self._last_primary_ms = self._standing.primary, now_ms
+        elif now_ms - self._last_primary_ms > PRIMARY_UNKNOWN_AFTER_MS:
+            self._last_primary = ""
+        return self._last_primary
+
     def _run(self, now_ms: float, outputs: list[Output]) -> list[Effect]:
         """Carry out what concerns the replica or the calls here; the rest is the host's."""
         effects: list[Effect] = []
@@ -278,8 +288,8 @@
     )
 
 
-def _standing_line(standing: Standing) -> LogLine:
+def _standing_line(standing: Standing, primary: str) -> LogLine:
     return LogLine(
-        "standing changed",
-        {"is_primary": standing.is_primary, "primary": standing.primary, "epoch": standing.epoch},
+        "primary changed",
+        {"is_primary": standing.is_primary, "primary": primary, "epoch": standing.epoch},
     )
--- a/madderwind/controlplane/frames.py
+++ b/madderwind/controlplane/frames.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 
@@ -13,6 +14,31 @@
     offered_s: float
 
 
+class ByteBudget:
+    """Bytes that may be under way at once; whoever would pass the bound waits, one alone never."""
+
+    def __init__(self, most_bytes: int) -> None:
+        self._most_bytes = most_bytes
+        self._taken_bytes = 0
+        self._changed = asyncio.Condition()
+
+    @asynccontextmanager
+    async def taken(self, count: int) -> AsyncIterator[None]:
+        """Hold so many bytes of the budget."""
+        async with self._changed:
+            await self._changed.wait_for(lambda: self._has_room(count))
+            self._taken_bytes += count
+        try:
+            yield
+        finally:
+            self._taken_bytes -= count
+            async with self._changed:
+                self._changed.notify_all()
+
+    def _has_room(self, count: int) -> bool:
+        return not self._taken_bytes or self._taken_bytes + count <= self._most_bytes
+
+
 class FrameQueue:
     """Frames in order, bounded in bytes; `offer` tells whether the bound is passed."""
 
--- a/madderwind/controlplane/subscriber_streams.py
+++ b/madderwind/controlplane/subscriber_streams.py
@@ -7,12 +7,15 @@
 import attrs
 from aiohttp import web
 
-from madderwind.controlplane.frames import FrameQueue
+from madderwind.controlplane.frames import ByteBudget, FrameQueue
 from madderwind.distribution.publisher import Close, SendTo, SendToAll
-from madderwind.messages.distribution import to_data_plane
+from madderwind.messages.distribution import ToDataPlane, to_data_plane
 
 # A whole configuration and what comes beside it.
 MOST_QUEUED_BYTES = 12 * 1024 * 1024
+# Frames from this length on are copied into sockets' buffers only within a budget over all connections.
+LARGE_FRAME_BYTES = 64 * 1024
+MOST_LARGE_BYTES_SENDING = 64 * 1024 * 1024
 
 
 @attrs.define
@@ -27,6 +30,9 @@
     def __init__(self) -> None:
         self._streams: dict[int, _Stream] = {}
         self._last_connection = 0
+        self._encoded_message: ToDataPlane | None = None
+        self._encoded = b""
+        self._large_frames = ByteBudget(MOST_LARGE_BYTES_SENDING)
 
     def open(self, transport: asyncio.BaseTransport) -> int:
         """A new connection's number."""
@@ -40,16 +46,24 @@
 
     async def send_queued(self, connection: int, socket: web.WebSocketResponse) -> None:
         """Send what is queued for a connection, until cancelled."""
-        await self._streams[connection].queue.send_all(socket.send_bytes)
+
+        async def send(frame: bytes) -> None:
+            if len(frame) < LARGE_FRAME_BYTES:
+                await socket.send_bytes(frame)
+                return
+            async with self._large_frames.taken(len(frame)):
+                await socket.send_bytes(frame)
+
+        await self._streams[connection].queue.send_all(send)
 
     def send_to(self, effect: SendTo) -> None:
         """Queue a message for one."""
         if (stream := self._streams.get(effect.connection)) is not None:
-            self._offer(stream, to_data_plane.encode(effect.message))
+            self._offer(stream, self._frame(effect.message))
 
     def send_to_all(self, effect: SendToAll) -> None:
         """Queue a message for all, encoded once."""
-        frame = to_data_plane.encode(effect.message)
+        frame = self._frame(effect.message)
         for stream in self._streams.values():
             self._offer(stream, frame)
 
@@ -63,6 +77,12 @@
         for stream in self._streams.values():
             stream.transport.close()
 
+    def _frame(self, message: ToDataPlane) -> bytes:
+        """The message's bytes; one that goes to several in a row is encoded once."""
+        if message is not self._encoded_message:
+            self._encoded_message, self._encoded = message, to_data_plane.encode(message)
+        return self._encoded
+
     def _offer(self, stream: _Stream, frame: bytes) -> None:
         if not stream.queue.offer(asyncio.get_running_loop().time(), frame):
             _abort(stream.transport)
--- a/madderwind/distribution/publisher.py
+++ b/madderwind/distribution/publisher.py
@@ -151,6 +151,8 @@
         self._rng = rng
         self._standing = _UNKNOWN_STANDING
         self._told_version = configuration.version
+        # What leads to the committed version, by the version that a data plane has: one message for all.
+        self._answers: dict[int, ConfigurationDelta | ConfigurationSnapshot] = {}
         self._subscribers: dict[int, _Subscriber] = {}
         self._away_since_ms: dict[Participant, float] = {}
         self._usage, self._load, self._sends = UsageExchange(), LoadExchange(), SendExchange()
@@ -169,6 +171,7 @@
         if (before.members, before.primary) != (standing.members, standing.primary):
             deliveries.append(SendToAll(self._control_planes()))
         if configuration.version != self._told_version:
+            self._answers.clear()
             deliveries.append(SendToAll(self._freshness(now_ms)))
         return deliveries if self._subscribers else []
 
@@ -314,7 +317,10 @@
         if version <= have or (is_repeat and now_ms - subscriber.answered_ms < FETCH_REPEAT_MS):
             return []
         subscriber.answered_version, subscriber.answered_ms = version, now_ms
-        return [SendTo(connection, self._leading_from(have))]
+        answer = self._answers.get(have)
+        if answer is None:
+            answer = self._answers[have] = self._leading_from(have)
+        return [SendTo(connection, answer)]
 
     def _leading_from(self, have: int) -> ConfigurationDelta | ConfigurationSnapshot:
         document = self._configuration.document
