--- a/madderwind/limits/demand.py
+++ b/madderwind/limits/demand.py
@@ -16,8 +16,8 @@
         self._updated_ms: float | None = None
 
     def add(self, now_ms: float, amount: float) -> None:
-        """Count an amount that came now."""
-        self._per_s = self.per_s(now_ms) + amount / self._time_constant_s
+        """Count an amount that came now; a negative one takes an earlier one back."""
+        self._per_s = max(0.0, self.per_s(now_ms) + amount / self._time_constant_s)
         self._updated_ms = now_ms
 
     def per_s(self, now_ms: float) -> float:
--- a/madderwind/limits/isolated_bucket.py
+++ b/madderwind/limits/isolated_bucket.py
@@ -52,7 +52,13 @@
         self._advance(now_ms)
         own_demand = self._own_demand.per_s(now_ms)
         multiple = self._demand(now_ms) / own_demand if own_demand > 0 else 1.0
-        self._level = min(self._most, self._level - amount * max(1.0, multiple))
+        self._level -= amount * max(1.0, multiple)
+
+    def give_back(self, now_ms: float, amount: float) -> None:
+        """What was drawn for a request that won't run."""
+        self._advance(now_ms)
+        self._level = min(self._most, self._level + amount)
+        self._own_demand.add(now_ms, -amount)
 
     def chance(self, now_ms: float) -> float:
         """The chance with which a request is to be admitted now; 1 or more admits all."""
--- a/madderwind/limits/quota.py
+++ b/madderwind/limits/quota.py
@@ -59,6 +59,12 @@
             self.isolated.spend(now_ms, amount)
         self.unreported += amount
 
+    def give_back(self, now_ms: float, amount: float) -> None:
+        self.shared.give_back(now_ms, amount)
+        if self.isolated is not None:
+            self.isolated.give_back(now_ms, amount)
+        self.unreported -= amount
+
     def drain(self, now_ms: float) -> float:
         """What is to be reported now."""
         amount = max(0.0, self.unreported)  # what was given back beyond that goes against the next
@@ -125,7 +131,7 @@
         """An admitted request provably didn't and won't run."""
         state = self._tenants.get(tenant_name)
         if state is not None:
-            state.spend(now_ms, -amount)
+            state.give_back(now_ms, amount)
 
     def drain_usage(self, now_ms: float) -> Usage:
         """What to report to the others; what was used counts as reported. Not to be called while there is
--- a/madderwind/limits/shared_bucket.py
+++ b/madderwind/limits/shared_bucket.py
@@ -30,7 +30,8 @@
 
 # How far ahead the level is shared out. Longer than an admission takes to be heard of, or the level swings.
 HORIZON_S = 0.6
-DEMAND_TIME_CONSTANT_S = 1.0
+DEMAND_TIME_CONSTANT_S = 0.5
+USE_TIME_CONSTANT_S = 1.0
 # What the others used in this time is not heard of yet, on the average.
 UNHEARD_S = 0.25
 # Touch was lost that long before it is noticed.
@@ -38,7 +39,7 @@
 # After touch was regained, reports of what the others used meanwhile come in for so long.
 SETTLING_MS = 1_000.0
 # What the others are asked for is forgotten no faster: who is away for a moment is asked all the same.
-FORGET_DEMAND_S = 2.0
+FORGET_DEMAND_S = 0.5
 MEAN_DEMAND_S = 4.0
 
 
@@ -51,7 +52,7 @@
         self._updated_ms = now_ms
         self._own_demand = DecayingRate(DEMAND_TIME_CONSTANT_S)
         self._own_use = DecayingRate(UNNOTICED_S)
-        self._others_use = DecayingRate(DEMAND_TIME_CONSTANT_S)
+        self._others_use = DecayingRate(USE_TIME_CONSTANT_S)
         self._others_demand = 0.0
         self._others_demand_told = 0.0
         self._others_demand_mean = 0.0
@@ -79,11 +80,18 @@
         self._own_demand.add(now_ms, amount)
 
     def spend(self, now_ms: float, amount: float) -> None:
-        """Draw what was admitted here; a negative amount gives it back."""
+        """Draw what was admitted here."""
         self._advance(now_ms)
-        self._level = min(self.terms.burst, self._level - amount)
+        self._level -= amount
         self._own_use.add(now_ms, amount)
 
+    def give_back(self, now_ms: float, amount: float) -> None:
+        """What was drawn for a request that won't run; it is as if it had never been asked for."""
+        self._advance(now_ms)
+        self._level = min(self.terms.burst, self._level + amount)
+        self._own_use.add(now_ms, -amount)
+        self._own_demand.add(now_ms, -amount)
+
     def others_used(self, now_ms: float, amount: float) -> None:
         """Draw what the others admitted."""
         self._advance(now_ms)
