Control plane: whole processes over loopback: hand-over, restart from disk, settings that can't be used

Cause: process.py had no test of its own. Measured: tests of the control plane pass; a planned end of the primary leaves orders answered by the next one.

--- a/madderwind/controlplane/core.py
+++ b/madderwind/controlplane/core.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 from typing import Protocol
 
@@ -162,6 +162,14 @@
 
     # --- upstreams ---
 
+    def restore_upstreams(self, now_ms: float, records: Sequence[UpstreamRecord]) -> None:
+        """What the process before this one knew of upstreams, read before anything else happens."""
+        self._upstreams.restore(now_ms, records)
+
+    def upstreams(self, now_ms: float) -> tuple[UpstreamRecord, ...]:
+        """All upstreams that are known."""
+        return self._upstreams.snapshot(now_ms)
+
     def heartbeat(self, now_ms: float, call: int, instance: str, body: bytes) -> list[Effect]:
         """An upstream's heartbeat, answered when told under the number `call`; raises InvalidHeartbeat."""
         return self._upstreams.heartbeat(now_ms, call, instance, body)
--- a/madderwind/controlplane/host.py
+++ b/madderwind/controlplane/host.py
@@ -16,11 +16,13 @@
     UpstreamAnswered,
 )
 from madderwind.controlplane.peer_links import PeerLinks
+from madderwind.controlplane.registry_saver import SAVE_INTERVAL_S, RegistrySaver
 from madderwind.controlplane.subscriber_streams import SubscriberStreams
 from madderwind.distribution.publisher import Close, SendTo, SendToAll
 from madderwind.messages.distribution import Subscribe, ToControlPlane
 from madderwind.messages.peering import PeerFrame, peer_frames
 from madderwind.messages.status import ControlPlaneStatus
+from madderwind.registry.saved_copy import SavedCopy
 from madderwind.replication.api import LeaveRequested, Order, OrderResult, Rewrite, Write
 from madderwind.storage.record_file import RecordFile
 from madderwind.structured_log import Log
@@ -31,13 +33,23 @@
 class ControlPlaneHost:
     """Hands events to the core and carries its effects out, all on the event loop."""
 
-    def __init__(self, core: ControlPlaneCore, record_file: RecordFile, own_address: str, log: Log) -> None:
+    def __init__(
+        self,
+        core: ControlPlaneCore,
+        record_file: RecordFile,
+        saved_registry: SavedCopy,
+        own_address: str,
+        log: Log,
+    ) -> None:
         self._core = core
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._links = PeerLinks(own_address, self._peer_connected)
         self._streams = SubscriberStreams()
         self._disk = DiskThread(record_file, self._report_from_thread)
+        self._saved_registry = saved_registry
+        self._registry_saver = RegistrySaver(saved_registry)
+        self._registry_offered_s = 0.0
         self._orders: dict[int, asyncio.Future[OrderResult]] = {}
         self._reads: dict[int, asyncio.Future[ReadEnded]] = {}
         self._upstream_calls: dict[int, asyncio.Future[bool]] = {}
@@ -72,6 +84,8 @@
     def start(self) -> None:
         """Begin to let time pass."""
         self._disk.start()
+        self._core.restore_upstreams(self._now_ms(), self._saved_registry.load())
+        self._registry_saver.start()
         self._tick()
 
     async def stop(self) -> None:
@@ -158,6 +172,9 @@
         if self._loop.time() - self._links_checked_s > UNUSED_LINKS_INTERVAL_S:
             self._links_checked_s = self._loop.time()
             self._links.drop_unused()
+        if self._loop.time() - self._registry_offered_s > SAVE_INTERVAL_S:
+            self._registry_offered_s = self._loop.time()
+            self._registry_saver.offer(self._core.upstreams(self._now_ms()))
 
     def _peer_connected(self, address: str) -> None:
         self._carry_out(self._core.peer_connected(self._now_ms(), address))
--- a/madderwind/controlplane/process.py
+++ b/madderwind/controlplane/process.py
@@ -23,6 +23,7 @@
 from madderwind.errors import SettingsError, StorageError
 from madderwind.metrics.exporter import start_exporter
 from madderwind.node_settings import CONTROL_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, read_settings
+from madderwind.registry.saved_copy import SavedCopy
 from madderwind.replication.api import Action, Event, Standing
 from madderwind.replication.replica import Replica
 from madderwind.replication.times import ReplicationTimes
@@ -74,8 +75,8 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then hand over and end."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._end_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._end_requested.set)
+        loop.add_signal_handler(signal.SIGTERM, self.request_end)
+        loop.add_signal_handler(signal.SIGINT, self.request_end)
         loop.add_signal_handler(signal.SIGHUP, self._settings_changed.set)
         host = self._host()
         public_server = PublicServer(host, self._log)
@@ -100,6 +101,10 @@
             await exporter.close()
         await self._close(host)
 
+    def request_end(self) -> None:
+        """Hand over and end, as SIGTERM asks for."""
+        self._end_requested.set()
+
     def _own_address(self) -> str:
         return self._settings.internal_address(CONTROL_PLANE_PORT)
 
@@ -128,7 +133,8 @@
             settings.fault_tolerance.machines,
             rng,
         )
-        return ControlPlaneHost(core, self._record_file, self._own_address(), self._log)
+        saved_registry = SavedCopy(FileDisk(settings.data_dir or ""))
+        return ControlPlaneHost(core, self._record_file, saved_registry, self._own_address(), self._log)
 
     async def _serve(self, application: web.Application, address: str) -> None:
         runner = web.AppRunner(
--- a/madderwind/controlplane/upstreams.py
+++ b/madderwind/controlplane/upstreams.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Sequence
 
+import msgspec
+
 from madderwind.controlplane.departures import Departures
 from madderwind.controlplane.effects import Effect, LogLine, SendToPeer, UpstreamAnswered
 from madderwind.controlplane.peers import Peers
@@ -50,6 +52,10 @@
         """All upstreams that are known."""
         return self._registry.snapshot(now_ms)
 
+    def restore(self, now_ms: float, records: Sequence[UpstreamRecord]) -> None:
+        """Know again what this process knew before its start, as if heard now; a hint until heard again."""
+        self._registry.merge(now_ms, (msgspec.structs.replace(record, silent_ms=0.0) for record in records))
+
     # --- upstreams call ---
 
     def heartbeat(self, now_ms: float, call: int, instance: str, body: bytes) -> list[Effect]:
--- a/tests/controlplane/test_frames.py
+++ b/tests/controlplane/test_frames.py
@@ -74,10 +74,9 @@
         budget = ByteBudget(most_bytes=10)
         async with asyncio.timeout(DEADLINE_S):
             async with budget.taken(8):
-                waiting = asyncio.create_task(budget.taken(8).__aenter__())
-                await asyncio.sleep(0)
-                waiting.cancel()
-                await asyncio.gather(waiting, return_exceptions=True)
+                with self.assertRaises(TimeoutError):
+                    async with asyncio.timeout(0), budget.taken(8):
+                        self.fail("there is no room")
             async with budget.taken(10):
                 pass
 
--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -101,7 +101,9 @@
         core = ControlPlaneCore(
             self.replicas[number], self.internal[number], self.internal, 1000.0, 1, random.Random(number)
         )
-        host = ControlPlaneHost(core, RecordFile(FileDisk(folder)), self.internal[number], log)
+        host = ControlPlaneHost(
+            core, RecordFile(FileDisk(folder)), SavedCopy(FileDisk(folder)), self.internal[number], log
+        )
         public = PublicServer(host, log)
         self.servers.append(public)
         await self.serve(InternalServer(host, log).application(), self.internal[number])
--- /dev/null
+++ b/tests/controlplane/test_process.py
@@ -0,0 +1,176 @@
+"""Whole control planes in one process over loopback, with replicas and files of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import aiohttp
+
+from madderwind.controlplane.process import ControlPlaneProcess, main
+from madderwind.node_settings import CONTROL_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, parse_settings
+from madderwind.storage.disk import FileDisk
+from madderwind.storage.record_file import RecordFile
+from tests.controlplane.configurations import replacement_body
+from tests.controlplane.fleet import heartbeat
+from tests.controlplane.test_hosts import free_address
+
+DEADLINE_S = 30.0
+
+
+class ProcessesStory(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.ports = [int(free_address().rpartition(":")[2]) for _ in range(2)]
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+        self.processes: dict[int, ControlPlaneProcess] = {}
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0))
+
+    async def asyncTearDown(self) -> None:
+        for number in list(self.tasks):
+            await self.end(number)
+        await self.session.close()
+
+    def settings(self, number: int, bootstrap: bool) -> NodeSettings:
+        """Settings of a machine with a loopback address of its own; ports are the same on all."""
+        public, internal = self.ports
+        folder = self.folder / f"core-{number}"
+        folder.mkdir(exist_ok=True)
+        return parse_settings(
+            json.dumps(
+                {
+                    "node": f"core-{number}",
+                    "ip": f"127.0.0.{number}",
+                    "zone": f"z{number}",
+                    "listen": {"control": f"127.0.0.{number}:{public}"},
+                    "internal_ports": [internal, internal + 15],
+                    "seeds": [f"127.0.0.{seed}:{public}" for seed in (1, 2, 3)],
+                    "bootstrap": bootstrap,
+                    "data_dir": str(folder),
+                    "fault_tolerance": {"machines": 1},
+                }
+            ).encode()
+        )
+
+    def start(self, number: int, bootstrap: bool = False) -> None:
+        settings = self.settings(number, bootstrap)
+        record_file = RecordFile(FileDisk(settings.data_dir or ""))
+        process = ControlPlaneProcess(settings, record_file, record_file.recover())
+        self.processes[number] = process
+        self.tasks[number] = asyncio.create_task(process.run())
+
+    async def end(self, number: int) -> None:
+        self.processes[number].request_end()
+        async with asyncio.timeout(DEADLINE_S):
+            await self.tasks.pop(number)
+
+    def url(self, number: int, path: str) -> str:
+        return f"http://127.0.0.{number}:{self.ports[0]}{path}"
+
+    async def until_clear(self, method: str, url: str, base: int = 0, body: bytes = b"") -> tuple[int, bytes]:
+        """Call until there is a clear answer, as operators do."""
+        headers = {"X-Base-Version": str(base)}
+        async with asyncio.timeout(DEADLINE_S):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    async with self.session.request(method, url, data=body, headers=headers) as response:
+                        if response.status < 500:
+                            return response.status, await response.read()
+
+    async def order(self, number: int, base: int, version: int) -> int:
+        url = self.url(number, "/config/replace")
+        return (await self.until_clear("POST", url, base, replacement_body(version)))[0]
+
+    async def read(self, number: int) -> tuple[int, bytes]:
+        return await self.until_clear("GET", self.url(number, "/config/read"))
+
+    async def primary(self) -> int:
+        """The number of the machine that every running one takes for the primary."""
+        async with asyncio.timeout(DEADLINE_S):
+            while True:
+                named = set()
+                for number in self.tasks:
+                    internal = self.settings(number, False).internal_address(CONTROL_PLANE_PORT)
+                    async with self.session.get(f"http://{internal}/status") as response:
+                        named.add((await response.json())["primary"])
+                if len(named) == 1 and (address := named.pop()):
+                    return int(address.partition(":")[0].rpartition(".")[2])
+
+
+class ThreeControlPlanes(ProcessesStory):
+    async def test_the_primary_hands_over_and_comes_back(self) -> None:
+        for number in (1, 2, 3):
+            self.start(number, bootstrap=True)
+        self.assertEqual(await self.order(2, 0, 5), 200)
+        primary = await self.primary()
+        await self.end(primary)
+        other = primary % 3 + 1
+        self.assertEqual(await self.order(other, 5, 6), 200)
+        self.assertNotEqual(await self.primary(), primary)
+        self.start(primary)
+        self.assertEqual(await self.read(primary), (200, replacement_body(6)))
+        await self.end(await self.primary())
+        self.assertEqual(await self.order(next(iter(self.tasks)), 6, 7), 200)
+
+    async def test_all_end_and_start_again(self) -> None:
+        for number in (1, 2, 3):
+            self.start(number, bootstrap=True)
+        self.assertEqual(await self.order(1, 0, 5), 200)
+        for number in (1, 2, 3):
+            await self.end(number)
+        for number in (3, 1, 2):
+            self.start(number)
+        self.assertEqual(await self.read(2), (200, replacement_body(5)))
+        self.assertEqual(await self.order(3, 5, 6), 200)
+
+    async def test_upstreams_are_acknowledged_before_there_is_a_primary(self) -> None:
+        self.start(1, bootstrap=True)
+        url = self.url(1, "/instances/i-1/heartbeat")
+        self.assertEqual((await self.until_clear("POST", url, body=heartbeat(1)))[0], 200)
+
+
+class SettingsThatCannotBeUsed(unittest.TestCase):
+    def ended_with(self, settings: bytes | None) -> str:
+        """What a start with these settings says on standard error; it exits with 1."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json"
+            if settings is not None:
+                path.write_bytes(settings)
+            said = io.StringIO()
+            with (
+                mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}),
+                contextlib.redirect_stderr(said),
+                self.assertRaises(SystemExit) as ended,
+            ):
+                main()
+        self.assertEqual(ended.exception.code, 1)
+        return said.getvalue()
+
+    def test_one_plain_line_and_exit_code_1(self) -> None:
+        for settings in (None, b"{", b'{"node": 3}', b'{"node":"n","ip":"1.2.3.4","zone":"z"}'):
+            with self.subTest(settings):
+                said = self.ended_with(settings)
+                self.assertEqual(said.count("\n"), 1)
+                self.assertTrue(said.startswith("control plane: "))
+
+    def test_a_machine_that_serves_no_control(self) -> None:
+        settings = {
+            "node": "n",
+            "ip": "127.0.0.1",
+            "zone": "z",
+            "listen": {"front": "127.0.0.1:1"},
+            "internal_ports": [7500, 7515],
+            "seeds": [],
+        }
+        self.assertIn("listen.control", self.ended_with(json.dumps(settings).encode()))
+
+
+if __name__ == "__main__":
+    unittest.main()
