--- /dev/null
+++ b/madderwind/dataplane/reports.py
@@ -0,0 +1,78 @@
+"""What a data plane tells the primary of its own use and load, so that all share the fleet's limits."""
+
+from __future__ import annotations
+
+import asyncio
+
+from madderwind.dataplane.subscriber_links import SubscriberLinks
+from madderwind.distribution.subscriber import Subscriber
+from madderwind.eventlog import EventLog
+from madderwind.limits.budget import FleetRetryBudget
+from madderwind.limits.quota import TenantQuota
+from madderwind.messages.distribution import LoadReport, SendReport, UsageReport
+from madderwind.placement.placement import Placement
+
+MS_PER_S = 1000.0
+# How often use is reported, and how often own sends and what is at upstreams.
+USAGE_REPORT_S, LOAD_REPORT_S = 0.25, 0.075
+
+
+class Reports:
+    """Reports to the primary, and tells the limits how many share them."""
+
+    def __init__(
+        self,
+        subscriber: Subscriber,
+        links: SubscriberLinks,
+        quota: TenantQuota,
+        budget: FleetRetryBudget,
+        placement: Placement,
+        log: EventLog,
+    ) -> None:
+        self._subscriber, self._links = subscriber, links
+        self._quota, self._budget, self._placement, self._log = quota, budget, placement, log
+        self._usage_sequence = 0
+        self._was_in_touch = False
+
+    def share_limits(self, now_ms: float) -> bool:
+        """Tell all limits how many share them; whether the primary hears of what is used here."""
+        fleet, in_touch = self._subscriber.data_planes, self._subscriber.is_in_touch(now_ms)
+        if in_touch != self._was_in_touch:
+            self._was_in_touch = in_touch
+            self._log("in_touch_with_primary" if in_touch else "out_of_touch_with_primary")
+        self._quota.set_fleet(now_ms, fleet, in_touch)
+        self._budget.set_fleet(fleet)
+        self._placement.set_fleet(fleet)
+        return in_touch
+
+    async def report_usage(self) -> None:
+        """Tell the primary what was admitted."""
+        while True:
+            await asyncio.sleep(USAGE_REPORT_S)
+            now_ms = self._now_ms()
+            if not self.share_limits(now_ms):
+                continue
+            usage = self._quota.drain_usage(now_ms)
+            if usage.used or usage.asked:
+                self._usage_sequence += 1
+                report = UsageReport(self._usage_sequence, dict(usage.used), dict(usage.asked))
+                self._links.send(self._subscriber.primary, report)
+
+    async def report_load(self) -> None:
+        """Tell the primary what was sent to upstreams, and what is there where that changed."""
+        told, told_to = LoadReport({}), ""
+        while True:
+            await asyncio.sleep(LOAD_REPORT_S)
+            prompts, load = self._placement.take_sent(), LoadReport(self._placement.load())
+            primary = self._subscriber.primary
+            if not self._subscriber.is_in_touch(self._now_ms()):
+                told_to = ""
+                continue
+            if prompts:
+                self._links.send(primary, SendReport(prompts))
+            if load != told or primary != told_to:
+                self._links.send(primary, load)
+                told, told_to = load, primary
+
+    def _now_ms(self) -> float:
+        return asyncio.get_running_loop().time() * MS_PER_S
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -16,7 +16,9 @@
 from madderwind.dataplane.forwarding import Forwarder, Shared
 from madderwind.dataplane.metrics import data_plane_samples
 from madderwind.dataplane.readiness import ReadyListener
+from madderwind.dataplane.reports import Reports
 from madderwind.dataplane.retrying import Retries
+from madderwind.dataplane.settings_watch import SettingsWatch
 from madderwind.dataplane.subscriber_links import SubscriberLinks
 from madderwind.dataplane.upstream_pool import UpstreamPool
 from madderwind.distribution.subscriber import (
@@ -34,16 +36,13 @@
 from madderwind.messages.distribution import (
     Freshness,
     LoadOfOthers,
-    LoadReport,
     RegistryDelta,
     RegistrySnapshot,
-    SendReport,
     SendsOfOthers,
     UsageOfOthers,
-    UsageReport,
 )
 from madderwind.metrics.exporter import start_exporter
-from madderwind.node_settings import DATA_PLANE_PORT, NodeSettings, read_settings
+from madderwind.node_settings import DATA_PLANE_PORT, NodeSettings
 from madderwind.placement.placement import Placement
 from madderwind.registry.upstreams import KnownUpstreams
 from madderwind.transport.listening import CallerTimes, Listener
@@ -55,10 +54,6 @@
 LONGEST_LINE = 64 * 1024
 # A client may take up a connection a little after its idle time.
 IDLE_SLACK_S = 1.0
-# How often usage and load are reported, and how often it is looked whether the settings file has changed.
-REPORT_S, WATCH_S = 0.25, 1.0
-# How often the other data planes are told of own sends and of what is at upstreams.
-LOAD_REPORT_S = 0.075
 COUNTERS_S = 10.0
 # The platform asks every second and needs two misses, so new connections still come for a while.
 STILL_ACCEPTING_S = 2.5
@@ -115,6 +110,7 @@
         wanted = settings.fault_tolerance.machines + SPARE_LINKS
         self.subscriber = Subscriber(now_ms, identity, settings.seed_addresses(), wanted, rng)
         self.links = SubscriberLinks(self.subscriber, log, self._put_in_force, self._deliver)
+        self.reports = Reports(self.subscriber, self.links, self.quota, self.budget, self.placement, log)
         self.admission = Admission(self.quota, lambda: self.subscriber.is_current(self._now_ms()), rng)
         retries = Retries(RetryQuota(rng, refund_on_success=False), self.budget)
         self.counters: Counter[str] = Counter()
@@ -132,8 +128,6 @@
             Forwarder(shared).serve, connections, log, self.pool.held, longest_line=LONGEST_LINE
         )
         self._ready_listener = ReadyListener(lambda: self.is_ready)
-        self._usage_sequence = 0
-        self._was_in_touch = False
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -149,8 +143,8 @@
         ready_port = await self._ready_listener.start(ready_host, ready_port)
         self.links.start()
         self._tasks = [
-            self._loop.create_task(self._report_usage()),
-            self._loop.create_task(self._report_load()),
+            self._loop.create_task(self.reports.report_usage()),
+            self._loop.create_task(self.reports.report_load()),
             self._loop.create_task(self._log_counters()),
         ]
         self._log("started", front=front_port, ready=ready_port)
@@ -200,7 +194,7 @@
         self.chooser.configure(configuration)
         now_ms = self._now_ms()
         self.quota.configure(now_ms, configuration.tenants)
-        self._share_limits(now_ms)
+        self.reports.share_limits(now_ms)
         limits = configuration.limits
         self._listener.tune(
             CallerTimes(
@@ -230,46 +224,6 @@
             case _:
                 pass
 
-    def _share_limits(self, now_ms: float) -> bool:
-        """Tell all limits how many share them; whether the primary hears of what is used here."""
-        fleet, in_touch = self.subscriber.data_planes, self.subscriber.is_in_touch(now_ms)
-        if in_touch != self._was_in_touch:
-            self._was_in_touch = in_touch
-            self._log("in_touch_with_primary" if in_touch else "out_of_touch_with_primary")
-        self.quota.set_fleet(now_ms, fleet, in_touch)
-        self.budget.set_fleet(fleet)
-        self.placement.set_fleet(fleet)
-        return in_touch
-
-    async def _report_usage(self) -> None:
-        """Tell the primary what was admitted."""
-        while True:
-            await asyncio.sleep(REPORT_S)
-            now_ms = self._now_ms()
-            if not self._share_limits(now_ms):
-                continue
-            usage = self.quota.drain_usage(now_ms)
-            if usage.used or usage.asked:
-                self._usage_sequence += 1
-                report = UsageReport(self._usage_sequence, dict(usage.used), dict(usage.asked))
-                self.links.send(self.subscriber.primary, report)
-
-    async def _report_load(self) -> None:
-        """Tell the primary what was sent to upstreams, and what is there where that changed."""
-        told, told_to = LoadReport({}), ""
-        while True:
-            await asyncio.sleep(LOAD_REPORT_S)
-            prompts, load = self.placement.take_sent(), LoadReport(self.placement.load())
-            primary = self.subscriber.primary
-            if not self.subscriber.is_in_touch(self._now_ms()):
-                told_to = ""
-                continue
-            if prompts:
-                self.links.send(primary, SendReport(prompts))
-            if load != told or primary != told_to:
-                self.links.send(primary, load)
-                told, told_to = load, primary
-
     async def _log_counters(self) -> None:
         while True:
             await asyncio.sleep(COUNTERS_S)
@@ -300,7 +254,7 @@
     def end() -> None:
         ending.append(loop.create_task(plane.drain()))
 
-    watch = SettingsWatch(plane, path, log)
+    watch = SettingsWatch(path, plane.take_settings, log)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, end)
     loop.add_signal_handler(signal.SIGHUP, watch.read_again)
@@ -312,36 +266,6 @@
         await exporter.close()
 
 
-class SettingsWatch:
-    """Reads the settings file again when it is told to, or when the file has changed."""
-
-    def __init__(self, plane: DataPlane, path: Path, log: EventLog) -> None:
-        self._plane, self._path, self._log = plane, path, log
-        self._seen = self._mark()
-
-    async def run(self) -> None:
-        """Look at the file from time to time."""
-        while True:
-            await asyncio.sleep(WATCH_S)
-            if (mark := self._mark()) != self._seen:
-                self._seen = mark
-                self.read_again()
-
-    def read_again(self) -> None:
-        """Take what the file says now; one that can't be read changes nothing."""
-        try:
-            self._plane.take_settings(read_settings(str(self._path)))
-        except SettingsError as error:
-            self._log("settings_unusable", error=str(error))
-
-    def _mark(self) -> tuple[int, int]:
-        try:
-            known = self._path.stat()
-        except OSError:
-            return 0, 0
-        return known.st_mtime_ns, known.st_size
-
-
 def _host_and_port(settings: NodeSettings, name: str) -> tuple[str, int]:
     address = settings.listen.get(name)
     if address is None:
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -206,8 +206,8 @@
     """What differs between the programs.
 
     `stall_s`: the longest silence within an answer, None for the time in which a connection comes up;
-    `passing_stall_s`: the same within one that passes on, 0 for no bound of its own; `untold_idle_s`: how
-    long a connection is kept whose upstream did not tell, where that is shorter than for one whose upstream did.
+    `passing_stall_s`: the same within one that passes on, 0 for no bound of its own;
+    `untold_idle_s`: how long a connection is kept whose upstream did not tell, where that is less.
     """
 
     socket_factory: Callable[[Any], socket.socket] | None = None
