--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -9,7 +9,7 @@
 from madderwind.configuration.history import ConfigurationHistory
 from madderwind.configuration.reading import Document
 from madderwind.errors import InvalidConfiguration, MessageError
-from madderwind.replication.api import Order, OrderKind, OrderOutcome
+from madderwind.replication.api import Order, OrderKind, OrderOutcome, ReplicatedState
 from tests.configuration.samples import encoded, route, tenant, whole
 
 
@@ -90,6 +90,11 @@
 
 
 class Copies(HistoryCase):
+    def test_it_is_what_replication_replicates(self) -> None:
+        state: ReplicatedState = self.history
+        state.apply(replacement(0, 7))
+        self.assertEqual(ConfigurationHistory.restore(state.copy().snapshot()).version, 7)
+
     def test_a_copy_goes_its_own_way(self) -> None:
         self.take(replacement(0, 7))
         ahead = self.history.copy()
