Leaving a zone: split by concern, behaviour held

Cause: leaving/leaving.py held all of it on 797 lines: what was said, who decides, the register of holds, the way back, what is withheld. Now one job a file: actions (types), roster, topology, views, held and register (the state, with one place for each change), roles (who tells, reports and tries), reporting, initiation, recovery, withholding; leaving.py is the part that calls and ticks go through, on 193 lines. Constants stand beside what they bind.

Ruled out: mixins over one class, which would have left every field in reach of every part.

--- a/madderwind/lab/outages.py
+++ b/madderwind/lab/outages.py
@@ -28,7 +28,7 @@
     variant_of,
 )
 from madderwind.lab.timeline import Due, Timeline
-from madderwind.leaving import leaving
+from madderwind.leaving import actions, leaving
 from madderwind.leaving.areas import LeavingSettings, Place
 from madderwind.leaving.sights import Key
 from madderwind.policy.api import Outcome
@@ -189,24 +189,24 @@
         self._timeline.after(leaving.TICK_MS, lambda: self._tick(number))
         self._left(number, self._copies[number].leaving.tick(self._timeline.now_ms))
 
-    def _left(self, number: int, actions: list[leaving.Action]) -> None:
+    def _left(self, number: int, decided: list[actions.Action]) -> None:
         copy, now_ms = self._copies[number], self._timeline.now_ms
-        for action in actions:
+        for action in decided:
             match action:
-                case leaving.Withhold(upstreams):
+                case actions.Withhold(upstreams):
                     copy.withheld |= upstreams
                     copy.owed = [n for n in copy.owed if n not in upstreams]
-                case leaving.Reopen(upstreams, _, owed):
+                case actions.Reopen(upstreams, _, owed):
                     copy.withheld -= upstreams
                     copy.owed += sorted(upstreams) if owed else []
-                case leaving.TakeBack(key):
+                case actions.TakeBack(key):
                     copy.open.pop(key, None)
                     copy.leaving.sights.ended(now_ms, key, Outcome.CANCELLED, 0.0)
-                case leaving.TellView(payload):
+                case actions.TellView(payload):
                     self._say(number, copy.fellows.tell_view(now_ms, payload))
-                case leaving.TellHold(order, payload):
+                case actions.TellHold(order, payload):
                     self._say(number, copy.fellows.tell_shared(now_ms, order, payload))
-                case leaving.Say(event, fields):
+                case actions.Say(event, fields):
                     self._note(number, event, fields)
 
     def _note(self, number: int, event: str, fields: dict[str, Any]) -> None:
--- /dev/null
+++ b/madderwind/leaving/reporting.py
@@ -0,0 +1,103 @@
+"""What a balancer says of zones, and when: what it accuses, what others accuse and it reaches, and how it
+goes where an area is left."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from madderwind.leaving import verdict, words
+from madderwind.leaving.actions import Action, TellView
+from madderwind.leaving.held import SELF, TRY_MS
+from madderwind.leaving.register import Register
+from madderwind.leaving.roles import Roles
+from madderwind.leaving.roster import Roster
+from madderwind.leaving.sights import NOTHING, Sights, ZoneSight
+from madderwind.leaving.topology import Topology
+from madderwind.leaving.views import Views
+from madderwind.leaving.words import View
+
+BAD_EACH_MS, GOOD_EACH_MS, AGAIN_MS = 150.0, 400.0, 700.0  # views are told no sooner, and so often
+
+
+class Reporting:
+    """This balancer's view, as it was told last."""
+
+    def __init__(
+        self,
+        roster: Roster,
+        topology: Topology,
+        sights: Sights,
+        views: Views,
+        register: Register,
+        roles: Roles,
+        out: list[Action],
+    ) -> None:
+        self._roster, self._topology, self._sights = roster, topology, sights
+        self._views, self._register, self._roles, self._out = views, register, roles, out
+        self._told = dict[str, tuple[frozenset[int], frozenset[int], bool]]()
+        self._told_ms = -math.inf
+        self._told_bad = False
+
+    def own(self, now: float) -> dict[str, ZoneSight]:
+        """What this balancer may say. Guards against one that is itself cut off: where nothing answers it, or
+        all zones look bad, it accuses none."""
+        sights, good = self._sights.of_zones(now), self._sights.good_zones(now)
+        bad = [zone for zone, sight in sights.items() if sight.share > 0.5]
+        all_bad = len(bad) >= len(self._topology.ready)
+        return {
+            zone: sight
+            for zone, sight in sights.items()
+            if not sight.bads or (not all_bad and good - {zone} - set(bad))
+        }
+
+    def view_of(self, now: float, own: Mapping[str, ZoneSight]) -> View:
+        """As others would hear it: this balancer counts for itself with no more than they count it for."""
+        rate = self._sights.rate(now)
+        return words.read_view(words.write_view(now, self._roster.standing, rate, own, frozenset()))
+
+    def tell(self, now: float, own: Mapping[str, ZoneSight], doubted: set[str]) -> None:
+        """This balancer's view, where it matters to others and is due. `doubted`: zones that may be slow, not
+        gone."""
+        watched, scouted, known = self._watched(now)
+        said = self._worth_saying(own, watched, known, doubted)
+        said |= dict.fromkeys(scouted - said.keys(), NOTHING)
+        # Without the ages, which change each time.
+        what = {zone: (sight.bads, sight.goods, zone in scouted) for zone, sight in said.items()}
+        bad = any(sight.bads for sight in said.values())
+        each_ms = BAD_EACH_MS if bad and not self._told_bad else GOOD_EACH_MS
+        again_ms = GOOD_EACH_MS if scouted else AGAIN_MS
+        changed = what != self._told
+        if now - self._told_ms >= (each_ms if changed else again_ms) and (changed or said):
+            self._told, self._told_ms, self._told_bad = what, now, bad
+            per_s = self._sights.rate(now) if said else 0.0
+            view = words.write_view(now, self._roster.standing, per_s, said, frozenset(scouted))
+            self._out.append(TellView(view))
+
+    def _watched(self, now: float) -> tuple[set[str], set[str], set[str]]:
+        """Zones of which this balancer tells how it goes; that it scouts; and that all know to fail."""
+        watched, scouted, known = set[str](), set[str](), set[str]()
+        for (mark, scope), held in self._register.held.items():
+            area = self._topology.areas.get(mark)
+            if area is None or not held.is_left or scope == SELF:
+                continue
+            scouts = self._roles.scouts(now, area, held)
+            scouted |= set(area.zones) if scouts else set()
+            known |= set(area.zones) if held.hold.step == 0 else set()
+            tried = now - held.tried_ms <= TRY_MS
+            if scouts or held.stays or tried or self._roles.reports(area, held):
+                watched |= set(area.zones)
+        return watched, scouted, known
+
+    def _worth_saying(
+        self, own: Mapping[str, ZoneSight], watched: set[str], known: set[str], doubted: set[str]
+    ) -> dict[str, ZoneSight]:
+        """What is watched, and what can still change what others do."""
+        living, others = len(self._roster.living()), self._views.of_others()
+        return {
+            zone: sight
+            for zone, sight in own.items()
+            if zone in watched
+            or (zone not in known and (sight.bads or zone in self._sights.accused_ms))
+            and (zone in self._told or verdict.needed(zone, sight, others, living, zone in doubted))
+        }
--- a/madderwind/leaving/sights.py
+++ b/madderwind/leaving/sights.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from madderwind.leaving.areas import Place
+from madderwind.leaving.areas import Area, Place
 from madderwind.policy.api import Outcome
 
 WINDOW_MS = 1500.0  # what was seen longer ago says nothing of now
@@ -81,12 +81,17 @@
         self._per_s, self._rate_ms = 0.0, -math.inf
         self._reopened_ms: dict[int, float] = {}
         self.dark = frozenset[int]()  # upstreams of what this copy has left, no step yet taken back
+        self.accused_ms = dict[str, float]()  # zones that others accuse, and since when
 
     def listed(self, places: Mapping[int, Place]) -> None:
         self._places = places
         self._seen = {number: seen for number, seen in self._seen.items() if number in places}
         self._reopened_ms = {n: at_ms for n, at_ms in self._reopened_ms.items() if n in places}
 
+    def accused(self, now: float, zones: set[str]) -> None:
+        """Zones that others accuse now: good answers since then speak against it."""
+        self.accused_ms = {zone: self.accused_ms.get(zone, now) for zone in zones}
+
     def reopened(self, upstreams: frozenset[int], started_ms: float) -> None:
         """They count as started then, whatever discovery says."""
         self._reopened_ms.update(dict.fromkeys(upstreams, started_ms))
@@ -171,9 +176,8 @@
         for seen in self._seen.values():
             seen.bad_ms = -math.inf
 
-    def of_zones(self, now: float, accused_ms: Mapping[str, float] = {}) -> dict[str, ZoneSight]:
-        """What was seen in the window, by zone; nothing of a zone of which nothing was. `accused_ms`: since
-        when others accuse a zone: good answers since then speak against it."""
+    def of_zones(self, now: float) -> dict[str, ZoneSight]:
+        """What was seen in the window, by zone; nothing of a zone of which nothing was."""
         bads, goods = dict[str, set[int]](), dict[str, set[int]]()
         first_ms, last_ms, heard_ms = dict[str, float](), dict[str, float](), dict[str, float]()
         for number, seen in self._seen.items():
@@ -185,7 +189,7 @@
                 last_ms[place.zone] = max(last_ms.get(place.zone, -math.inf), seen.bad_sent_ms)
         for number, seen in self._seen.items():
             place = self._places[number]
-            since_ms = min(first_ms.get(place.zone, now), accused_ms.get(place.zone, now) - FRESH_MS)
+            since_ms = min(first_ms.get(place.zone, now), self.accused_ms.get(place.zone, now) - FRESH_MS)
             since_ms = max(min(since_ms, now - FRESH_MS), now - WINDOW_MS)
             if seen.good_ms > seen.bad_ms and seen.good_ms >= since_ms:
                 goods.setdefault(place.zone, set()).add(place.mark)
@@ -199,6 +203,12 @@
             for zone in bads.keys() | goods.keys()
         }
 
+    def reaches(self, now: float, area: Area) -> bool:
+        """Whether this copy has good answers from the area, and no zone of it is mostly bad."""
+        sights = self.of_zones(now)
+        seen = [sights[zone] for zone in area.zones if zone in sights]
+        return any(sight.goods for sight in seen) and all(sight.share < 0.5 for sight in seen)
+
     def good_zones(self, now: float) -> frozenset[str]:
         """Zones that gave a good answer not long ago."""
         return frozenset(
--- a/madderwind/routing/withdrawal.py
+++ b/madderwind/routing/withdrawal.py
@@ -12,12 +12,9 @@
 
 from madderwind.clock import Clock
 from madderwind.eventlog import EventLog, Sparing
-from madderwind.leaving.areas import LeavingSettings, Place
-from madderwind.leaving.leaving import (
-    TICK_MS,
+from madderwind.leaving.actions import (
     Action,
     Ask,
-    Leaving,
     Reopen,
     Say,
     TakeBack,
@@ -25,6 +22,8 @@
     TellView,
     Withhold,
 )
+from madderwind.leaving.areas import LeavingSettings, Place
+from madderwind.leaving.leaving import TICK_MS, Leaving
 from madderwind.policy.api import Outcome, Settings
 from madderwind.routing.fellows import Fellows
 
--- a/tests/drill/broken.py
+++ b/tests/drill/broken.py
@@ -16,7 +16,7 @@
 
 from aiohttp import web  # noqa: E402
 
-from madderwind.leaving import leaving  # noqa: E402
+from madderwind.leaving.reporting import Reporting  # noqa: E402
 from madderwind.leaving.sights import ZoneSight  # noqa: E402
 from madderwind.policy import repetition  # noqa: E402
 from madderwind.policy.admission import Admission  # noqa: E402
@@ -122,13 +122,14 @@
     if not any("copy-0/" in word for word in sys.argv):
         return
 
-    def own(self: leaving.Leaving, now: float) -> dict[str, ZoneSight]:
+    def own(self: Reporting, now: float) -> dict[str, ZoneSight]:
         marks = {
-            place.zone: frozenset(p.mark for p in self._places.values()) for place in self._places.values()
+            place.zone: frozenset(p.mark for p in self._topology.places.values())
+            for place in self._topology.places.values()
         }
         return {zone: ZoneSight(all_of_them, frozenset(), now, now) for zone, all_of_them in marks.items()}
 
-    setattr(leaving.Leaving, "_own", own)  # noqa: B010
+    setattr(Reporting, "own", own)  # noqa: B010
 
 
 def _ends() -> None:
--- a/tests/leaving/test_leaving.py
+++ b/tests/leaving/test_leaving.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from madderwind.lab import outages
-from madderwind.leaving import leaving, verdict, words
+from madderwind.leaving import actions, held, leaving, verdict, words
 from madderwind.leaving.areas import (
     Area,
     AreaError,
@@ -134,7 +134,7 @@
 
 def leave_by(
     copy: leaving.Leaving, now: float, witnesses: tuple[int, ...], area: str = "b"
-) -> list[leaving.Action]:
+) -> list[actions.Action]:
     hold = words.Hold(zone_mark(area), 0, 1, 1, 0, witnesses=witnesses)
     return copy.heard_hold(now, hold.order, words.write_hold(hold))
 
@@ -142,12 +142,12 @@
 def test_a_leave_needs_witnesses_and_never_takes_the_last_zone() -> None:
     copy = copy_of(0)
     assert leave_by(copy, 0.0, (1, 2)) == [] and copy.counts["unfounded"] == 1
-    assert leaving.Withhold(frozenset({1, 3, 5, 7})) in leave_by(copy, 0.0, (1, 2, 3))
-    assert leave_by(copy, 1.0, (1, 2, 3), area="a")[:1] != [leaving.Withhold(frozenset({0, 2, 4, 6}))]
+    assert actions.Withhold(frozenset({1, 3, 5, 7})) in leave_by(copy, 0.0, (1, 2, 3))
+    assert leave_by(copy, 1.0, (1, 2, 3), area="a")[:1] != [actions.Withhold(frozenset({0, 2, 4, 6}))]
     assert copy.withheld == {1, 3, 5, 7}
     assert copy.leave(2.0, "a")[1] and copy.leave(2.0, "nowhere")[1]
     assert not [
-        a for a in leave_by(copy_of(1, most_withheld=0.3), 0.0, (1, 2, 3)) if isinstance(a, leaving.Withhold)
+        a for a in leave_by(copy_of(1, most_withheld=0.3), 0.0, (1, 2, 3)) if isinstance(a, actions.Withhold)
     ]
 
 
@@ -160,7 +160,7 @@
     assert len(at_step) < 4
     copy.heard_words(100.0)
     copy.tick(200.0)
-    copy.tick(100.0 + leaving.LEASE_MS + 100.0)
+    copy.tick(100.0 + held.LEASE_MS + 100.0)
     assert copy.withheld == {1, 3, 5, 7}, "a copy that hears no renewal goes back"
     copy.tick(6000.0)
     assert not copy.withheld and copy.counts["alone"] == 1
