--- a/madderwind/leaving/actions.py
+++ b/madderwind/evacuation/actions.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from madderwind.leaving.sights import Key
+from madderwind.evacuation.sights import Key
 
 
 class Withhold(msgspec.Struct, frozen=True):
--- a/madderwind/leaving/leaving.py
+++ b/madderwind/evacuation/evacuation.py
@@ -10,20 +10,20 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
-from madderwind.leaving import verdict, words
-from madderwind.leaving.actions import Action
-from madderwind.leaving.areas import LeavingSettings, Place, zone_mark
-from madderwind.leaving.initiation import Initiation
-from madderwind.leaving.recovery import Recovery
-from madderwind.leaving.register import Register
-from madderwind.leaving.reporting import Reporting
-from madderwind.leaving.roles import Roles
-from madderwind.leaving.roster import Roster
-from madderwind.leaving.sights import Sights, ZoneSight
-from madderwind.leaving.topology import Topology
-from madderwind.leaving.views import Views
-from madderwind.leaving.withholding import Withholding
-from madderwind.leaving.words import EVERYWHERE, BadWord, Hold
+from madderwind.evacuation import verdict, words
+from madderwind.evacuation.actions import Action
+from madderwind.evacuation.areas import LeavingSettings, Place, zone_mark
+from madderwind.evacuation.initiation import Initiation
+from madderwind.evacuation.recovery import Recovery
+from madderwind.evacuation.register import Register
+from madderwind.evacuation.reporting import Reporting
+from madderwind.evacuation.roles import Roles
+from madderwind.evacuation.roster import Roster
+from madderwind.evacuation.sights import Sights, ZoneSight
+from madderwind.evacuation.topology import Topology
+from madderwind.evacuation.views import Views
+from madderwind.evacuation.withholding import Withholding
+from madderwind.evacuation.words import EVERYWHERE, BadWord, Hold
 
 TICK_MS = 100.0
 LATE_MS = 1000.0  # a tick so late says that this process was stopped
--- a/madderwind/leaving/initiation.py
+++ b/madderwind/evacuation/initiation.py
@@ -5,16 +5,16 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from madderwind.leaving import verdict
-from madderwind.leaving.actions import Action, Say
-from madderwind.leaving.areas import Area, zone_mark
-from madderwind.leaving.held import SELF, Slot
-from madderwind.leaving.register import Register
-from madderwind.leaving.roster import Roster
-from madderwind.leaving.sights import NOTHING, ZoneSight
-from madderwind.leaving.topology import Topology
-from madderwind.leaving.views import Views
-from madderwind.leaving.words import EVERYWHERE, MOST_LEVEL
+from madderwind.evacuation import verdict
+from madderwind.evacuation.actions import Action, Say
+from madderwind.evacuation.areas import Area, zone_mark
+from madderwind.evacuation.held import SELF, Slot
+from madderwind.evacuation.register import Register
+from madderwind.evacuation.roster import Roster
+from madderwind.evacuation.sights import NOTHING, ZoneSight
+from madderwind.evacuation.topology import Topology
+from madderwind.evacuation.views import Views
+from madderwind.evacuation.words import EVERYWHERE, MOST_LEVEL
 
 OBJECT_MS = 250.0  # from the second accuser on, those who reach the zone have so long to say so
 DOUBT_MS = 1500.0  # as long as some answers of it are good: it may be slow as all else is
--- a/madderwind/leaving/recovery.py
+++ b/madderwind/evacuation/recovery.py
@@ -6,15 +6,15 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from madderwind.leaving import verdict
-from madderwind.leaving.actions import Action, Ask
-from madderwind.leaving.areas import Area, fraction
-from madderwind.leaving.held import NO_TRIAL, SELF, TRY_AGAIN_MS, TRY_MS, Held, Slot
-from madderwind.leaving.register import Register
-from madderwind.leaving.roles import Roles
-from madderwind.leaving.sights import NOTHING, Sights, ZoneSight
-from madderwind.leaving.topology import Topology
-from madderwind.leaving.words import MOST_LEVEL
+from madderwind.evacuation import verdict
+from madderwind.evacuation.actions import Action, Ask
+from madderwind.evacuation.areas import Area, fraction
+from madderwind.evacuation.held import NO_TRIAL, SELF, TRY_AGAIN_MS, TRY_MS, Held, Slot
+from madderwind.evacuation.register import Register
+from madderwind.evacuation.roles import Roles
+from madderwind.evacuation.sights import NOTHING, Sights, ZoneSight
+from madderwind.evacuation.topology import Topology
+from madderwind.evacuation.words import MOST_LEVEL
 
 TRY_ON_MS = 300.0  # before the next trial after a good one
 MOST_DOUBLINGS = 4  # of the wait after bad trials, of a balancer that left on its own sight
--- a/madderwind/leaving/register.py
+++ b/madderwind/evacuation/register.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from madderwind.leaving import words
-from madderwind.leaving.actions import Action, Say, TellHold
-from madderwind.leaving.areas import Area, zone_mark
-from madderwind.leaving.held import SELF, Held, Slot
-from madderwind.leaving.sights import Sights
-from madderwind.leaving.topology import Topology
-from madderwind.leaving.words import EVERYWHERE, FULL, STEPS, Hold, View
+from madderwind.evacuation import words
+from madderwind.evacuation.actions import Action, Say, TellHold
+from madderwind.evacuation.areas import Area, zone_mark
+from madderwind.evacuation.held import SELF, Held, Slot
+from madderwind.evacuation.sights import Sights
+from madderwind.evacuation.topology import Topology
+from madderwind.evacuation.words import EVERYWHERE, FULL, STEPS, Hold, View
 
 
 class Register:
--- a/madderwind/leaving/reporting.py
+++ b/madderwind/evacuation/reporting.py
@@ -6,16 +6,16 @@
 import math
 from collections.abc import Mapping
 
-from madderwind.leaving import verdict, words
-from madderwind.leaving.actions import Action, TellView
-from madderwind.leaving.held import SELF, TRY_MS
-from madderwind.leaving.register import Register
-from madderwind.leaving.roles import Roles
-from madderwind.leaving.roster import Roster
-from madderwind.leaving.sights import NOTHING, Sights, ZoneSight
-from madderwind.leaving.topology import Topology
-from madderwind.leaving.views import Views
-from madderwind.leaving.words import View
+from madderwind.evacuation import verdict, words
+from madderwind.evacuation.actions import Action, TellView
+from madderwind.evacuation.held import SELF, TRY_MS
+from madderwind.evacuation.register import Register
+from madderwind.evacuation.roles import Roles
+from madderwind.evacuation.roster import Roster
+from madderwind.evacuation.sights import NOTHING, Sights, ZoneSight
+from madderwind.evacuation.topology import Topology
+from madderwind.evacuation.views import Views
+from madderwind.evacuation.words import View
 
 BAD_EACH_MS, GOOD_EACH_MS, AGAIN_MS = 150.0, 400.0, 700.0  # views are told no sooner, and so often
 
--- a/madderwind/leaving/sights.py
+++ b/madderwind/evacuation/sights.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from madderwind.leaving.areas import Area, Place
+from madderwind.evacuation.areas import Area, Place
 from madderwind.policy.api import Outcome
 
 WINDOW_MS = 1500.0  # what was seen longer ago says nothing of now
--- a/madderwind/leaving/topology.py
+++ b/madderwind/evacuation/topology.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Container, Mapping
 
-from madderwind.leaving.areas import Area, LeavingSettings, Place, area_of_zone, regions_of
+from madderwind.evacuation.areas import Area, LeavingSettings, Place, area_of_zone, regions_of
 
 
 class Topology:
--- a/madderwind/leaving/verdict.py
+++ b/madderwind/evacuation/verdict.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from madderwind.leaving.areas import Area, area_of_zone, zone_mark
-from madderwind.leaving.sights import ZoneSight
-from madderwind.leaving.words import EVERYWHERE, MOST_WITNESSES, View, ZoneWord
+from madderwind.evacuation.areas import Area, area_of_zone, zone_mark
+from madderwind.evacuation.sights import ZoneSight
+from madderwind.evacuation.words import EVERYWHERE, MOST_WITNESSES, View, ZoneWord
 
 # Copies that have to say so: a part of the living, and so many at least and at most; in small fleets, where
 # that least is many, and where some of it answers, a larger part.
--- a/madderwind/leaving/views.py
+++ b/madderwind/evacuation/views.py
@@ -5,9 +5,9 @@
 import math
 from collections.abc import Iterable
 
-from madderwind.leaving.areas import zone_mark
-from madderwind.leaving.verdict import Said
-from madderwind.leaving.words import View
+from madderwind.evacuation.areas import zone_mark
+from madderwind.evacuation.verdict import Said
+from madderwind.evacuation.words import View
 
 VIEW_KEPT_MS = 1500.0
 
--- a/madderwind/leaving/withholding.py
+++ b/madderwind/evacuation/withholding.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Iterable
 
-from madderwind.leaving.actions import Action, Reopen, TakeBack, Withhold
-from madderwind.leaving.areas import Area, LeavingSettings, fraction
-from madderwind.leaving.held import Held
-from madderwind.leaving.register import Register
-from madderwind.leaving.sights import Sights
-from madderwind.leaving.topology import Topology
-from madderwind.leaving.words import FULL, STEPS
+from madderwind.evacuation.actions import Action, Reopen, TakeBack, Withhold
+from madderwind.evacuation.areas import Area, LeavingSettings, fraction
+from madderwind.evacuation.held import Held
+from madderwind.evacuation.register import Register
+from madderwind.evacuation.sights import Sights
+from madderwind.evacuation.topology import Topology
+from madderwind.evacuation.words import FULL, STEPS
 
 OWED_MS = 4500.0  # what counts as started so long ago and called back is owed an attempt at once
 
--- a/madderwind/lab/outages.py
+++ b/madderwind/lab/outages.py
@@ -15,6 +15,9 @@
 
 import msgspec
 
+from madderwind.evacuation import actions, evacuation
+from madderwind.evacuation.areas import LeavingSettings, Place
+from madderwind.evacuation.sights import Key
 from madderwind.gossip import fellowship as gossip
 from madderwind.gossip.wire import Kind
 from madderwind.lab.experiment import (
@@ -28,9 +31,6 @@
     variant_of,
 )
 from madderwind.lab.timeline import Due, Timeline
-from madderwind.leaving import actions, leaving
-from madderwind.leaving.areas import LeavingSettings, Place
-from madderwind.leaving.sights import Key
 from madderwind.policy.api import Outcome
 
 DEADLINE_MS, ASIDE_MS = 3000.0, 2000.0
@@ -86,7 +86,7 @@
         outages = world.outages
         zone = outages.zones[number % len(outages.zones)]
         self.fellows = gossip.Fellowship(number, outages.copies, seed * 100_003 + number, 1, "lab")
-        self.leaving = leaving.Leaving(
+        self.leaving = evacuation.Leaving(
             number, zone, LeavingSettings(), lambda: [number, *self.fellows.members.living()], 20_000.0
         )
         self.owed: list[int] = []
@@ -186,7 +186,7 @@
     # --- copies ---
 
     def _tick(self, number: int) -> None:
-        self._timeline.after(leaving.TICK_MS, lambda: self._tick(number))
+        self._timeline.after(evacuation.TICK_MS, lambda: self._tick(number))
         self._left(number, self._copies[number].leaving.tick(self._timeline.now_ms))
 
     def _left(self, number: int, decided: list[actions.Action]) -> None:
--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from madderwind.agreement.versions import Stamp, digest_of, why_not
+from madderwind.evacuation.areas import AreaError, LeavingSettings, check_regions
 from madderwind.gossip.fellowship import FleetSettings
-from madderwind.leaving.areas import AreaError, LeavingSettings, check_regions
 from madderwind.protocol.listing import UNREADABLE, Listing, ListingError, read_address, read_listing
 from madderwind.settings import HostSettings, SettingsError, read_host_settings
 
--- a/madderwind/routing/directory.py
+++ b/madderwind/routing/directory.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from madderwind.leaving.areas import Place
+from madderwind.evacuation.areas import Place
 from madderwind.policy.api import FleetListed, ListKind, UpstreamEntry, UpstreamState
 from madderwind.protocol.listing import STATES, Listing, Member
 
--- a/madderwind/routing/withdrawal.py
+++ b/madderwind/routing/withdrawal.py
@@ -11,8 +11,7 @@
 from typing import Protocol
 
 from madderwind.clock import Clock
-from madderwind.eventlog import EventLog, Sparing
-from madderwind.leaving.actions import (
+from madderwind.evacuation.actions import (
     Action,
     Ask,
     Reopen,
@@ -22,8 +21,9 @@
     TellView,
     Withhold,
 )
-from madderwind.leaving.areas import LeavingSettings, Place
-from madderwind.leaving.leaving import TICK_MS, Leaving
+from madderwind.evacuation.areas import LeavingSettings, Place
+from madderwind.evacuation.evacuation import TICK_MS, Leaving
+from madderwind.eventlog import EventLog, Sparing
 from madderwind.policy.api import Outcome, Settings
 from madderwind.routing.fellows import Fellows
 
--- a/tests/drill/broken.py
+++ b/tests/drill/broken.py
@@ -16,8 +16,8 @@
 
 from aiohttp import web  # noqa: E402
 
-from madderwind.leaving.reporting import Reporting  # noqa: E402
-from madderwind.leaving.sights import ZoneSight  # noqa: E402
+from madderwind.evacuation.reporting import Reporting  # noqa: E402
+from madderwind.evacuation.sights import ZoneSight  # noqa: E402
 from madderwind.policy import repetition  # noqa: E402
 from madderwind.policy.admission import Admission  # noqa: E402
 from madderwind.policy.api import UpstreamState  # noqa: E402
--- a/tests/leaving/test_leaving.py
+++ b/tests/evacuation/test_evacuation.py
@@ -10,9 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from madderwind.lab import outages
-from madderwind.leaving import actions, held, leaving, verdict, words
-from madderwind.leaving.areas import (
+from madderwind.evacuation import actions, evacuation, held, verdict, words
+from madderwind.evacuation.areas import (
     Area,
     AreaError,
     LeavingSettings,
@@ -21,7 +20,8 @@
     check_regions,
     zone_mark,
 )
-from madderwind.leaving.sights import Sights, ZoneSight
+from madderwind.evacuation.sights import Sights, ZoneSight
+from madderwind.lab import outages
 from madderwind.policy.api import Outcome
 
 ROOT = Path(__file__).parents[2]
@@ -51,9 +51,9 @@
     assert not copy.heard_hold(0.0, (3, 5), noise)
 
 
-def copy_of(me: int, **settings: object) -> leaving.Leaving:
+def copy_of(me: int, **settings: object) -> evacuation.Leaving:
     chosen = msgspec.convert(settings, LeavingSettings)
-    copy = leaving.Leaving(me, "ab"[me % 2], chosen, lambda: list(range(6)))
+    copy = evacuation.Leaving(me, "ab"[me % 2], chosen, lambda: list(range(6)))
     copy.listed(0.0, {n: Place(n + 1, "ab"[n % 2], 1.0, 0.0) for n in range(8)})
     return copy
 
@@ -133,7 +133,7 @@
 
 
 def leave_by(
-    copy: leaving.Leaving, now: float, witnesses: tuple[int, ...], area: str = "b"
+    copy: evacuation.Leaving, now: float, witnesses: tuple[int, ...], area: str = "b"
 ) -> list[actions.Action]:
     hold = words.Hold(zone_mark(area), 0, 1, 1, 0, witnesses=witnesses)
     return copy.heard_hold(now, hold.order, words.write_hold(hold))
