--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -33,6 +33,7 @@
     to_control_plane,
     to_data_plane,
 )
+from madderwind.registry.saved_copy import SavedCopy
 from madderwind.storage.disk import FileDisk
 from madderwind.storage.record_file import RecordFile
 from madderwind.structured_log import BatchedOutput, open_log
