--- a/madderwind/evacuation/evacuation.py
+++ b/madderwind/evacuation/evacuation.py
@@ -14,12 +14,12 @@
 from madderwind.evacuation.actions import Action
 from madderwind.evacuation.areas import LeavingSettings, Place, zone_mark
 from madderwind.evacuation.initiation import Initiation
+from madderwind.evacuation.observations import Observations, ZoneObservation
 from madderwind.evacuation.recovery import Recovery
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.reporting import Reporting
 from madderwind.evacuation.roles import Roles
 from madderwind.evacuation.roster import Roster
-from madderwind.evacuation.sights import Sights, ZoneSight
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.views import Views
 from madderwind.evacuation.withholding import Withholding
@@ -46,24 +46,24 @@
     ) -> None:
         self._settings = settings
         self._roster = roster = Roster(me, standing, living, able or living, carried_per_s)
-        self.sights, self.counts = Sights(warm_after_ms), Counter[str]()
+        self.observations, self.counts = Observations(warm_after_ms), Counter[str]()
         self._out: list[Action] = []
         self._last_ms = -math.inf
         self._topology = topology = Topology(settings)
         self._views = views = Views(me)
-        sights, counts, out = self.sights, self.counts, self._out
-        self._register = register = Register(me, standing, topology, sights, counts, out)
+        observations, counts, out = self.observations, self.counts, self._out
+        self._register = register = Register(me, standing, topology, observations, counts, out)
         self._roles = roles = Roles(roster, views)
-        self._reporting = Reporting(roster, topology, sights, views, register, roles, out)
+        self._reporting = Reporting(roster, topology, observations, views, register, roles, out)
         self._initiation = Initiation(roster, topology, views, register, counts, out)
-        self._recovery = Recovery(me, may_probe, topology, sights, register, roles, counts, out)
-        self._withholding = Withholding(me, may_probe, settings, topology, sights, register, out)
+        self._recovery = Recovery(me, may_probe, topology, observations, register, roles, counts, out)
+        self._withholding = Withholding(me, may_probe, settings, topology, observations, register, out)
 
     # --- calls ---
 
     def listed(self, now: float, places: Mapping[int, Place]) -> list[Action]:
         """Upstreams that discovery calls ready and nobody suspended."""
-        self.sights.listed(places)
+        self.observations.listed(places)
         self._topology.listed(places, {mark for mark, _ in self._register.held})
         self._withholding.listed()
         self._withholding.update(now)
@@ -158,7 +158,7 @@
         if self._last_ms == -math.inf:
             self._views.heard_ms = max(self._views.heard_ms, now)
         elif now - self._last_ms > LATE_MS:
-            self.sights.was_away(now)
+            self.observations.was_away(now)
             self._views.clear()
         self._last_ms = now
         self._roles.new_tick()
@@ -167,12 +167,12 @@
             self._register.forget()
         return alone
 
-    def _look(self, now: float) -> dict[str, ZoneSight]:
+    def _look(self, now: float) -> dict[str, ZoneObservation]:
         """What this balancer may say of zones; it hears that itself as well."""
-        self.sights.dark = self._withholding.dark()
-        self.sights.look(now)
+        self.observations.dark = self._withholding.dark()
+        self.observations.look(now)
         self._views.expire(now)
-        self.sights.accused(now, self._views.accused(self._topology.ready))
+        self.observations.accused(now, self._views.accused(self._topology.ready))
         own = self._reporting.own(now)
         if own:
             self._hear(now, self._roster.me, self._reporting.view_of(now, own))
--- a/madderwind/evacuation/initiation.py
+++ b/madderwind/evacuation/initiation.py
@@ -9,9 +9,9 @@
 from madderwind.evacuation.actions import Action, Say
 from madderwind.evacuation.areas import Area, zone_mark
 from madderwind.evacuation.held import SELF, Slot
+from madderwind.evacuation.observations import NOTHING, ZoneObservation
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.roster import Roster
-from madderwind.evacuation.sights import NOTHING, ZoneSight
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.views import Views
 from madderwind.evacuation.words import EVERYWHERE, MOST_LEVEL
@@ -20,7 +20,7 @@
 DOUBT_MS = 1500.0  # as long as some answers of it are good: it may be slow as all else is
 NARROW_MS = 750.0  # and so long where only the balancers that stand in one zone would leave: all may yet
 AGAIN_WITHIN_MS = 60_000.0  # left again so soon after its return: a level up
-LEAST_BADS_ALONE = 3  # upstreams that have to fail a balancer that leaves on its own sight
+LEAST_BADS_ALONE = 3  # upstreams that have to fail a balancer that leaves on its own observation
 
 
 class Initiation:
@@ -41,7 +41,7 @@
         self._why_not: dict[int, str] = {}  # areas that not all leave
         self.doubted = set[str]()
 
-    def decide(self, now: float, own: Mapping[str, ZoneSight], withheld: frozenset[int]) -> None:
+    def decide(self, now: float, own: Mapping[str, ZoneObservation], withheld: frozenset[int]) -> None:
         """One look at every area, regions first. `own`: what this balancer itself may say."""
         for area in sorted(self._topology.areas.values(), key=lambda area: not area.region):
             for scope in (EVERYWHERE, zone_mark(self._roster.standing)):
@@ -114,19 +114,19 @@
             self._out.append(Say("area_not_left", {"area": area.name, "why": why}))
 
     def _judge_alone(
-        self, now: float, area: Area, own: Mapping[str, ZoneSight], withheld: frozenset[int]
+        self, now: float, area: Area, own: Mapping[str, ZoneObservation], withheld: frozenset[int]
     ) -> None:
-        """On its own sight, where the others reach the area or say nothing: half of its upstreams failed this
-        balancer, none answered, and something else did."""
+        """On its own observation, where the others reach the area or say nothing: half of its upstreams
+        failed this balancer, none answered, and something else did."""
         held = self._register.held.items()
         if area.region or any(
             one.is_left and self._register.covers(slot, area, slot[1]) for slot, one in held
         ):
             return
-        sight = own.get(area.name, NOTHING)
+        observation = own.get(area.name, NOTHING)
         needed = verdict.upstreams_needed(self._topology.ready.get(area.name, 0))
         slot = area.mark, SELF
-        if sight.goods or len(sight.bads) < max(LEAST_BADS_ALONE, needed):
+        if observation.goods or len(observation.bads) < max(LEAST_BADS_ALONE, needed):
             self._pending.pop(slot, None)
             return
         waited = now - self._pending.setdefault(slot, now) >= NARROW_MS
--- a/madderwind/evacuation/sights.py
+++ b/madderwind/evacuation/observations.py
@@ -25,8 +25,8 @@
 
 
 class _Seen:
-    """Of one upstream: when the last good and bad sights were, when that bad attempt was sent, and when any
-    answer came, late ones too."""
+    """Of one upstream: when the last good and bad observations were, when that bad attempt was sent, and when
+    any answer came, late ones too."""
 
     __slots__ = ("bad_ms", "bad_sent_ms", "good_ms", "heard_ms")
 
@@ -51,9 +51,9 @@
         self.long_ms += max(LONG_GAIN, 1 / self.seen) * (elapsed_ms - self.long_ms)
 
 
-class ZoneSight(msgspec.Struct, frozen=True):
-    """Marks of a zone's upstreams whose latest sight was bad, or good since the bad ones began; when the
-    latest attempt went out that came to nothing; and when anything last answered there."""
+class ZoneObservation(msgspec.Struct, frozen=True):
+    """Marks of a zone's upstreams whose latest observation was bad, or good since the bad ones began; when
+    the latest attempt went out that came to nothing; and when anything last answered there."""
 
     bads: frozenset[int] = frozenset()
     goods: frozenset[int] = frozenset()
@@ -66,10 +66,10 @@
         return len(self.bads) / max(1, len(self.bads) + len(self.goods))
 
 
-NOTHING = ZoneSight()
+NOTHING = ZoneObservation()
 
 
-class Sights:
+class Observations:
     """Time from the calls. Bounded by the upstreams listed and the attempts open."""
 
     def __init__(self, warm_after_ms: float = 0.0) -> None:
@@ -127,7 +127,7 @@
             seen.bad_ms, seen.bad_sent_ms = now, sent_ms
 
     def slow_ms(self, now: float, upstream: int) -> float:
-        """From when on an answer is late enough to be a bad sight: over what is usual in its zone, and
+        """From when on an answer is late enough to be a bad observation: over what is usual in its zone, and
         elsewhere now, so that what slows everything down is held against no zone. Not elsewhere where the
         zone is left, or returns: the others may be slow because they carry its load."""
         place = self._places[upstream]
@@ -143,7 +143,7 @@
         return patience * max(SLOW_LEAST_MS, SLOW_FACTOR * max(usual_ms, default=0.0))
 
     def look(self, now: float) -> None:
-        """Silence with work out is a bad sight, for as long as it lasts."""
+        """Silence with work out is a bad observation, for as long as it lasts."""
         for upstream, sent_ms in self._open.values():
             if upstream in self._places and now - sent_ms > self.slow_ms(now, upstream):
                 seen = self._seen.setdefault(upstream, _Seen())
@@ -164,7 +164,7 @@
         return any(number == upstream and at_ms >= since_ms for number, at_ms in self._open.values())
 
     def since(self, upstream: int, at_ms: float) -> bool | None:
-        """Whether the latest sight of an attempt since then was good; None: there was none."""
+        """Whether the latest observation of an attempt since then was good; None: there was none."""
         seen = self._seen.get(upstream, NEVER)
         if seen.good_ms > at_ms and seen.good_ms > seen.bad_ms:
             return True
@@ -176,7 +176,7 @@
         for seen in self._seen.values():
             seen.bad_ms = -math.inf
 
-    def of_zones(self, now: float) -> dict[str, ZoneSight]:
+    def of_zones(self, now: float) -> dict[str, ZoneObservation]:
         """What was seen in the window, by zone; nothing of a zone of which nothing was."""
         bads, goods = dict[str, set[int]](), dict[str, set[int]]()
         first_ms, last_ms, heard_ms = dict[str, float](), dict[str, float](), dict[str, float]()
@@ -194,7 +194,7 @@
             if seen.good_ms > seen.bad_ms and seen.good_ms >= since_ms:
                 goods.setdefault(place.zone, set()).add(place.mark)
         return {
-            zone: ZoneSight(
+            zone: ZoneObservation(
                 frozenset(bads.get(zone, ())),
                 frozenset(goods.get(zone, ())),
                 last_ms.get(zone, -math.inf),
@@ -205,9 +205,11 @@
 
     def reaches(self, now: float, area: Area) -> bool:
         """Whether this copy has good answers from the area, and no zone of it is mostly bad."""
-        sights = self.of_zones(now)
-        seen = [sights[zone] for zone in area.zones if zone in sights]
-        return any(sight.goods for sight in seen) and all(sight.share < 0.5 for sight in seen)
+        observations = self.of_zones(now)
+        seen = [observations[zone] for zone in area.zones if zone in observations]
+        return any(observation.goods for observation in seen) and all(
+            observation.share < 0.5 for observation in seen
+        )
 
     def good_zones(self, now: float) -> frozenset[str]:
         """Zones that gave a good answer not long ago."""
--- a/madderwind/evacuation/recovery.py
+++ b/madderwind/evacuation/recovery.py
@@ -10,14 +10,14 @@
 from madderwind.evacuation.actions import Action, Ask
 from madderwind.evacuation.areas import Area, fraction
 from madderwind.evacuation.held import NO_TRIAL, SELF, TRY_AGAIN_MS, TRY_MS, Held, Slot
+from madderwind.evacuation.observations import NOTHING, Observations, ZoneObservation
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.roles import Roles
-from madderwind.evacuation.sights import NOTHING, Sights, ZoneSight
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.words import MOST_LEVEL
 
 TRY_ON_MS = 300.0  # before the next trial after a good one
-MOST_DOUBLINGS = 4  # of the wait after bad trials, of a balancer that left on its own sight
+MOST_DOUBLINGS = 4  # of the wait after bad trials, of a balancer that left on its own observation
 NEXT_SCOUT_MS = 400.0  # a scout speaks so much later for each that is before it
 RENEW_MS = 1300.0  # a hold is renewed so often
 DWELL_MS = 800.0  # at each step, doubled with each level
@@ -33,16 +33,16 @@
         me: int,
         may_probe: bool,
         topology: Topology,
-        sights: Sights,
+        observations: Observations,
         register: Register,
         roles: Roles,
         counts: Counter[str],
         out: list[Action],
     ) -> None:
-        self._me, self._may_probe, self._topology, self._sights = me, may_probe, topology, sights
+        self._me, self._may_probe, self._topology, self._observations = me, may_probe, topology, observations
         self._register, self._roles, self._counts, self._out = register, roles, counts, out
 
-    def go_on(self, now: float, own: Mapping[str, ZoneSight], withheld: frozenset[int]) -> None:
+    def go_on(self, now: float, own: Mapping[str, ZoneObservation], withheld: frozenset[int]) -> None:
         """One look at everything that is left. `own`: what this balancer itself may say."""
         for slot in list(self._register.held):
             if (held := self._register.held.get(slot)) is None:
@@ -110,9 +110,9 @@
 
     def _follow(self, now: float, held: Held, may_try: bool) -> None:
         """A trial under way: until its answer, or its silence, says something, or its turn is over unused."""
-        good = self._sights.since(held.trial, held.trial_ms)
+        good = self._observations.since(held.trial, held.trial_ms)
         if good is None and now - held.trial_ms < TRY_MS and held.trial in self._topology.places:
-            if may_try or self._sights.is_out(held.trial, held.trial_ms):
+            if may_try or self._observations.is_out(held.trial, held.trial_ms):
                 return
         elif not good:
             held.bad_trials = min(MOST_DOUBLINGS, held.bad_trials + 1)
--- a/madderwind/evacuation/register.py
+++ b/madderwind/evacuation/register.py
@@ -11,7 +11,7 @@
 from madderwind.evacuation.actions import Action, Say, TellHold
 from madderwind.evacuation.areas import Area, zone_mark
 from madderwind.evacuation.held import SELF, Held, Slot
-from madderwind.evacuation.sights import Sights
+from madderwind.evacuation.observations import Observations
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.words import EVERYWHERE, FULL, STEPS, Hold, View
 
@@ -24,11 +24,11 @@
         me: int,
         standing: str,
         topology: Topology,
-        sights: Sights,
+        observations: Observations,
         counts: Counter[str],
         out: list[Action],
     ) -> None:
-        self._me, self._standing, self._topology, self._sights = me, standing, topology, sights
+        self._me, self._standing, self._topology, self._observations = me, standing, topology, observations
         self._counts, self._out = counts, out
         self.held: dict[Slot, Held] = {}
         self.why_not: dict[Slot, str] = {}  # why an area was not left, as logged last
@@ -87,7 +87,7 @@
         if hold.step == FULL or hold.by_hand or mine:
             held.stays = False
         elif new and hold.step == 0:
-            held.stays = self._sights.reaches(now, area)
+            held.stays = self._observations.reaches(now, area)
         if new:
             held.next = held.bad_trials = 0
         if before is not None and before.step == hold.step and not new and before.by_hand == hold.by_hand:
--- a/madderwind/evacuation/verdict.py
+++ b/madderwind/evacuation/verdict.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from madderwind.evacuation.areas import Area, area_of_zone, zone_mark
-from madderwind.evacuation.sights import ZoneSight
+from madderwind.evacuation.observations import ZoneObservation
 from madderwind.evacuation.words import EVERYWHERE, MOST_WITNESSES, View, ZoneWord
 
 # Copies that have to say so: a part of the living, and so many at least and at most; in small fleets, where
@@ -65,7 +65,7 @@
 
 
 def upstreams_needed(ready: int) -> int:
-    """Guards against one loud upstream that passes for a zone; an area of one is never left by sight."""
+    """Guards against one loud upstream that passes for a zone; an area of one is left by hand alone."""
     return min(UPSTREAMS_MOST, max(UPSTREAMS_LEAST, math.ceil(ready * UPSTREAMS_PART)))
 
 
@@ -150,11 +150,11 @@
     return seen, ""
 
 
-def needed(zone: str, sight: ZoneSight, others: Iterable[Said], living: int, doubt: bool) -> bool:
+def needed(zone: str, observation: ZoneObservation, others: Iterable[Said], living: int, doubt: bool) -> bool:
     """Whether a copy's word on a zone can still change what follows from those of the others. Guards against
     a flood of words that all say the same, behind which the first that differ would wait."""
     seen = accused(area_of_zone(zone), EVERYWHERE, others)
-    if sight.share > 0.5:
+    if observation.share > 0.5:
         return len(seen.copies) < VOICES * quorum(living, doubt)
     return seen.good_weight <= seen.bad_weight
 
--- a/madderwind/evacuation/withholding.py
+++ b/madderwind/evacuation/withholding.py
@@ -7,8 +7,8 @@
 from madderwind.evacuation.actions import Action, Reopen, TakeBack, Withhold
 from madderwind.evacuation.areas import Area, LeavingSettings, fraction
 from madderwind.evacuation.held import Held
+from madderwind.evacuation.observations import Observations
 from madderwind.evacuation.register import Register
-from madderwind.evacuation.sights import Sights
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.words import FULL, STEPS
 
@@ -24,12 +24,12 @@
         may_probe: bool,
         settings: LeavingSettings,
         topology: Topology,
-        sights: Sights,
+        observations: Observations,
         register: Register,
         out: list[Action],
     ) -> None:
         self._me, self._may_probe, self._settings = me, may_probe, settings
-        self._topology, self._sights, self._register, self._out = topology, sights, register, out
+        self._topology, self._observations, self._register, self._out = topology, observations, register, out
         self.withheld: frozenset[int] = frozenset()
 
     def listed(self) -> None:
@@ -76,7 +76,9 @@
 
     def _awaits_trial(self, held: Held, number: int) -> bool:
         """Whether it is opened for one attempt, which has not gone out yet."""
-        return number == held.trial and not (self._may_probe or self._sights.is_out(number, held.trial_ms))
+        return number == held.trial and not (
+            self._may_probe or self._observations.is_out(number, held.trial_ms)
+        )
 
     def _above(self, held: Held, number: int, part: float) -> bool:
         """Whether it is beyond the part that this balancer opens at a step; each opens others."""
@@ -101,13 +103,13 @@
         self.withheld = withheld
 
     def _reopen(self, upstreams: frozenset[int], started_ms: float, owed: bool = False) -> None:
-        self._sights.reopened(upstreams, started_ms)
+        self._observations.reopened(upstreams, started_ms)
         self._out.append(Reopen(upstreams, started_ms, owed))
 
     def take_back(self, now: float) -> None:
         """What hangs where nothing answers is taken back, so that it can be sent elsewhere in time."""
-        if self._sights.dark:
-            self._out += [TakeBack(key) for key in self._sights.silent(now)]
+        if self._observations.dark:
+            self._out += [TakeBack(key) for key in self._observations.silent(now)]
 
     def dark(self) -> frozenset[int]:
         """Upstreams of what this balancer has left, no step yet taken back."""
--- a/madderwind/evacuation/words.py
+++ b/madderwind/evacuation/words.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from madderwind.evacuation.areas import zone_mark
-from madderwind.evacuation.sights import ZoneSight
+from madderwind.evacuation.observations import ZoneObservation
 
 STEPS = (0.0, 0.25, 0.5, 1.0)  # parts of an area's usual load
 FULL = len(STEPS) - 1
@@ -63,14 +63,18 @@
 
 
 def write_view(
-    now: float, standing: str, per_s: float, sights: Mapping[str, ZoneSight], scouts: frozenset[str]
+    now: float,
+    standing: str,
+    per_s: float,
+    observations: Mapping[str, ZoneObservation],
+    scouts: frozenset[str],
 ) -> bytes:
     """The zones of which most is bad come first; what does not fit is left out."""
     out = [_HEAD.pack(zone_mark(standing), min(0xFFFF, round(per_s * 10)))]
-    for zone, sight in sorted(sights.items(), key=lambda item: -item[1].share)[:MOST_ZONES]:
-        bads = sorted({short(mark) for mark in sight.bads})[:MOST_MARKS]
-        goods = sorted({short(mark) for mark in sight.goods})[:MOST_MARKS]
-        ages = _age(now, sight.bad_sent_ms), _age(now, sight.heard_ms)
+    for zone, observation in sorted(observations.items(), key=lambda item: -item[1].share)[:MOST_ZONES]:
+        bads = sorted({short(mark) for mark in observation.bads})[:MOST_MARKS]
+        goods = sorted({short(mark) for mark in observation.goods})[:MOST_MARKS]
+        ages = _age(now, observation.bad_sent_ms), _age(now, observation.heard_ms)
         out.append(_ZONE.pack(zone_mark(zone), SCOUTS * (zone in scouts), len(bads), len(goods), *ages))
         out += [_SHORT.pack(mark) for mark in (*bads, *goods)]
     return b"".join(out)
--- a/madderwind/lab/outages.py
+++ b/madderwind/lab/outages.py
@@ -17,7 +17,7 @@
 
 from madderwind.evacuation import actions, evacuation
 from madderwind.evacuation.areas import LeavingSettings, Place
-from madderwind.evacuation.sights import Key
+from madderwind.evacuation.observations import Key
 from madderwind.gossip import fellowship as gossip
 from madderwind.gossip.wire import Kind
 from madderwind.lab.experiment import (
@@ -159,7 +159,7 @@
         self._requests += 1
         key, now_ms = (self._requests, 0), self._timeline.now_ms
         copy.open[key] = upstream
-        copy.leaving.sights.began(now_ms, upstream, key)
+        copy.leaving.observations.began(now_ms, upstream, key)
         if self._places[upstream].zone == self.outages.lost and self._is_lost(after_ms=3000):
             self._dark[int(now_ms // 1000)] += 1
         took_ms = self._chance.expovariate(1 / (self.outages.work_ms * self._slow))
@@ -181,7 +181,7 @@
             return  # taken back
         if outcome is Outcome.TIMEOUT:
             copy.aside_ms[upstream] = self._timeline.now_ms + ASIDE_MS
-        copy.leaving.sights.ended(self._timeline.now_ms, key, outcome, took_ms)
+        copy.leaving.observations.ended(self._timeline.now_ms, key, outcome, took_ms)
 
     # --- copies ---
 
@@ -201,7 +201,7 @@
                     copy.owed += sorted(upstreams) if owed else []
                 case actions.TakeBack(key):
                     copy.open.pop(key, None)
-                    copy.leaving.sights.ended(now_ms, key, Outcome.CANCELLED, 0.0)
+                    copy.leaving.observations.ended(now_ms, key, Outcome.CANCELLED, 0.0)
                 case actions.TellView(payload):
                     self._say(number, copy.fellows.tell_view(now_ms, payload))
                 case actions.TellHold(order, payload):
--- a/madderwind/routing/withdrawal.py
+++ b/madderwind/routing/withdrawal.py
@@ -80,13 +80,13 @@
         self._do(self._leaving.listed(self._clock.now_ms(), places))
 
     def began(self, upstream: int, key: tuple[int, int]) -> None:
-        self._leaving.sights.began(self._clock.now_ms(), upstream, key)
+        self._leaving.observations.began(self._clock.now_ms(), upstream, key)
 
     def ended(self, key: tuple[int, int], outcome: Outcome | None, elapsed_ms: float) -> None:
-        self._leaving.sights.ended(self._clock.now_ms(), key, outcome, elapsed_ms)
+        self._leaving.observations.ended(self._clock.now_ms(), key, outcome, elapsed_ms)
 
     def probed(self, upstream: int, good: bool, sent_ms: float) -> None:
-        self._leaving.sights.saw(self._clock.now_ms(), upstream, good, sent_ms)
+        self._leaving.observations.saw(self._clock.now_ms(), upstream, good, sent_ms)
 
     def heard_words(self) -> None:
         self._leaving.heard_words(self._clock.now_ms())
--- a/tests/drill/broken.py
+++ b/tests/drill/broken.py
@@ -16,8 +16,8 @@
 
 from aiohttp import web  # noqa: E402
 
+from madderwind.evacuation.observations import ZoneObservation  # noqa: E402
 from madderwind.evacuation.reporting import Reporting  # noqa: E402
-from madderwind.evacuation.sights import ZoneSight  # noqa: E402
 from madderwind.policy import repetition  # noqa: E402
 from madderwind.policy.admission import Admission  # noqa: E402
 from madderwind.policy.api import UpstreamState  # noqa: E402
@@ -122,12 +122,14 @@
     if not any("copy-0/" in word for word in sys.argv):
         return
 
-    def own(self: Reporting, now: float) -> dict[str, ZoneSight]:
+    def own(self: Reporting, now: float) -> dict[str, ZoneObservation]:
         marks = {
             place.zone: frozenset(p.mark for p in self._topology.places.values())
             for place in self._topology.places.values()
         }
-        return {zone: ZoneSight(all_of_them, frozenset(), now, now) for zone, all_of_them in marks.items()}
+        return {
+            zone: ZoneObservation(all_of_them, frozenset(), now, now) for zone, all_of_them in marks.items()
+        }
 
     setattr(Reporting, "own", own)  # noqa: B010
 
--- a/tests/evacuation/test_evacuation.py
+++ b/tests/evacuation/test_evacuation.py
@@ -20,7 +20,7 @@
     check_regions,
     zone_mark,
 )
-from madderwind.evacuation.sights import Sights, ZoneSight
+from madderwind.evacuation.observations import Observations, ZoneObservation
 from madderwind.lab import outages
 from madderwind.policy.api import Outcome
 
@@ -32,15 +32,17 @@
 def view(
     standing: str, bads: dict[str, set[int]], goods: dict[str, set[int]], per_s: float = 1.0
 ) -> words.View:
-    sights = {z: ZoneSight(frozenset(bads.get(z, ())), frozenset(goods.get(z, ()))) for z in {*bads, *goods}}
-    return words.read_view(words.write_view(0.0, standing, per_s, sights, frozenset()))
+    observations = {
+        z: ZoneObservation(frozenset(bads.get(z, ())), frozenset(goods.get(z, ()))) for z in {*bads, *goods}
+    }
+    return words.read_view(words.write_view(0.0, standing, per_s, observations, frozenset()))
 
 
 @given(MARKS, MARKS, st.binary(max_size=60))
 def test_words_read_back_and_others_are_refused(
     bads: frozenset[int], goods: frozenset[int], noise: bytes
 ) -> None:
-    data = words.write_view(0.0, "a", 2.5, {"b": ZoneSight(bads, goods)}, frozenset("b"))
+    data = words.write_view(0.0, "a", 2.5, {"b": ZoneObservation(bads, goods)}, frozenset("b"))
     read = words.read_view(data)
     assert read.per_s == 2.5 and read.zones[zone_mark("b")].bads <= {words.short(m) for m in bads}
     hold = words.Hold(7, 0, 3, 9, 1, 2, False, 100, (1, 2, 3))
@@ -82,8 +84,10 @@
 def seen_b(bad: bool, sent_ms: float, heard_ms: float) -> words.View:
     """Zone b as one copy saw it at 0 ms."""
     marks = frozenset({2, 4, 6})
-    sight = ZoneSight(marks if bad else frozenset(), frozenset() if bad else marks, sent_ms, heard_ms)
-    return words.read_view(words.write_view(0.0, "a", 1.0, {"b": sight}, frozenset()))
+    observation = ZoneObservation(
+        marks if bad else frozenset(), frozenset() if bad else marks, sent_ms, heard_ms
+    )
+    return words.read_view(words.write_view(0.0, "a", 1.0, {"b": observation}, frozenset()))
 
 
 @pytest.mark.parametrize(
@@ -99,7 +103,7 @@
 
 
 def test_what_enough_have_said_is_not_said_again() -> None:
-    bad, good = ZoneSight(frozenset({2}), frozenset()), ZoneSight(frozenset(), frozenset({2}))
+    bad, good = ZoneObservation(frozenset({2}), frozenset()), ZoneObservation(frozenset(), frozenset({2}))
     accusers = said_by([seen_b(True, -500.0, -700.0)] * 5)
     objectors = said_by([seen_b(False, -math.inf, -10.0)] * 6)
     assert verdict.needed("b", bad, accusers[:4], 8, doubt=False)
@@ -120,16 +124,16 @@
 
 
 def test_what_slows_everything_is_held_against_no_zone() -> None:
-    sights = Sights()
-    sights.listed({n: Place(n + 1, "ab"[n % 2], 1.0, 0.0) for n in range(4)})
+    observations = Observations()
+    observations.listed({n: Place(n + 1, "ab"[n % 2], 1.0, 0.0) for n in range(4)})
     for number in range(400):
-        sights.began(0.0, number % 4, (number, 0))
-        sights.ended(100.0, (number, 0), Outcome.OK, 100.0)
-    assert sights.slow_ms(100.0, 1) == pytest.approx(400.0)
+        observations.began(0.0, number % 4, (number, 0))
+        observations.ended(100.0, (number, 0), Outcome.OK, 100.0)
+    assert observations.slow_ms(100.0, 1) == pytest.approx(400.0)
     for number in range(0, 40, 2):  # zone a is slow now: what b takes is measured by that
-        sights.began(200.0, number % 4, (number, 0))
-        sights.ended(1200.0, (number, 0), Outcome.OK, 1000.0)
-    assert sights.slow_ms(1200.0, 1) > 3000
+        observations.began(200.0, number % 4, (number, 0))
+        observations.ended(1200.0, (number, 0), Outcome.OK, 1000.0)
+    assert observations.slow_ms(1200.0, 1) > 3000
 
 
 def leave_by(
@@ -174,7 +178,9 @@
         copy.heard_hold(0.0, hold.order, words.write_hold(hold))
     assert copy.left() == [("b", 1), ("b", 1)]
     copy.tick(100.0)
-    data = words.write_view(150.0, "a", 9.0, {"b": ZoneSight(frozenset({2, 4, 6}), frozenset())}, frozenset())
+    data = words.write_view(
+        150.0, "a", 9.0, {"b": ZoneObservation(frozenset({2, 4, 6}), frozenset())}, frozenset()
+    )
     for other in (2, 4):
         copy.heard_words(150.0)
         copy.heard_view(150.0, other, data)
