--- a/madderwind/evacuation/verdict.py
+++ b/madderwind/evacuation/decision.py
@@ -36,7 +36,7 @@
     at_ms: float
 
 
-class Accused(msgspec.Struct, frozen=True):
+class Evidence(msgspec.Struct, frozen=True):
     """What speaks for and against an area, in scope. `alive_weight`: of those whom it answered, if late.
     `stands`: two say that it fails, and little that has answered since speaks against them."""
 
@@ -90,7 +90,7 @@
     return sent_ms[len(sent_ms) // 2] + IN_FLIGHT_MS if sent_ms else -math.inf
 
 
-def accused(area: Area, scope: int, said: Iterable[Said], since_ms: float = -math.inf) -> Accused:
+def evidence(area: Area, scope: int, said: Iterable[Said], since_ms: float = -math.inf) -> Evidence:
     """`since_ms`: only what answered after that speaks for the area."""
     copies, bads = list[int](), {zone: frozenset[int]() for zone in area.zones}
     bad_weight = good_weight = alive_weight = 0.0
@@ -108,7 +108,7 @@
             copies.append(one.copy)
         for zone, word in words.items():
             bads[zone] |= word.bads
-    return Accused(tuple(sorted(copies)), bad_weight, good_weight, alive_weight, bads)
+    return Evidence(tuple(sorted(copies)), bad_weight, good_weight, alive_weight, bads)
 
 
 def fails(
@@ -118,17 +118,17 @@
     living: int,
     ready: Mapping[str, int],
     left: Container[str] = (),
-) -> tuple[Accused, str]:
+) -> tuple[Evidence, str]:
     """Whether the area is to be left, by what these copies saw; "" or the reason why not.
 
     `living`: copies in scope. `ready`: upstreams of each zone by discovery. `left`: zones that are left
     already, whose load the others carry: the last is never left, however slow it is for that.
     """
-    seen = accused(area, scope, said, silent_since(area, scope, said))
+    seen = evidence(area, scope, said, silent_since(area, scope, said))
     whole_weight = seen.bad_weight + seen.good_weight
     stands = len(seen.copies) >= 2 and seen.bad_weight >= LEAVE_PART * whole_weight
     if seen.doubt:
-        seen = accused(area, scope, said)
+        seen = evidence(area, scope, said)
     seen = msgspec.structs.replace(seen, stands=stands)
     inside = sum(ready.get(zone, 0) for zone in area.zones)
     others = [zone for zone, count in ready.items() if count and zone not in area.zones and zone not in left]
@@ -137,7 +137,7 @@
         return seen, "others reach it"
     if scope != EVERYWHERE and seen.doubt:
         return seen, "it answers some"  # a way that is cut answers nobody who stands there
-    beside = [accused(area_of_zone(zone), scope, said) for zone in others]
+    beside = [evidence(area_of_zone(zone), scope, said) for zone in others]
     enough = all if seen.doubt else any
     if not beside or not enough(other.bad_weight < ELSEWHERE_PART * seen.bad_weight for other in beside):
         return seen, ALL_BAD if others else "nothing else there"
@@ -153,7 +153,7 @@
 def needed(zone: str, observation: ZoneObservation, others: Iterable[Said], living: int, doubt: bool) -> bool:
     """Whether a copy's word on a zone can still change what follows from those of the others. Guards against
     a flood of words that all say the same, behind which the first that differ would wait."""
-    seen = accused(area_of_zone(zone), EVERYWHERE, others)
+    seen = evidence(area_of_zone(zone), EVERYWHERE, others)
     if observation.share > 0.5:
         return len(seen.copies) < VOICES * quorum(living, doubt)
     return seen.good_weight <= seen.bad_weight
--- a/madderwind/evacuation/evacuation.py
+++ b/madderwind/evacuation/evacuation.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
-from madderwind.evacuation import verdict, words
+from madderwind.evacuation import decision, words
 from madderwind.evacuation.actions import Action
 from madderwind.evacuation.areas import LeavingSettings, Place, zone_mark
 from madderwind.evacuation.initiation import Initiation
@@ -190,4 +190,4 @@
         if hold.by_hand or hold.step or (known is not None and known.hold.episode == hold.episode):
             return True
         in_scope = self._roster.in_scope(hold.scope, len(self._topology.ready))
-        return len(set(hold.witnesses)) >= min(words.MOST_WITNESSES, verdict.quorum(in_scope))
+        return len(set(hold.witnesses)) >= min(words.MOST_WITNESSES, decision.quorum(in_scope))
--- a/madderwind/evacuation/initiation.py
+++ b/madderwind/evacuation/initiation.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from madderwind.evacuation import verdict
+from madderwind.evacuation import decision
 from madderwind.evacuation.actions import Action, Say
 from madderwind.evacuation.areas import Area, zone_mark
 from madderwind.evacuation.held import SELF, Slot
@@ -56,17 +56,17 @@
             return
         living = self._roster.in_scope(scope, len(self._topology.ready))
         left = self._register.left_zones()
-        seen, why_not = verdict.fails(area, scope, self._views.all(), living, self._topology.ready, left)
+        seen, why_not = decision.fails(area, scope, self._views.all(), living, self._topology.ready, left)
         if scope == EVERYWHERE:
             self._why_not[area.mark] = why_not
             if seen.doubt:
                 self.doubted |= set(area.zones)
-        if why_not == verdict.ALL_BAD or not seen.stands:
+        if why_not == decision.ALL_BAD or not seen.stands:
             self._pending.pop(slot, None)
         else:
             self._pending.setdefault(slot, now)
         if why_not:
-            if len(seen.copies) >= verdict.quorum(living):
+            if len(seen.copies) >= decision.quorum(living):
                 self._not_left(slot, area, why_not)
         elif now - self._pending.get(slot, now) >= self._wait_ms(scope, seen):
             self._pending.pop(slot, None)
@@ -79,14 +79,14 @@
             return True
         if not self._views.any_bad():
             return True
-        return scope != EVERYWHERE and self._why_not.get(area.mark) not in verdict.SPOKEN_AGAINST
+        return scope != EVERYWHERE and self._why_not.get(area.mark) not in decision.SPOKEN_AGAINST
 
-    def _wait_ms(self, scope: int, seen: verdict.Accused) -> float:
+    def _wait_ms(self, scope: int, seen: decision.Evidence) -> float:
         wait_ms = OBJECT_MS if scope == EVERYWHERE else NARROW_MS
         return max(wait_ms, DOUBT_MS) if seen.doubt else wait_ms
 
     def _leave(
-        self, now: float, area: Area, scope: int, seen: verdict.Accused, withheld: frozenset[int]
+        self, now: float, area: Area, scope: int, seen: decision.Evidence, withheld: frozenset[int]
     ) -> None:
         slot = area.mark, scope
         part = self._part(area, seen, withheld)
@@ -96,10 +96,10 @@
         held = self._register.held.get(slot)
         again = held is not None and now - held.since_ms < AGAIN_WITHIN_MS
         level = min(MOST_LEVEL, held.hold.level + 1) if held is not None and again else 0
-        told = verdict.witnesses(seen.copies)
+        told = decision.witnesses(seen.copies)
         self._register.publish(now, area, scope, step=0, episode=1, level=level, part=part, witnesses=told)
 
-    def _part(self, area: Area, seen: verdict.Accused, withheld: frozenset[int]) -> int:
+    def _part(self, area: Area, seen: decision.Evidence, withheld: frozenset[int]) -> int:
         """Guards against crushing the rest: an area that still serves is left only as far as the others can
         carry what comes. One that is dead carries nothing, whatever is left to it."""
         part = self._topology.most_part(area, withheld)
@@ -124,7 +124,7 @@
         ):
             return
         observation = own.get(area.name, NOTHING)
-        needed = verdict.upstreams_needed(self._topology.ready.get(area.name, 0))
+        needed = decision.upstreams_needed(self._topology.ready.get(area.name, 0))
         slot = area.mark, SELF
         if observation.goods or len(observation.bads) < max(LEAST_BADS_ALONE, needed):
             self._pending.pop(slot, None)
--- a/madderwind/evacuation/recovery.py
+++ b/madderwind/evacuation/recovery.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from madderwind.evacuation import verdict
+from madderwind.evacuation import decision
 from madderwind.evacuation.actions import Action, Ask
 from madderwind.evacuation.areas import Area, fraction
 from madderwind.evacuation.held import NO_TRIAL, SELF, TRY_AGAIN_MS, TRY_MS, Held, Slot
@@ -87,7 +87,7 @@
 
     def _relapse(self, now: float, slot: Slot, area: Area, held: Held) -> None:
         level = min(MOST_LEVEL, held.hold.level + 1)
-        told = verdict.witnesses({*held.hold.witnesses, *held.bad_copies})
+        told = decision.witnesses({*held.hold.witnesses, *held.bad_copies})
         self._register.publish(now, area, slot[1], step=0, level=level, witnesses=told)
 
     def _may_rise(self, now: float, area: Area, held: Held) -> bool:
--- a/madderwind/evacuation/reporting.py
+++ b/madderwind/evacuation/reporting.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Mapping
 
-from madderwind.evacuation import verdict, words
+from madderwind.evacuation import decision, words
 from madderwind.evacuation.actions import Action, TellView
 from madderwind.evacuation.held import SELF, TRY_MS
 from madderwind.evacuation.observations import NOTHING, Observations, ZoneObservation
@@ -101,5 +101,5 @@
             for zone, observation in own.items()
             if zone in watched
             or (zone not in known and (observation.bads or zone in self._observations.accused_ms))
-            and (zone in self._told or verdict.needed(zone, observation, others, living, zone in doubted))
+            and (zone in self._told or decision.needed(zone, observation, others, living, zone in doubted))
         }
--- a/madderwind/evacuation/views.py
+++ b/madderwind/evacuation/views.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from madderwind.evacuation.areas import zone_mark
-from madderwind.evacuation.verdict import Said
+from madderwind.evacuation.decision import Said
 from madderwind.evacuation.words import View
 
 VIEW_KEPT_MS = 1500.0
--- a/tests/evacuation/test_evacuation.py
+++ b/tests/evacuation/test_evacuation.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from madderwind.evacuation import actions, evacuation, held, verdict, words
+from madderwind.evacuation import actions, decision, evacuation, held, words
 from madderwind.evacuation.areas import (
     Area,
     AreaError,
@@ -60,8 +60,8 @@
     return copy
 
 
-def said_by(views: list[words.View]) -> list[verdict.Said]:
-    return [verdict.Said(copy, view, 0.0) for copy, view in enumerate(views)]
+def said_by(views: list[words.View]) -> list[decision.Said]:
+    return [decision.Said(copy, view, 0.0) for copy, view in enumerate(views)]
 
 
 BAD_B = {"b": {2, 4, 6}}
@@ -78,7 +78,7 @@
     ],
 )
 def test_signs_are_told_apart(views: list[words.View], why_not: str) -> None:
-    assert verdict.fails(area_of_zone("b"), 0, said_by(views), 8, READY)[1] == why_not
+    assert decision.fails(area_of_zone("b"), 0, said_by(views), 8, READY)[1] == why_not
 
 
 def seen_b(bad: bool, sent_ms: float, heard_ms: float) -> words.View:
@@ -99,17 +99,17 @@
 ) -> None:
     accusers = [seen_b(True, -500.0 - 10 * n, -700.0) for n in range(4)]
     said = said_by([*accusers, *[seen_b(False, -math.inf, heard_ms)] * 4])
-    assert verdict.fails(area_of_zone("b"), 0, said, 8, READY, left)[1] == why_not
+    assert decision.fails(area_of_zone("b"), 0, said, 8, READY, left)[1] == why_not
 
 
 def test_what_enough_have_said_is_not_said_again() -> None:
     bad, good = ZoneObservation(frozenset({2}), frozenset()), ZoneObservation(frozenset(), frozenset({2}))
     accusers = said_by([seen_b(True, -500.0, -700.0)] * 5)
     objectors = said_by([seen_b(False, -math.inf, -10.0)] * 6)
-    assert verdict.needed("b", bad, accusers[:4], 8, doubt=False)
-    assert not verdict.needed("b", bad, accusers, 8, doubt=False)
-    assert verdict.needed("b", good, accusers, 8, doubt=False)
-    assert not verdict.needed("b", good, accusers + objectors, 8, doubt=False)
+    assert decision.needed("b", bad, accusers[:4], 8, doubt=False)
+    assert not decision.needed("b", bad, accusers, 8, doubt=False)
+    assert decision.needed("b", good, accusers, 8, doubt=False)
+    assert not decision.needed("b", good, accusers + objectors, 8, doubt=False)
 
 
 def test_a_region_is_left_when_each_of_its_zones_fails() -> None:
@@ -120,7 +120,7 @@
         ([view("a", {"b": {2, 4, 6, 8}}, {})] * 4, "not all of the region"),
     ):
         ready = {"a": 4, "b": 4, "c": 4}
-        assert verdict.fails(north, 0, said_by(views), 8, ready)[1] == why_not
+        assert decision.fails(north, 0, said_by(views), 8, ready)[1] == why_not
 
 
 def test_what_slows_everything_is_held_against_no_zone() -> None:
