Relay: takes connections by a task again, so that nothing is taken once its loop ends

Cause: with a reader of the loop, a relay went on taking connections while the loop was cancelling its tasks; what it took then was named as pending at the end. The loop's own accept, used before, raises in the loop when it is cancelled after a connection came.

--- a/madderwind/drill/relay.py
+++ b/madderwind/drill/relay.py
@@ -104,6 +104,23 @@
     writer.transport.abort()
 
 
+async def _readable(listening: socket.socket) -> None:
+    """Return once a connection waits. The loop's own accept raises in the loop where it is cancelled late."""
+    loop = asyncio.get_running_loop()
+    ready: asyncio.Future[None] = loop.create_future()
+
+    def tell() -> None:
+        if not ready.done():
+            ready.set_result(None)
+
+    loop.add_reader(listening, tell)
+    try:
+        await ready
+    finally:
+        if listening.fileno() >= 0:
+            loop.remove_reader(listening)
+
+
 class Relay:
     """The way from `address` to `target`. `kind` is what a fault makes of it, empty for none."""
 
@@ -113,6 +130,7 @@
         self._open = asyncio.Event()
         self._open.set()
         self._socket: socket.socket | None = None
+        self._accepting: asyncio.Task[None] | None = None
         self._filler: socket.socket | None = None
         self._connections: set[RelayedConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -144,13 +162,11 @@
         self._socket.setblocking(False)
         self._socket.bind(self.address)
         self._socket.listen(128)
-        asyncio.get_running_loop().add_reader(self._socket, self._accept)
+        self._accepting = asyncio.create_task(self._accept(self._socket))
 
     def close(self) -> None:
         """Take no more connections and reset those that are open."""
-        self._stop_accepting()
-        assert self._socket is not None
-        self._socket.close()
+        self._stop_accepting().close()
         for connection in list(self._connections):
             connection.reset()
 
@@ -163,15 +179,23 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _accept(self) -> None:
-        """A connection came; one that is gone again already is passed over."""
-        assert self._socket is not None
-        with suppress(OSError):
-            taken, _ = self._socket.accept()
-            taken.setblocking(False)
-            task = asyncio.get_running_loop().create_task(self._serve(taken))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+    def _stop_accepting(self) -> socket.socket:
+        """At once: the socket, which nothing waits on any more."""
+        assert self._socket is not None and self._accepting is not None
+        self._accepting.cancel()
+        asyncio.get_running_loop().remove_reader(self._socket)
+        return self._socket
+
+    async def _accept(self, listening: socket.socket) -> None:
+        """Take connections until cancelled; one that is gone again already is passed over."""
+        while True:
+            await _readable(listening)
+            with suppress(OSError):
+                taken, _ = listening.accept()
+                taken.setblocking(False)
+                task = asyncio.create_task(self._serve(taken))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, taken: socket.socket) -> None:
         try:
@@ -185,10 +209,6 @@
         finally:
             self._connections.discard(connection)
 
-    def _stop_accepting(self) -> None:
-        assert self._socket is not None
-        asyncio.get_running_loop().remove_reader(self._socket)
-
     def be(self, kind: str, late_ms: float) -> None:
         """Change to what a fault makes of it; no kind is none."""
         if (kind, late_ms) == (self.kind, self._late_ms):
@@ -209,9 +229,8 @@
 
     def _never_come_up(self) -> None:
         """With its queue full, a listener drops what would connect: that goes unanswered."""
-        self._stop_accepting()
+        self._stop_accepting().listen(0)
         assert self._socket is not None
-        self._socket.listen(0)
         self._filler = socket.socket()
         self._filler.setblocking(False)
         self._filler.connect_ex(self._socket.getsockname())
@@ -227,4 +246,4 @@
                 taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETTING)
                 taken.close()
         self._socket.listen(128)
-        asyncio.get_running_loop().add_reader(self._socket, self._accept)
+        self._accepting = asyncio.create_task(self._accept(self._socket))
