--- a/madderwind/evacuation/areas.py
+++ b/madderwind/evacuation/areas.py
@@ -14,7 +14,7 @@
     """`fleet.leaving` of a configuration; without it no zone is left.
 
     `regions` are named groups of zones. No more than `most_withheld` of the upstreams, by size, is ever
-    withheld. `alone_after_s` without a word from any copy, a copy does as it does alone. `upstream_per_s`:
+    withheld. `alone_after_s` without a message from any copy, a copy does as it does alone. `upstream_per_s`:
     what one upstream of size 1 can do, so that an area that still serves is left only as far as the rest can
     carry what comes; 0: not known, nothing is kept back for that.
     """
--- a/madderwind/evacuation/decision.py
+++ b/madderwind/evacuation/decision.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from madderwind.evacuation.areas import Area, area_of_zone, zone_mark
+from madderwind.evacuation.messages import EVERYWHERE, MOST_WITNESSES, View, ZoneReport
 from madderwind.evacuation.observations import ZoneObservation
-from madderwind.evacuation.words import EVERYWHERE, MOST_WITNESSES, View, ZoneWord
 
 # Copies that have to say so: a part of the living, and so many at least and at most; in small fleets, where
 # that least is many, and where some of it answers, a larger part.
@@ -69,23 +69,23 @@
     return min(UPSTREAMS_MOST, max(UPSTREAMS_LEAST, math.ceil(ready * UPSTREAMS_PART)))
 
 
-def _words(area: Area, scope: int, said: Iterable[Said]) -> Iterable[tuple[Said, dict[str, ZoneWord]]]:
+def _reports(area: Area, scope: int, said: Iterable[Said]) -> Iterable[tuple[Said, dict[str, ZoneReport]]]:
     """What those in scope say of its zones, where they say anything."""
     for one in said:
         if scope in (EVERYWHERE, one.view.standing):
             marks = ((zone, zone_mark(zone)) for zone in area.zones)
-            words = {zone: one.view.zones[mark] for zone, mark in marks if mark in one.view.zones}
-            if any(word.bads or word.goods for word in words.values()):
-                yield one, words
+            reports = {zone: one.view.zones[mark] for zone, mark in marks if mark in one.view.zones}
+            if any(report.bads or report.goods for report in reports.values()):
+                yield one, reports
 
 
 def silent_since(area: Area, scope: int, said: Iterable[Said]) -> float:
     """Since when the attempts of half of its accusers come to nothing: what answered before then says nothing
-    against them. Guards against good answers from before it failed, of which words come late."""
+    against them. Guards against good answers from before it failed, of which messages come late."""
     sent_ms = sorted(
-        one.at_ms - min(word.bad_sent_age_ms for word in words.values())
-        for one, words in _words(area, scope, said)
-        if any(word.bads for word in words.values())
+        one.at_ms - min(report.bad_sent_age_ms for report in reports.values())
+        for one, reports in _reports(area, scope, said)
+        if any(report.bads for report in reports.values())
     )
     return sent_ms[len(sent_ms) // 2] + IN_FLIGHT_MS if sent_ms else -math.inf
 
@@ -94,10 +94,10 @@
     """`since_ms`: only what answered after that speaks for the area."""
     copies, bads = list[int](), {zone: frozenset[int]() for zone in area.zones}
     bad_weight = good_weight = alive_weight = 0.0
-    for one, words in _words(area, scope, said):
-        alive = any(one.at_ms - word.heard_age_ms >= since_ms for word in words.values())
-        bad = sum(len(word.bads) for word in words.values())
-        good = sum(len(word.goods) for word in words.values()) * alive
+    for one, reports in _reports(area, scope, said):
+        alive = any(one.at_ms - report.heard_age_ms >= since_ms for report in reports.values())
+        bad = sum(len(report.bads) for report in reports.values())
+        good = sum(len(report.goods) for report in reports.values()) * alive
         if not bad + good:
             continue
         weight, share = max(LEAST_PER_S, one.view.per_s), bad / (bad + good)
@@ -106,8 +106,8 @@
         alive_weight += weight * alive
         if share > 0.5:
             copies.append(one.copy)
-        for zone, word in words.items():
-            bads[zone] |= word.bads
+        for zone, report in reports.items():
+            bads[zone] |= report.bads
     return Evidence(tuple(sorted(copies)), bad_weight, good_weight, alive_weight, bads)
 
 
@@ -151,8 +151,8 @@
 
 
 def needed(zone: str, observation: ZoneObservation, others: Iterable[Said], living: int, doubt: bool) -> bool:
-    """Whether a copy's word on a zone can still change what follows from those of the others. Guards against
-    a flood of words that all say the same, behind which the first that differ would wait."""
+    """Whether a copy's report on a zone can still change what follows from those of the others. Guards against
+    a flood of messages that all say the same, behind which the first that differ would wait."""
     seen = evidence(area_of_zone(zone), EVERYWHERE, others)
     if observation.share > 0.5:
         return len(seen.copies) < VOICES * quorum(living, doubt)
--- a/madderwind/evacuation/evacuation.py
+++ b/madderwind/evacuation/evacuation.py
@@ -10,10 +10,11 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
-from madderwind.evacuation import decision, words
+from madderwind.evacuation import decision, messages
 from madderwind.evacuation.actions import Action
 from madderwind.evacuation.areas import LeavingSettings, Place, zone_mark
 from madderwind.evacuation.initiation import Initiation
+from madderwind.evacuation.messages import EVERYWHERE, Hold, MalformedMessage
 from madderwind.evacuation.observations import Observations, ZoneObservation
 from madderwind.evacuation.recovery import Recovery
 from madderwind.evacuation.register import Register
@@ -23,7 +24,6 @@
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.views import Views
 from madderwind.evacuation.withholding import Withholding
-from madderwind.evacuation.words import EVERYWHERE, BadWord, Hold
 
 TICK_MS = 100.0
 LATE_MS = 1000.0  # a tick so late says that this process was stopped
@@ -82,15 +82,15 @@
         self._withholding.take_back(now)
         return self._done()
 
-    def heard_words(self, now: float) -> None:
+    def heard_message(self, now: float) -> None:
         """Some balancer said something, whatever it was."""
         self._views.heard_ms = now
 
     def heard_view(self, now: float, copy: int, payload: bytes) -> None:
         """What another balancer has seen. What cannot be read is counted and passed over."""
         try:
-            view = words.read_view(payload)
-        except BadWord:
+            view = messages.read_view(payload)
+        except MalformedMessage:
             self.counts["odd"] += 1
             return
         self._hear(now, copy, view)
@@ -98,8 +98,8 @@
     def heard_hold(self, now: float, order: tuple[int, int], payload: bytes) -> list[Action]:
         """What the fleet holds of an area, by whoever told it. What cannot be read is counted and left."""
         try:
-            hold = words.read_hold(order, payload)
-        except BadWord:
+            hold = messages.read_hold(order, payload)
+        except MalformedMessage:
             self.counts["odd"] += 1
             return []
         area = self._topology.areas.get(hold.area)
@@ -180,7 +180,7 @@
             self._views.drop(self._roster.me)
         return own
 
-    def _hear(self, now: float, copy: int, view: words.View) -> None:
+    def _hear(self, now: float, copy: int, view: messages.View) -> None:
         self._views.hear(now, copy, view)
         self._register.saw(now, copy, view)
 
@@ -190,4 +190,4 @@
         if hold.by_hand or hold.step or (known is not None and known.hold.episode == hold.episode):
             return True
         in_scope = self._roster.in_scope(hold.scope, len(self._topology.ready))
-        return len(set(hold.witnesses)) >= min(words.MOST_WITNESSES, decision.quorum(in_scope))
+        return len(set(hold.witnesses)) >= min(messages.MOST_WITNESSES, decision.quorum(in_scope))
--- a/madderwind/evacuation/held.py
+++ b/madderwind/evacuation/held.py
@@ -4,11 +4,11 @@
 
 import math
 
-from madderwind.evacuation.words import FULL, Hold
+from madderwind.evacuation.messages import FULL, Hold
 
 TRY_MS = 4000.0  # a trial's most
 TRY_AGAIN_MS, SELF_TRY_MS = 1200.0, 2000.0  # before the first trial; of who left on its own observation
-FIRST_SCOUTS_MS = 700.0  # at first the scouts' words come through those of a leave
+FIRST_SCOUTS_MS = 700.0  # at first the scouts' messages come through those of a leave
 ANSWERS_MS = 3000.0  # a good answer of what is left says for so long that it may be back
 STALE_MS = 1800.0  # after a leave, good answers that are told may be older than it
 LEASE_MS = 3600.0  # a step that nobody renews is given up for step 0
--- a/madderwind/evacuation/initiation.py
+++ b/madderwind/evacuation/initiation.py
@@ -9,12 +9,12 @@
 from madderwind.evacuation.actions import Action, Say
 from madderwind.evacuation.areas import Area, zone_mark
 from madderwind.evacuation.held import SELF, Slot
+from madderwind.evacuation.messages import EVERYWHERE, MOST_LEVEL
 from madderwind.evacuation.observations import NOTHING, ZoneObservation
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.roster import Roster
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.views import Views
-from madderwind.evacuation.words import EVERYWHERE, MOST_LEVEL
 
 OBJECT_MS = 250.0  # from the second accuser on, those who reach the zone have so long to say so
 DOUBT_MS = 1500.0  # as long as some answers of it are good: it may be slow as all else is
--- a/madderwind/evacuation/words.py
+++ b/madderwind/evacuation/messages.py
@@ -26,7 +26,7 @@
 SEQUENCE_STEP = 8  # the order's low part: the number, and in its last bits the step, so that the smaller wins
 
 
-class BadWord(ValueError):
+class MalformedMessage(ValueError):
     """Words of areas that cannot be read."""
 
 
@@ -34,7 +34,7 @@
     return mark & 0xFFFF
 
 
-class ZoneWord(msgspec.Struct, frozen=True):
+class ZoneReport(msgspec.Struct, frozen=True):
     """Of one zone; upstreams by the low halves of their marks. How long ago, when this was said, the latest
     attempt went out that came to nothing, and anything last answered."""
 
@@ -50,7 +50,7 @@
 
     standing: int
     per_s: float
-    zones: dict[int, ZoneWord]
+    zones: dict[int, ZoneReport]
 
 
 def _age(now: float, at_ms: float) -> int:
@@ -81,18 +81,18 @@
 
 
 def read_view(data: bytes) -> View:
-    """BadWord: cut short, or more than may be said."""
+    """MalformedMessage: cut short, or more than may be said."""
     try:
         standing, tenths = _HEAD.unpack_from(data)
-        at, zones = _HEAD.size, dict[int, ZoneWord]()
+        at, zones = _HEAD.size, dict[int, ZoneReport]()
         while at < len(data):
             mark, flags, bad, good, sent, heard = _ZONE.unpack_from(data, at)
             at += _ZONE.size
             if bad > MOST_MARKS or good > MOST_MARKS or len(zones) >= MOST_ZONES:
-                raise BadWord("more than may be said")
+                raise MalformedMessage("more than may be said")
             marks = [_SHORT.unpack_from(data, at + _SHORT.size * n)[0] for n in range(bad + good)]
             at += _SHORT.size * len(marks)
-            zones[mark] = ZoneWord(
+            zones[mark] = ZoneReport(
                 frozenset(marks[:bad]),
                 frozenset(marks[bad:]),
                 bool(flags & SCOUTS),
@@ -100,7 +100,7 @@
                 _read_age(heard),
             )
     except struct.error:
-        raise BadWord("cut short") from None
+        raise MalformedMessage("cut short") from None
     return View(standing, tenths / 10, zones)
 
 
@@ -132,13 +132,13 @@
 
 
 def read_hold(order: tuple[int, int], data: bytes) -> Hold:
-    """BadWord: cut short, or a step, level or part that there is not."""
+    """MalformedMessage: cut short, or a step, level or part that there is not."""
     try:
         area, scope, step, level, flags, part, count = _HOLD.unpack_from(data)
         witnesses = tuple(_SHORT.unpack_from(data, _HOLD.size + _SHORT.size * n)[0] for n in range(count))
     except struct.error:
-        raise BadWord("cut short") from None
+        raise MalformedMessage("cut short") from None
     number, behind = divmod(order[1], SEQUENCE_STEP)
     if step > FULL or behind != FULL - step or level > MOST_LEVEL or part > 100 or count > MOST_WITNESSES:
-        raise BadWord("no such hold")
+        raise MalformedMessage("no such hold")
     return Hold(area, scope, order[0], number, step, level, bool(flags & BY_HAND), part, witnesses)
--- a/madderwind/evacuation/recovery.py
+++ b/madderwind/evacuation/recovery.py
@@ -10,11 +10,11 @@
 from madderwind.evacuation.actions import Action, Ask
 from madderwind.evacuation.areas import Area, fraction
 from madderwind.evacuation.held import NO_TRIAL, SELF, TRY_AGAIN_MS, TRY_MS, Held, Slot
+from madderwind.evacuation.messages import MOST_LEVEL
 from madderwind.evacuation.observations import NOTHING, Observations, ZoneObservation
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.roles import Roles
 from madderwind.evacuation.topology import Topology
-from madderwind.evacuation.words import MOST_LEVEL
 
 TRY_ON_MS = 300.0  # before the next trial after a good one
 MOST_DOUBLINGS = 4  # of the wait after bad trials, of a balancer that left on its own observation
--- a/madderwind/evacuation/register.py
+++ b/madderwind/evacuation/register.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from madderwind.evacuation import words
+from madderwind.evacuation import messages
 from madderwind.evacuation.actions import Action, Say, TellHold
 from madderwind.evacuation.areas import Area, zone_mark
 from madderwind.evacuation.held import SELF, Held, Slot
+from madderwind.evacuation.messages import EVERYWHERE, FULL, STEPS, Hold, View
 from madderwind.evacuation.observations import Observations
 from madderwind.evacuation.topology import Topology
-from madderwind.evacuation.words import EVERYWHERE, FULL, STEPS, Hold, View
 
 
 class Register:
@@ -61,7 +61,7 @@
         self.knows(hold)
         self.take(now, area, hold, mine=True)
         if scope != SELF:
-            self._out.append(TellHold(hold.order, words.write_hold(hold)))
+            self._out.append(TellHold(hold.order, messages.write_hold(hold)))
 
     def knows(self, hold: Hold) -> None:
         """A hold that is somewhere, whether it is taken here or not."""
@@ -117,7 +117,7 @@
         return {EVERYWHERE: "all", SELF: "self"}.get(scope, self._standing)
 
     def forget(self) -> None:
-        """No words for long: as a balancer does alone. What was left by hand stays left."""
+        """No messages for long: as a balancer does alone. What was left by hand stays left."""
         for slot, held in list(self.held.items()):
             if not held.hold.by_hand:
                 del self.held[slot]
@@ -134,9 +134,9 @@
                 continue  # what it reaches says nothing of what those of this scope reach
             if held.is_left and (area := self._topology.areas.get(mark)) is not None:
                 for zone in area.zones:
-                    word = view.zones.get(zone_mark(zone))
-                    if word is not None:
-                        held.saw(copy, word.bads, word.goods, now)
+                    report = view.zones.get(zone_mark(zone))
+                    if report is not None:
+                        held.saw(copy, report.bads, report.goods, now)
 
     def covers(self, slot: Slot, area: Area, scope: int) -> bool:
         """Whether that hold is of this area, or a region around it, for at least these balancers."""
--- a/madderwind/evacuation/reporting.py
+++ b/madderwind/evacuation/reporting.py
@@ -6,16 +6,16 @@
 import math
 from collections.abc import Mapping
 
-from madderwind.evacuation import decision, words
+from madderwind.evacuation import decision, messages
 from madderwind.evacuation.actions import Action, TellView
 from madderwind.evacuation.held import SELF, TRY_MS
+from madderwind.evacuation.messages import View
 from madderwind.evacuation.observations import NOTHING, Observations, ZoneObservation
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.roles import Roles
 from madderwind.evacuation.roster import Roster
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.views import Views
-from madderwind.evacuation.words import View
 
 BAD_EACH_MS, GOOD_EACH_MS, AGAIN_MS = 150.0, 400.0, 700.0  # views are told no sooner, and so often
 
@@ -54,7 +54,7 @@
     def view_of(self, now: float, own: Mapping[str, ZoneObservation]) -> View:
         """As others would hear it: this balancer counts for itself with no more than they count it for."""
         rate = self._observations.rate(now)
-        return words.read_view(words.write_view(now, self._roster.standing, rate, own, frozenset()))
+        return messages.read_view(messages.write_view(now, self._roster.standing, rate, own, frozenset()))
 
     def tell(self, now: float, own: Mapping[str, ZoneObservation], doubted: set[str]) -> None:
         """This balancer's view, where it matters to others and is due. `doubted`: zones that may be slow, not
@@ -73,7 +73,7 @@
         if now - self._told_ms >= (each_ms if changed else again_ms) and (changed or said):
             self._told, self._told_ms, self._told_bad = what, now, bad
             per_s = self._observations.rate(now) if said else 0.0
-            view = words.write_view(now, self._roster.standing, per_s, said, frozenset(scouted))
+            view = messages.write_view(now, self._roster.standing, per_s, said, frozenset(scouted))
             self._out.append(TellView(view))
 
     def _watched(self, now: float) -> tuple[set[str], set[str], set[str]]:
--- a/madderwind/evacuation/roles.py
+++ b/madderwind/evacuation/roles.py
@@ -58,7 +58,7 @@
         return sum(
             now - said.at_ms <= SCOUT_SILENT_MS
             and fraction(area.mark, episode, said.copy + 1) < mine
-            and any(word.scouts for mark, word in said.view.zones.items() if mark in marks)
+            and any(report.scouts for mark, report in said.view.zones.items() if mark in marks)
             for said in self._views.of_others()
         )
 
--- a/madderwind/evacuation/views.py
+++ b/madderwind/evacuation/views.py
@@ -7,7 +7,7 @@
 
 from madderwind.evacuation.areas import zone_mark
 from madderwind.evacuation.decision import Said
-from madderwind.evacuation.words import View
+from madderwind.evacuation.messages import View
 
 VIEW_KEPT_MS = 1500.0
 
@@ -46,14 +46,14 @@
 
     def any_bad(self) -> bool:
         """Whether anybody accuses any upstream."""
-        return any(word.bads for _, view in self._latest.values() for word in view.zones.values())
+        return any(report.bads for _, view in self._latest.values() for report in view.zones.values())
 
     def accused(self, zones: Iterable[str]) -> set[str]:
         """Those of these zones that some other balancer calls mostly bad."""
         marks = {
             mark
             for said in self.of_others()
-            for mark, word in said.view.zones.items()
-            if len(word.bads) > len(word.goods)
+            for mark, report in said.view.zones.items()
+            if len(report.bads) > len(report.goods)
         }
         return {zone for zone in zones if zone_mark(zone) in marks}
--- a/madderwind/evacuation/withholding.py
+++ b/madderwind/evacuation/withholding.py
@@ -7,10 +7,10 @@
 from madderwind.evacuation.actions import Action, Reopen, TakeBack, Withhold
 from madderwind.evacuation.areas import Area, LeavingSettings, fraction
 from madderwind.evacuation.held import Held
+from madderwind.evacuation.messages import FULL, STEPS
 from madderwind.evacuation.observations import Observations
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.topology import Topology
-from madderwind.evacuation.words import FULL, STEPS
 
 OWED_MS = 4500.0  # what counts as started so long ago and called back is owed an attempt at once
 
--- a/madderwind/lab/outages.py
+++ b/madderwind/lab/outages.py
@@ -240,7 +240,7 @@
         self._say(number, self._copies[number].fellows.tick(self._timeline.now_ms))
 
     def _arrives(self, sender: int, hearer: int, data: bytes) -> None:
-        self._copies[hearer].leaving.heard_words(self._timeline.now_ms)
+        self._copies[hearer].leaving.heard_message(self._timeline.now_ms)
         self._say(hearer, self._copies[hearer].fellows.receive(self._timeline.now_ms, sender, data))
 
     # --- the run ---
--- a/madderwind/routing/fellows.py
+++ b/madderwind/routing/fellows.py
@@ -28,7 +28,7 @@
 class Listener(Protocol):
     """Who looks at what copies see of zones."""
 
-    def heard_words(self) -> None: ...
+    def heard_message(self) -> None: ...
 
     def heard_view(self, origin: int, payload: bytes) -> None: ...
 
@@ -85,7 +85,7 @@
         heard = self._fellowship.counts["heard"]
         actions = self._fellowship.receive(self._clock.now_ms(), peer, data)
         if self.listener is not None and self._fellowship.counts["heard"] > heard:
-            self.listener.heard_words()
+            self.listener.heard_message()
         if self._fellowship.synced:
             self.synced.set()
         self._do(actions)
--- a/madderwind/routing/withdrawal.py
+++ b/madderwind/routing/withdrawal.py
@@ -88,8 +88,8 @@
     def probed(self, upstream: int, good: bool, sent_ms: float) -> None:
         self._leaving.observations.saw(self._clock.now_ms(), upstream, good, sent_ms)
 
-    def heard_words(self) -> None:
-        self._leaving.heard_words(self._clock.now_ms())
+    def heard_message(self) -> None:
+        self._leaving.heard_message(self._clock.now_ms())
 
     def heard_view(self, origin: int, payload: bytes) -> None:
         self._leaving.heard_view(self._clock.now_ms(), origin, payload)
--- a/tests/evacuation/test_evacuation.py
+++ b/tests/evacuation/test_evacuation.py
@@ -1,4 +1,4 @@
-"""Leaving areas and returning, on one clock: who leaves what, words that are none, guards, and sizes."""
+"""Leaving areas and returning, on one clock: who leaves what, messages that are none, guards, and sizes."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from madderwind.evacuation import actions, decision, evacuation, held, words
+from madderwind.evacuation import actions, decision, evacuation, held, messages
 from madderwind.evacuation.areas import (
     Area,
     AreaError,
@@ -31,22 +31,22 @@
 
 def view(
     standing: str, bads: dict[str, set[int]], goods: dict[str, set[int]], per_s: float = 1.0
-) -> words.View:
+) -> messages.View:
     observations = {
         z: ZoneObservation(frozenset(bads.get(z, ())), frozenset(goods.get(z, ()))) for z in {*bads, *goods}
     }
-    return words.read_view(words.write_view(0.0, standing, per_s, observations, frozenset()))
+    return messages.read_view(messages.write_view(0.0, standing, per_s, observations, frozenset()))
 
 
 @given(MARKS, MARKS, st.binary(max_size=60))
 def test_words_read_back_and_others_are_refused(
     bads: frozenset[int], goods: frozenset[int], noise: bytes
 ) -> None:
-    data = words.write_view(0.0, "a", 2.5, {"b": ZoneObservation(bads, goods)}, frozenset("b"))
-    read = words.read_view(data)
-    assert read.per_s == 2.5 and read.zones[zone_mark("b")].bads <= {words.short(m) for m in bads}
-    hold = words.Hold(7, 0, 3, 9, 1, 2, False, 100, (1, 2, 3))
-    assert words.read_hold(hold.order, words.write_hold(hold)) == hold
+    data = messages.write_view(0.0, "a", 2.5, {"b": ZoneObservation(bads, goods)}, frozenset("b"))
+    read = messages.read_view(data)
+    assert read.per_s == 2.5 and read.zones[zone_mark("b")].bads <= {messages.short(m) for m in bads}
+    hold = messages.Hold(7, 0, 3, 9, 1, 2, False, 100, (1, 2, 3))
+    assert messages.read_hold(hold.order, messages.write_hold(hold)) == hold
     copy = copy_of(0)
     copy.heard_view(0.0, 1, noise)
     copy.heard_view(0.0, 1, data[:-1] + noise)
@@ -60,7 +60,7 @@
     return copy
 
 
-def said_by(views: list[words.View]) -> list[decision.Said]:
+def said_by(views: list[messages.View]) -> list[decision.Said]:
     return [decision.Said(copy, view, 0.0) for copy, view in enumerate(views)]
 
 
@@ -77,17 +77,17 @@
         ([view("a", BAD_B, {})] * 4 + [view("b", {"a": {1, 3, 5}}, {})] * 4, "all else is bad as well"),
     ],
 )
-def test_signs_are_told_apart(views: list[words.View], why_not: str) -> None:
+def test_signs_are_told_apart(views: list[messages.View], why_not: str) -> None:
     assert decision.fails(area_of_zone("b"), 0, said_by(views), 8, READY)[1] == why_not
 
 
-def seen_b(bad: bool, sent_ms: float, heard_ms: float) -> words.View:
+def seen_b(bad: bool, sent_ms: float, heard_ms: float) -> messages.View:
     """Zone b as one copy saw it at 0 ms."""
     marks = frozenset({2, 4, 6})
     observation = ZoneObservation(
         marks if bad else frozenset(), frozenset() if bad else marks, sent_ms, heard_ms
     )
-    return words.read_view(words.write_view(0.0, "a", 1.0, {"b": observation}, frozenset()))
+    return messages.read_view(messages.write_view(0.0, "a", 1.0, {"b": observation}, frozenset()))
 
 
 @pytest.mark.parametrize(
@@ -139,8 +139,8 @@
 def leave_by(
     copy: evacuation.Leaving, now: float, witnesses: tuple[int, ...], area: str = "b"
 ) -> list[actions.Action]:
-    hold = words.Hold(zone_mark(area), 0, 1, 1, 0, witnesses=witnesses)
-    return copy.heard_hold(now, hold.order, words.write_hold(hold))
+    hold = messages.Hold(zone_mark(area), 0, 1, 1, 0, witnesses=witnesses)
+    return copy.heard_hold(now, hold.order, messages.write_hold(hold))
 
 
 def test_a_leave_needs_witnesses_and_never_takes_the_last_zone() -> None:
@@ -158,11 +158,11 @@
 def test_a_step_that_nobody_renews_is_given_up_and_silence_forgets_all() -> None:
     copy = copy_of(1, alone_after_s=5)
     leave_by(copy, 0.0, (1, 2, 3))
-    step = words.Hold(zone_mark("b"), 0, 1, 2, 2, witnesses=(1, 2, 3))
-    copy.heard_hold(100.0, step.order, words.write_hold(step))
+    step = messages.Hold(zone_mark("b"), 0, 1, 2, 2, witnesses=(1, 2, 3))
+    copy.heard_hold(100.0, step.order, messages.write_hold(step))
     at_step = copy.withheld
     assert len(at_step) < 4
-    copy.heard_words(100.0)
+    copy.heard_message(100.0)
     copy.tick(200.0)
     copy.tick(100.0 + held.LEASE_MS + 100.0)
     assert copy.withheld == {1, 3, 5, 7}, "a copy that hears no renewal goes back"
@@ -171,18 +171,18 @@
 
 
 def test_a_relapse_of_all_ends_the_hold_of_one_zone_in_the_same_tick() -> None:
-    """Guards against an error in the tick where the step-0 word of a new episode was lost on its way."""
+    """Guards against an error in the tick where the step-0 message of a new episode was lost on its way."""
     copy = copy_of(0)
-    for scope, episode, step in ((0, 1, words.FULL), (zone_mark("a"), 1, 1), (0, 2, 1)):
-        hold = words.Hold(zone_mark("b"), scope, episode, 1, step)
-        copy.heard_hold(0.0, hold.order, words.write_hold(hold))
+    for scope, episode, step in ((0, 1, messages.FULL), (zone_mark("a"), 1, 1), (0, 2, 1)):
+        hold = messages.Hold(zone_mark("b"), scope, episode, 1, step)
+        copy.heard_hold(0.0, hold.order, messages.write_hold(hold))
     assert copy.left() == [("b", 1), ("b", 1)]
     copy.tick(100.0)
-    data = words.write_view(
+    data = messages.write_view(
         150.0, "a", 9.0, {"b": ZoneObservation(frozenset({2, 4, 6}), frozenset())}, frozenset()
     )
     for other in (2, 4):
-        copy.heard_words(150.0)
+        copy.heard_message(150.0)
         copy.heard_view(150.0, other, data)
     copy.tick(200.0)
     assert copy.left() == [("b", 0)]
@@ -204,7 +204,7 @@
 
 
 def test_a_fleet_leaves_what_is_lost_and_nothing_else() -> None:
-    """Emulated, with words lost: all leave within a second of the first, and all come back."""
+    """Emulated, with messages lost: all leave within a second of the first, and all come back."""
     lost = msgspec.structs.replace(
         outages.read(ROOT / "experiments" / "leaving" / "sizes.yaml"), copies=24, for_s=45
     )
