--- a/madderwind/evacuation/decision.py
+++ b/madderwind/evacuation/decision.py
@@ -151,8 +151,8 @@
 
 
 def needed(zone: str, observation: ZoneObservation, others: Iterable[Said], living: int, doubt: bool) -> bool:
-    """Whether a copy's report on a zone can still change what follows from those of the others. Guards against
-    a flood of messages that all say the same, behind which the first that differ would wait."""
+    """Whether a copy's report on a zone can still change what follows from those of the others. Guards
+    against a flood of messages that all say the same, behind which the first that differ would wait."""
     seen = evidence(area_of_zone(zone), EVERYWHERE, others)
     if observation.share > 0.5:
         return len(seen.copies) < VOICES * quorum(living, doubt)
