--- a/madderwind/evacuation/actions.py
+++ b/madderwind/evacuation/actions.py
@@ -41,7 +41,7 @@
     payload: bytes
 
 
-class TellHold(msgspec.Struct, frozen=True):
+class TellEvacuation(msgspec.Struct, frozen=True):
     """To all balancers: what holds of an area, of which the latest by order counts."""
 
     order: tuple[int, int]
@@ -55,4 +55,4 @@
     fields: dict[str, Any]
 
 
-Action = Withhold | Reopen | TakeBack | Ask | TellView | TellHold | Say
+Action = Withhold | Reopen | TakeBack | Ask | TellView | TellEvacuation | Say
--- a/madderwind/evacuation/evacuation.py
+++ b/madderwind/evacuation/evacuation.py
@@ -1,6 +1,6 @@
 """One balancer's part in leaving areas and returning: what it saw and heard becomes what it withholds.
 
-`tick`, `listed`, `heard_hold`, `leave` and `give_back` return what is to be done, in order. Time is the
+`tick`, `listed`, `heard_evacuation`, `leave` and `give_back` return what is to be done, in order. Time is the
 call's; what all balancers have to choose alike is drawn from marks and numbers that are alike at all.
 """
 
@@ -14,7 +14,7 @@
 from madderwind.evacuation.actions import Action
 from madderwind.evacuation.areas import LeavingSettings, Place, zone_mark
 from madderwind.evacuation.initiation import Initiation
-from madderwind.evacuation.messages import EVERYWHERE, Hold, MalformedMessage
+from madderwind.evacuation.messages import EVERYWHERE, Evacuation, MalformedMessage
 from madderwind.evacuation.observations import Observations, ZoneObservation
 from madderwind.evacuation.recovery import Recovery
 from madderwind.evacuation.register import Register
@@ -64,7 +64,7 @@
     def listed(self, now: float, places: Mapping[int, Place]) -> list[Action]:
         """Upstreams that discovery calls ready and nobody suspended."""
         self.observations.listed(places)
-        self._topology.listed(places, {mark for mark, _ in self._register.held})
+        self._topology.listed(places, {mark for mark, _ in self._register.evacuations})
         self._withholding.listed()
         self._withholding.update(now)
         return self._done()
@@ -95,20 +95,20 @@
             return
         self._hear(now, copy, view)
 
-    def heard_hold(self, now: float, order: tuple[int, int], payload: bytes) -> list[Action]:
+    def heard_evacuation(self, now: float, order: tuple[int, int], payload: bytes) -> list[Action]:
         """What the fleet holds of an area, by whoever told it. What cannot be read is counted and left."""
         try:
-            hold = messages.read_hold(order, payload)
+            evacuation = messages.read_evacuation(order, payload)
         except MalformedMessage:
             self.counts["odd"] += 1
             return []
-        area = self._topology.areas.get(hold.area)
+        area = self._topology.areas.get(evacuation.area)
         if area is None:
             self.counts["unknown_area"] += 1  # its settings name other regions, or its list other zones
-        elif hold.scope in (EVERYWHERE, zone_mark(self._roster.standing)):
-            self._register.knows(hold)
-            if self._is_founded(hold):
-                self._register.take(now, area, hold)
+        elif evacuation.scope in (EVERYWHERE, zone_mark(self._roster.standing)):
+            self._register.knows(evacuation)
+            if self._is_founded(evacuation):
+                self._register.take(now, area, evacuation)
                 self._withholding.update(now)
             else:
                 self.counts["unfounded"] += 1
@@ -128,8 +128,8 @@
     def give_back(self, now: float, name: str) -> tuple[list[Action], str]:
         """By hand: in steps from now on, whoever left it."""
         area = self._topology.named(name)
-        held = self._register.held.items()
-        scopes = [s for (mark, s), one in held if area is not None and mark == area.mark and one.is_left]
+        state = self._register.evacuations.items()
+        scopes = [s for (mark, s), one in state if area is not None and mark == area.mark and one.is_left]
         if area is None or not scopes:
             return [], f"{name} is not left"
         for scope in scopes:  # an episode of its own: a scout may renew the old one at this moment
@@ -184,10 +184,14 @@
         self._views.hear(now, copy, view)
         self._register.saw(now, copy, view)
 
-    def _is_founded(self, hold: Hold) -> bool:
+    def _is_founded(self, evacuation: Evacuation) -> bool:
         """Guards against a few that are mistaken: a leave by fewer than a quorum is passed over."""
-        known = self._register.held.get((hold.area, hold.scope))
-        if hold.by_hand or hold.step or (known is not None and known.hold.episode == hold.episode):
+        known = self._register.evacuations.get((evacuation.area, evacuation.scope))
+        if (
+            evacuation.by_hand
+            or evacuation.step
+            or (known is not None and known.evacuation.episode == evacuation.episode)
+        ):
             return True
-        in_scope = self._roster.in_scope(hold.scope, len(self._topology.ready))
-        return len(set(hold.witnesses)) >= min(messages.MOST_WITNESSES, decision.quorum(in_scope))
+        in_scope = self._roster.in_scope(evacuation.scope, len(self._topology.ready))
+        return len(set(evacuation.witnesses)) >= min(messages.MOST_WITNESSES, decision.quorum(in_scope))
--- a/madderwind/evacuation/initiation.py
+++ b/madderwind/evacuation/initiation.py
@@ -8,11 +8,11 @@
 from madderwind.evacuation import decision
 from madderwind.evacuation.actions import Action, Say
 from madderwind.evacuation.areas import Area, zone_mark
-from madderwind.evacuation.held import SELF, Slot
 from madderwind.evacuation.messages import EVERYWHERE, MOST_LEVEL
 from madderwind.evacuation.observations import NOTHING, ZoneObservation
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.roster import Roster
+from madderwind.evacuation.state import SELF, Slot
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.views import Views
 
@@ -74,8 +74,8 @@
 
     def _may_not_fail(self, area: Area, scope: int) -> bool:
         """Where it is left already, nobody accuses anything, or all may leave it yet."""
-        held = self._register.held.items()
-        if any(one.is_left and self._register.covers(slot, area, scope) for slot, one in held):
+        state = self._register.evacuations.items()
+        if any(one.is_left and self._register.covers(slot, area, scope) for slot, one in state):
             return True
         if not self._views.any_bad():
             return True
@@ -93,9 +93,9 @@
         if part <= 0:
             self._not_left(slot, area, "most withheld")
             return
-        held = self._register.held.get(slot)
-        again = held is not None and now - held.since_ms < AGAIN_WITHIN_MS
-        level = min(MOST_LEVEL, held.hold.level + 1) if held is not None and again else 0
+        state = self._register.evacuations.get(slot)
+        again = state is not None and now - state.since_ms < AGAIN_WITHIN_MS
+        level = min(MOST_LEVEL, state.evacuation.level + 1) if state is not None and again else 0
         told = decision.witnesses(seen.copies)
         self._register.publish(now, area, scope, step=0, episode=1, level=level, part=part, witnesses=told)
 
@@ -118,9 +118,9 @@
     ) -> None:
         """On its own observation, where the others reach the area or say nothing: half of its upstreams
         failed this balancer, none answered, and something else did."""
-        held = self._register.held.items()
+        state = self._register.evacuations.items()
         if area.region or any(
-            one.is_left and self._register.covers(slot, area, slot[1]) for slot, one in held
+            one.is_left and self._register.covers(slot, area, slot[1]) for slot, one in state
         ):
             return
         observation = own.get(area.name, NOTHING)
--- a/madderwind/evacuation/messages.py
+++ b/madderwind/evacuation/messages.py
@@ -19,9 +19,9 @@
 _ZONE = struct.Struct("<IBBBBB")  # mark, flags, how many bad, how many good, and two ages
 AGE_MS, NEVER = 16.0, 255  # an age's unit; the latest that can be said is that of one less
 _SHORT = struct.Struct("<H")
-_HOLD = struct.Struct("<IIBBBBB")  # area, scope, step, level, flags, part in percent, witnesses
-KEY_BYTES = 8  # of a hold: area and scope
-SCOUTS, BY_HAND = 1, 1  # flags, of a zone and of a hold
+_EVACUATION = struct.Struct("<IIBBBBB")  # area, scope, step, level, flags, part in percent, witnesses
+KEY_BYTES = 8  # of an evacuation: area and scope
+SCOUTS, BY_HAND = 1, 1  # flags, of a zone and of an evacuation
 EVERYWHERE = 0  # the scope of all copies; any other is the mark of the zone in which they stand
 SEQUENCE_STEP = 8  # the order's low part: the number, and in its last bits the step, so that the smaller wins
 
@@ -104,7 +104,7 @@
     return View(standing, tenths / 10, zones)
 
 
-class Hold(msgspec.Struct, frozen=True):
+class Evacuation(msgspec.Struct, frozen=True):
     """What the fleet, or its copies that stand in one zone, holds of an area: a register of which the latest
     counts. Each leave is an episode; within it the number grows with each change and renewal, and of two of
     one number the smaller step counts: what is lost can only make the sum that is sent smaller."""
@@ -124,21 +124,29 @@
         return self.episode, self.number * SEQUENCE_STEP + FULL - self.step
 
 
-def write_hold(hold: Hold) -> bytes:
-    head = _HOLD.pack(
-        hold.area, hold.scope, hold.step, hold.level, BY_HAND * hold.by_hand, hold.part, len(hold.witnesses)
+def write_evacuation(evacuation: Evacuation) -> bytes:
+    head = _EVACUATION.pack(
+        evacuation.area,
+        evacuation.scope,
+        evacuation.step,
+        evacuation.level,
+        BY_HAND * evacuation.by_hand,
+        evacuation.part,
+        len(evacuation.witnesses),
     )
-    return head + b"".join(_SHORT.pack(copy) for copy in hold.witnesses)
+    return head + b"".join(_SHORT.pack(copy) for copy in evacuation.witnesses)
 
 
-def read_hold(order: tuple[int, int], data: bytes) -> Hold:
+def read_evacuation(order: tuple[int, int], data: bytes) -> Evacuation:
     """MalformedMessage: cut short, or a step, level or part that there is not."""
     try:
-        area, scope, step, level, flags, part, count = _HOLD.unpack_from(data)
-        witnesses = tuple(_SHORT.unpack_from(data, _HOLD.size + _SHORT.size * n)[0] for n in range(count))
+        area, scope, step, level, flags, part, count = _EVACUATION.unpack_from(data)
+        witnesses = tuple(
+            _SHORT.unpack_from(data, _EVACUATION.size + _SHORT.size * n)[0] for n in range(count)
+        )
     except struct.error:
         raise MalformedMessage("cut short") from None
     number, behind = divmod(order[1], SEQUENCE_STEP)
     if step > FULL or behind != FULL - step or level > MOST_LEVEL or part > 100 or count > MOST_WITNESSES:
-        raise MalformedMessage("no such hold")
-    return Hold(area, scope, order[0], number, step, level, bool(flags & BY_HAND), part, witnesses)
+        raise MalformedMessage("no such evacuation")
+    return Evacuation(area, scope, order[0], number, step, level, bool(flags & BY_HAND), part, witnesses)
--- a/madderwind/evacuation/observations.py
+++ b/madderwind/evacuation/observations.py
@@ -128,7 +128,7 @@
 
     def slow_ms(self, now: float, upstream: int) -> float:
         """From when on an answer is late enough to be a bad observation: over what is usual in its zone, and
-        elsewhere now, so that what slows everything down is held against no zone. Not elsewhere where the
+        elsewhere now, so that what slows everything down is state against no zone. Not elsewhere where the
         zone is left, or returns: the others may be slow because they carry its load."""
         place = self._places[upstream]
         own = self._usual.get(place.zone)
--- a/madderwind/evacuation/register.py
+++ b/madderwind/evacuation/register.py
@@ -1,4 +1,4 @@
-"""The holds of all areas, of which the latest counts: taken from others, or changed here and told to all."""
+"""Evacuations of all areas, of which the latest counts: taken from others, or made here and told to all."""
 
 from __future__ import annotations
 
@@ -8,16 +8,16 @@
 import msgspec
 
 from madderwind.evacuation import messages
-from madderwind.evacuation.actions import Action, Say, TellHold
+from madderwind.evacuation.actions import Action, Say, TellEvacuation
 from madderwind.evacuation.areas import Area, zone_mark
-from madderwind.evacuation.held import SELF, Held, Slot
-from madderwind.evacuation.messages import EVERYWHERE, FULL, STEPS, Hold, View
+from madderwind.evacuation.messages import EVERYWHERE, FULL, STEPS, Evacuation, View
 from madderwind.evacuation.observations import Observations
+from madderwind.evacuation.state import SELF, EvacuationState, Slot
 from madderwind.evacuation.topology import Topology
 
 
 class Register:
-    """`held` by area and scope; what has to be told and logged goes to `out`."""
+    """`evacuations` by area and scope; what has to be told and logged goes to `out`."""
 
     def __init__(
         self,
@@ -30,9 +30,11 @@
     ) -> None:
         self._me, self._standing, self._topology, self._observations = me, standing, topology, observations
         self._counts, self._out = counts, out
-        self.held: dict[Slot, Held] = {}
+        self.evacuations: dict[Slot, EvacuationState] = {}
         self.why_not: dict[Slot, str] = {}  # why an area was not left, as logged last
-        self._latest: dict[Slot, Hold] = {}  # also of holds that were forgotten: the next goes above them
+        self._latest: dict[
+            Slot, Evacuation
+        ] = {}  # also of evacuations that were forgotten: the next goes above them
 
     def publish(
         self,
@@ -44,11 +46,13 @@
         by_hand: bool = False,
         **fields: Any,
     ) -> None:
-        """A change of a hold, made by this balancer; `episode` 1 begins the next."""
+        """A change of an evacuation, made by this balancer; `episode` 1 begins the next."""
         slot = area.mark, scope
-        held = self.held.get(slot)
-        before = held.hold if held is not None else self._latest.get(slot, Hold(*slot, 0, 0, FULL))
-        hold = msgspec.structs.replace(
+        state = self.evacuations.get(slot)
+        before = (
+            state.evacuation if state is not None else self._latest.get(slot, Evacuation(*slot, 0, 0, FULL))
+        )
+        evacuation = msgspec.structs.replace(
             before,
             episode=before.episode + episode,
             number=before.number + 1,
@@ -57,57 +61,66 @@
             **fields,
         )
         if by_hand:
-            hold = msgspec.structs.replace(hold, part=100, witnesses=())
-        self.knows(hold)
-        self.take(now, area, hold, mine=True)
+            evacuation = msgspec.structs.replace(evacuation, part=100, witnesses=())
+        self.knows(evacuation)
+        self.take(now, area, evacuation, mine=True)
         if scope != SELF:
-            self._out.append(TellHold(hold.order, messages.write_hold(hold)))
-
-    def knows(self, hold: Hold) -> None:
-        """A hold that is somewhere, whether it is taken here or not."""
-        slot = hold.area, hold.scope
-        if slot not in self._latest or hold.order > self._latest[slot].order:
-            self._latest[slot] = hold
-
-    def take(self, now: float, area: Area, hold: Hold, mine: bool = False) -> None:
-        """A hold, if it is later than the one known. `mine`: this balancer made it."""
-        slot = hold.area, hold.scope
-        held = self.held.get(slot)
-        if held is not None and hold.order <= held.hold.order:
+            self._out.append(TellEvacuation(evacuation.order, messages.write_evacuation(evacuation)))
+
+    def knows(self, evacuation: Evacuation) -> None:
+        """An evacuation that is somewhere, whether it is taken here or not."""
+        slot = evacuation.area, evacuation.scope
+        if slot not in self._latest or evacuation.order > self._latest[slot].order:
+            self._latest[slot] = evacuation
+
+    def take(self, now: float, area: Area, evacuation: Evacuation, mine: bool = False) -> None:
+        """An evacuation, if it is later than the one known. `mine`: this balancer made it."""
+        slot = evacuation.area, evacuation.scope
+        state = self.evacuations.get(slot)
+        if state is not None and evacuation.order <= state.evacuation.order:
             return
-        wider = self.held.get((hold.area, EVERYWHERE))
-        if hold.scope != EVERYWHERE and wider is not None and wider.is_left:
+        wider = self.evacuations.get((evacuation.area, EVERYWHERE))
+        if evacuation.scope != EVERYWHERE and wider is not None and wider.is_left:
             return  # all have left it: one return is enough
-        before = held.hold if held is not None else None
-        if held is None:
-            held = self.held[slot] = Held(hold, now)
+        before = state.evacuation if state is not None else None
+        if state is None:
+            state = self.evacuations[slot] = EvacuationState(evacuation, now)
         else:
-            held.takes(hold, now)
-        new = before is None or before.episode != hold.episode
-        if hold.step == FULL or hold.by_hand or mine:
-            held.stays = False
-        elif new and hold.step == 0:
-            held.stays = self._observations.reaches(now, area)
+            state.takes(evacuation, now)
+        new = before is None or before.episode != evacuation.episode
+        if evacuation.step == FULL or evacuation.by_hand or mine:
+            state.stays = False
+        elif new and evacuation.step == 0:
+            state.stays = self._observations.reaches(now, area)
         if new:
-            held.next = held.bad_trials = 0
-        if before is not None and before.step == hold.step and not new and before.by_hand == hold.by_hand:
+            state.next = state.bad_trials = 0
+        if (
+            before is not None
+            and before.step == evacuation.step
+            and not new
+            and before.by_hand == evacuation.by_hand
+        ):
             return  # renewed
         self.why_not.pop(slot, None)
-        if hold.step == 0 and hold.scope == EVERYWHERE:
+        if evacuation.step == 0 and evacuation.scope == EVERYWHERE:
             for scope in (SELF, zone_mark(self._standing)):
-                self.held.pop((hold.area, scope), None)
-        self._note(area, held, new)
+                self.evacuations.pop((evacuation.area, scope), None)
+        self._note(area, state, new)
 
-    def _note(self, area: Area, held: Held, new: bool) -> None:
+    def _note(self, area: Area, state: EvacuationState, new: bool) -> None:
         """Count and log a change."""
-        hold = held.hold
-        told = {"area": area.name, "scope": self._scope_name(hold.scope), "step": STEPS[hold.step]}
-        told |= {"level": hold.level, "by_hand": hold.by_hand}
-        if hold.step == 0:
+        evacuation = state.evacuation
+        told = {
+            "area": area.name,
+            "scope": self._scope_name(evacuation.scope),
+            "step": STEPS[evacuation.step],
+        }
+        told |= {"level": evacuation.level, "by_hand": evacuation.by_hand}
+        if evacuation.step == 0:
             self._counts["left" if new else "relapsed"] += 1
-            told |= {"witnesses": list(hold.witnesses), "part": hold.part, "stays": held.stays}
+            told |= {"witnesses": list(evacuation.witnesses), "part": evacuation.part, "stays": state.stays}
             self._out.append(Say("area_left" if new else "area_relapsed", told))
-        elif hold.step == FULL:
+        elif evacuation.step == FULL:
             self._counts["returned"] += 1
             self._out.append(Say("area_returned", told))
         else:
@@ -118,10 +131,10 @@
 
     def forget(self) -> None:
         """No messages for long: as a balancer does alone. What was left by hand stays left."""
-        for slot, held in list(self.held.items()):
-            if not held.hold.by_hand:
-                del self.held[slot]
-                if held.is_left:
+        for slot, state in list(self.evacuations.items()):
+            if not state.evacuation.by_hand:
+                del self.evacuations[slot]
+                if state.is_left:
                     self._counts["alone"] += 1
                     area = self._topology.areas.get(slot[0])
                     told = {"area": area.name if area else "", "why": "no words"}
@@ -129,30 +142,30 @@
 
     def saw(self, now: float, copy: int, view: View) -> None:
         """What a balancer's view tells of the areas that are left."""
-        for (mark, scope), held in self.held.items():
+        for (mark, scope), state in self.evacuations.items():
             if scope not in (EVERYWHERE, view.standing) and (scope != SELF or copy != self._me):
                 continue  # what it reaches says nothing of what those of this scope reach
-            if held.is_left and (area := self._topology.areas.get(mark)) is not None:
+            if state.is_left and (area := self._topology.areas.get(mark)) is not None:
                 for zone in area.zones:
                     report = view.zones.get(zone_mark(zone))
                     if report is not None:
-                        held.saw(copy, report.bads, report.goods, now)
+                        state.saw(copy, report.bads, report.goods, now)
 
     def covers(self, slot: Slot, area: Area, scope: int) -> bool:
-        """Whether that hold is of this area, or a region around it, for at least these balancers."""
-        held = self._topology.areas.get(slot[0])
-        return held is not None and set(area.zones) <= set(held.zones) and slot[1] in (EVERYWHERE, scope)
+        """Whether that evacuation is of this area, or a region around it, for at least these balancers."""
+        state = self._topology.areas.get(slot[0])
+        return state is not None and set(area.zones) <= set(state.zones) and slot[1] in (EVERYWHERE, scope)
 
     def left_zones(self) -> set[str]:
         """Zones that this balancer does not use as it would."""
-        held = ((self._topology.areas.get(mark), held) for (mark, _), held in self.held.items())
-        return {zone for area, held in held if area is not None and held.in_force for zone in area.zones}
+        state = ((self._topology.areas.get(mark), state) for (mark, _), state in self.evacuations.items())
+        return {zone for area, state in state if area is not None and state.in_force for zone in area.zones}
 
     def left(self) -> list[tuple[str, int]]:
         """Areas that this balancer has left, with their steps."""
         areas = self._topology.areas
         return sorted(
-            (areas[mark].name, held.hold.step)
-            for (mark, _), held in self.held.items()
-            if held.is_left and not held.stays and mark in areas
+            (areas[mark].name, state.evacuation.step)
+            for (mark, _), state in self.evacuations.items()
+            if state.is_left and not state.stays and mark in areas
         )
--- a/madderwind/evacuation/reporting.py
+++ b/madderwind/evacuation/reporting.py
@@ -8,12 +8,12 @@
 
 from madderwind.evacuation import decision, messages
 from madderwind.evacuation.actions import Action, TellView
-from madderwind.evacuation.held import SELF, TRY_MS
 from madderwind.evacuation.messages import View
 from madderwind.evacuation.observations import NOTHING, Observations, ZoneObservation
 from madderwind.evacuation.register import Register
 from madderwind.evacuation.roles import Roles
 from madderwind.evacuation.roster import Roster
+from madderwind.evacuation.state import SELF, TRY_MS
 from madderwind.evacuation.topology import Topology
 from madderwind.evacuation.views import Views
 
@@ -79,15 +79,15 @@
     def _watched(self, now: float) -> tuple[set[str], set[str], set[str]]:
         """Zones of which this balancer tells how it goes; that it scouts; and that all know to fail."""
         watched, scouted, known = set[str](), set[str](), set[str]()
-        for (mark, scope), held in self._register.held.items():
+        for (mark, scope), state in self._register.evacuations.items():
             area = self._topology.areas.get(mark)
-            if area is None or not held.is_left or scope == SELF:
+            if area is None or not state.is_left or scope == SELF:
                 continue
-            scouts = self._roles.scouts(now, area, held)
+            scouts = self._roles.scouts(now, area, state)
             scouted |= set(area.zones) if scouts else set()
-            known |= set(area.zones) if held.hold.step == 0 else set()
-            tried = now - held.tried_ms <= TRY_MS
-            if scouts or held.stays or tried or self._roles.reports(area, held):
+            known |= set(area.zones) if state.evacuation.step == 0 else set()
+            tried = now - state.tried_ms <= TRY_MS
+            if scouts or state.stays or tried or self._roles.reports(area, state):
                 watched |= set(area.zones)
         return watched, scouted, known
 
--- a/madderwind/evacuation/roles.py
+++ b/madderwind/evacuation/roles.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from madderwind.evacuation.areas import Area, fraction, zone_mark
-from madderwind.evacuation.held import SELF, Held
 from madderwind.evacuation.roster import Roster
+from madderwind.evacuation.state import SELF, EvacuationState
 from madderwind.evacuation.views import Views
 
 SCOUTS, REPORTERS = 2, 8  # balancers that tell what holds; and that try what is left, once one answered
 SCOUT_SILENT_MS, SCOUT_RANK_MS = 1200.0, 60.0  # then the next in rank steps in, and so much later each other
 CUT_OFF_MS = 1500.0  # a balancer that hears nothing for so long speaks for no one
-TURN_OPEN_MS = 700.0  # a turn in the dark goes with each renewal of the hold, and is over before the next
+TURN_OPEN_MS = (
+    700.0  # a turn in the dark goes with each renewal of the evacuation, and is over before the next
+)
 
 
 class Roles:
@@ -33,23 +35,23 @@
         self._ranks[area.mark, episode] = rank
         return rank
 
-    def reports(self, area: Area, held: Held, at_most: int = REPORTERS) -> bool:
+    def reports(self, area: Area, state: EvacuationState, at_most: int = REPORTERS) -> bool:
         """Whether this balancer is among those that tell how it goes with what is left."""
-        return self.rank(area, held.hold.episode) < min(REPORTERS, at_most)
+        return self.rank(area, state.evacuation.episode) < min(REPORTERS, at_most)
 
-    def scouts(self, now: float, area: Area, held: Held) -> bool:
+    def scouts(self, now: float, area: Area, state: EvacuationState) -> bool:
         """Whether this balancer tells what holds: the first in rank do; whoever is next once they are silent.
         Guards against one that is cut off and renews for itself what the others have given up."""
-        if held.hold.scope == SELF:
+        if state.evacuation.scope == SELF:
             return True
         if now - self._views.heard_ms > CUT_OFF_MS:
             return False
-        held.before = self._scouts_before(now, area, held.hold.episode)
-        if held.before >= SCOUTS:
-            held.enough_ms = now
+        state.before = self._scouts_before(now, area, state.evacuation.episode)
+        if state.before >= SCOUTS:
+            state.enough_ms = now
             return False
-        rank = self.rank(area, held.hold.episode)
-        return rank < SCOUTS or now - held.enough_ms >= SCOUT_SILENT_MS + SCOUT_RANK_MS * rank
+        rank = self.rank(area, state.evacuation.episode)
+        return rank < SCOUTS or now - state.enough_ms >= SCOUT_SILENT_MS + SCOUT_RANK_MS * rank
 
     def _scouts_before(self, now: float, area: Area, episode: int) -> int:
         """How many of lower rank scout the area by their views."""
@@ -62,13 +64,13 @@
             for said in self._views.of_others()
         )
 
-    def has_turn(self, now: float, area: Area, held: Held) -> bool:
+    def has_turn(self, now: float, area: Area, state: EvacuationState) -> bool:
         """Whether this balancer is the one of all that may try what is dark now: each turn goes to another,
         so that no death matters. Guards against trials that add up over the fleet, whoever hears late."""
-        if now - held.turn_ms > TURN_OPEN_MS:
+        if now - state.turn_ms > TURN_OPEN_MS:
             return False
         drawn = min(
-            (fraction(area.mark, held.hold.episode, held.hold.number, copy + 1), copy)
+            (fraction(area.mark, state.evacuation.episode, state.evacuation.number, copy + 1), copy)
             for copy in self._roster.able()
         )
         return drawn[1] == self._roster.me
--- a/madderwind/evacuation/held.py
+++ b/madderwind/evacuation/state.py
@@ -1,10 +1,10 @@
-"""What a balancer knows of an area that is left: the fleet's hold, and what was seen since its step began."""
+"""What a balancer knows of an area that is left: the evacuation, and what was seen since its step began."""
 
 from __future__ import annotations
 
 import math
 
-from madderwind.evacuation.messages import FULL, Hold
+from madderwind.evacuation.messages import FULL, Evacuation
 
 TRY_MS = 4000.0  # a trial's most
 TRY_AGAIN_MS, SELF_TRY_MS = 1200.0, 2000.0  # before the first trial; of who left on its own observation
@@ -13,15 +13,15 @@
 STALE_MS = 1800.0  # after a leave, good answers that are told may be older than it
 LEASE_MS = 3600.0  # a step that nobody renews is given up for step 0
 NO_TRIAL = -1
-SELF = 0xFFFF_FFFF  # the scope of a hold that a balancer keeps to itself
+SELF = 0xFFFF_FFFF  # the scope of an evacuation that a balancer keeps to itself
 Slot = tuple[int, int]  # area and scope
 
 
-class Held:
-    """One hold as this balancer has it."""
+class EvacuationState:
+    """One evacuation as this balancer has it."""
 
-    def __init__(self, hold: Hold, now: float) -> None:
-        self.hold, self.since_ms, self.renewed_ms = hold, now, now
+    def __init__(self, evacuation: Evacuation, now: float) -> None:
+        self.evacuation, self.since_ms, self.renewed_ms = evacuation, now, now
         self.returned_ms = now  # when the first step above none was taken
         self.good_ms: dict[int, float] = {}
         self.bad_ms: dict[int, float] = {}
@@ -29,9 +29,9 @@
         self.stays = False  # this balancer reaches the area and goes on
         self.beyond = False  # with what was left before, more than may be withheld
         self.trial, self.trial_ms = NO_TRIAL, 0.0
-        self.next_trial_ms = now + (SELF_TRY_MS if hold.scope == SELF else TRY_AGAIN_MS)
+        self.next_trial_ms = now + (SELF_TRY_MS if evacuation.scope == SELF else TRY_AGAIN_MS)
         self.tried_ms = -math.inf  # when this balancer last tried
-        self.turn_ms = -math.inf  # when the turn in the dark began that goes with the hold's number
+        self.turn_ms = -math.inf  # when the turn in the dark began that goes with its number
         self.next = self.bad_trials = 0
         self.enough_ms = now + FIRST_SCOUTS_MS  # when enough scouts were last heard
         self.before = 0  # scouts of lower rank that were heard lately
@@ -39,29 +39,29 @@
     @property
     def is_left(self) -> bool:
         """Whether the area is left by now, in whole or in part."""
-        return self.hold.step < FULL
+        return self.evacuation.step < FULL
 
     @property
     def in_force(self) -> bool:
         """Whether this balancer goes by it."""
         return self.is_left and not (self.stays or self.beyond)
 
-    def takes(self, hold: Hold, now: float) -> None:
-        """The hold changed or was renewed."""
-        before, self.hold = self.hold, hold
+    def takes(self, evacuation: Evacuation, now: float) -> None:
+        """The evacuation changed or was renewed."""
+        before, self.evacuation = self.evacuation, evacuation
         self.renewed_ms = now
-        if hold.number != before.number:
+        if evacuation.number != before.number:
             self.turn_ms = now
-        if (hold.step, hold.episode) == (before.step, before.episode):
+        if (evacuation.step, evacuation.episode) == (before.step, before.episode):
             return
-        if hold.step and not (before.step and hold.episode == before.episode):
+        if evacuation.step and not (before.step and evacuation.episode == before.episode):
             self.returned_ms = now
         self.since_ms = now
         self.good_ms, self.bad_ms, self.bad_copies = {}, {}, set()
 
     def saw(self, copy: int, bads: frozenset[int], goods: frozenset[int], now: float) -> None:
         """What a balancer told of its upstreams, by the low halves of their marks."""
-        if self.hold.step == 0 and now - self.since_ms < STALE_MS:
+        if self.evacuation.step == 0 and now - self.since_ms < STALE_MS:
             goods = frozenset()  # they may be from before it failed
         if bads:
             self.bad_copies.add(copy)
@@ -79,6 +79,6 @@
         return sum(now - at <= ANSWERS_MS for at in self.good_ms.values())
 
     def step(self, now: float) -> int:
-        """In force: one that nobody renews is held for none, so that a lost relapse does no harm."""
-        partial = 0 < self.hold.step < FULL
-        return 0 if partial and now - self.renewed_ms > LEASE_MS else self.hold.step
+        """In force: one that nobody renews is state for none, so that a lost relapse does no harm."""
+        partial = 0 < self.evacuation.step < FULL
+        return 0 if partial and now - self.renewed_ms > LEASE_MS else self.evacuation.step
--- a/madderwind/evacuation/withholding.py
+++ b/madderwind/evacuation/withholding.py
@@ -6,10 +6,10 @@
 
 from madderwind.evacuation.actions import Action, Reopen, TakeBack, Withhold
 from madderwind.evacuation.areas import Area, LeavingSettings, fraction
-from madderwind.evacuation.held import Held
 from madderwind.evacuation.messages import FULL, STEPS
 from madderwind.evacuation.observations import Observations
 from madderwind.evacuation.register import Register
+from madderwind.evacuation.state import EvacuationState
 from madderwind.evacuation.topology import Topology
 
 OWED_MS = 4500.0  # what counts as started so long ago and called back is owed an attempt at once
@@ -39,51 +39,51 @@
     def update(self, now: float) -> None:
         """What is withheld now; what changed goes out."""
         withheld, trials, opened = set[int](), set[int](), dict[float, set[int]]()
-        for area, held in self._in_force():
-            step = held.step(now)
-            for number in self._of_part(area, held):
-                if self._awaits_trial(held, number):
+        for area, state in self._in_force():
+            step = state.step(now)
+            for number in self._of_part(area, state):
+                if self._awaits_trial(state, number):
                     trials.add(number)
-                elif step < FULL and self._above(held, number, STEPS[step]):
+                elif step < FULL and self._above(state, number, STEPS[step]):
                     withheld.add(number)
                 else:
-                    opened.setdefault(held.returned_ms, set()).add(number)
+                    opened.setdefault(state.returned_ms, set()).add(number)
         withheld -= trials
         self._change(now, frozenset(withheld), frozenset(trials), opened)
 
-    def _in_force(self) -> Iterable[tuple[Area, Held]]:
+    def _in_force(self) -> Iterable[tuple[Area, EvacuationState]]:
         """What this balancer goes by. Guards against two halves of a fleet that were cut apart, and each left
         the other's zones: what would go beyond the most that may be withheld is passed over."""
         most = self._settings.most_withheld * self._topology.size()
         within = set[str]()
-        for (mark, _), held in self._register.held.items():
+        for (mark, _), state in self._register.evacuations.items():
             area = self._topology.areas.get(mark)
-            if area is None or held.stays:
+            if area is None or state.stays:
                 continue
-            if held.is_left and held.hold.part == 100:
+            if state.is_left and state.evacuation.part == 100:
                 zones = within | set(area.zones)
-                held.beyond = self._topology.size(zones) > most
-                if held.beyond:
+                state.beyond = self._topology.size(zones) > most
+                if state.beyond:
                     continue
                 within = zones
-            yield area, held
+            yield area, state
 
-    def _of_part(self, area: Area, held: Held) -> Iterable[int]:
+    def _of_part(self, area: Area, state: EvacuationState) -> Iterable[int]:
         """Its upstreams that are left, where not the whole area is."""
         for number, place in self._topology.places.items():
-            if place.zone in area.zones and fraction(place.mark, area.mark) < held.hold.part / 100:
+            if place.zone in area.zones and fraction(place.mark, area.mark) < state.evacuation.part / 100:
                 yield number
 
-    def _awaits_trial(self, held: Held, number: int) -> bool:
+    def _awaits_trial(self, state: EvacuationState, number: int) -> bool:
         """Whether it is opened for one attempt, which has not gone out yet."""
-        return number == held.trial and not (
-            self._may_probe or self._observations.is_out(number, held.trial_ms)
+        return number == state.trial and not (
+            self._may_probe or self._observations.is_out(number, state.trial_ms)
         )
 
-    def _above(self, held: Held, number: int, part: float) -> bool:
+    def _above(self, state: EvacuationState, number: int, part: float) -> bool:
         """Whether it is beyond the part that this balancer opens at a step; each opens others."""
         mark = self._topology.places[number].mark
-        return fraction(mark, held.hold.episode, self._me + 1) >= part
+        return fraction(mark, state.evacuation.episode, self._me + 1) >= part
 
     def _change(
         self, now: float, withheld: frozenset[int], trials: frozenset[int], opened: dict[float, set[int]]
@@ -115,8 +115,10 @@
         """Upstreams of what this balancer has left, no step yet taken back."""
         return frozenset(
             number
-            for (mark, _), held in self._register.held.items()
-            if held.hold.step == 0 and held.in_force and (area := self._topology.areas.get(mark)) is not None
+            for (mark, _), state in self._register.evacuations.items()
+            if state.evacuation.step == 0
+            and state.in_force
+            and (area := self._topology.areas.get(mark)) is not None
             for number, place in self._topology.places.items()
             if place.zone in area.zones
         )
--- a/madderwind/lab/outages.py
+++ b/madderwind/lab/outages.py
@@ -204,7 +204,7 @@
                     copy.leaving.observations.ended(now_ms, key, Outcome.CANCELLED, 0.0)
                 case actions.TellView(payload):
                     self._say(number, copy.fellows.tell_view(now_ms, payload))
-                case actions.TellHold(order, payload):
+                case actions.TellEvacuation(order, payload):
                     self._say(number, copy.fellows.tell_shared(now_ms, order, payload))
                 case actions.Say(event, fields):
                     self._note(number, event, fields)
@@ -233,7 +233,7 @@
                     self._copies[number].leaving.heard_view(self._timeline.now_ms, origin, payload)
                 case gossip.Heard(_, payload, Kind.SHARED, order):
                     now_ms = self._timeline.now_ms
-                    self._left(number, self._copies[number].leaving.heard_hold(now_ms, order, payload))
+                    self._left(number, self._copies[number].leaving.heard_evacuation(now_ms, order, payload))
         self._due.at(number, self._copies[number].fellows.due_ms)
 
     def _gossip(self, number: int) -> None:
--- a/madderwind/routing/withdrawal.py
+++ b/madderwind/routing/withdrawal.py
@@ -17,7 +17,7 @@
     Reopen,
     Say,
     TakeBack,
-    TellHold,
+    TellEvacuation,
     TellView,
     Withhold,
 )
@@ -95,7 +95,7 @@
         self._leaving.heard_view(self._clock.now_ms(), origin, payload)
 
     def heard_shared(self, order: tuple[int, int], payload: bytes) -> None:
-        self._do(self._leaving.heard_hold(self._clock.now_ms(), order, payload))
+        self._do(self._leaving.heard_evacuation(self._clock.now_ms(), order, payload))
 
     def by_hand(self, name: str, back: bool) -> str:
         """Leave a zone or region, or return to it, as the whole fleet; "" or why not."""
@@ -135,7 +135,7 @@
                     self._hands.start_probe(upstream)
                 case TellView(payload):
                     self._fellows.tell_view(payload)
-                case TellHold(order, payload):
+                case TellEvacuation(order, payload):
                     self._fellows.tell_shared(order, payload)
                 case Say("area_not_left" as event, fields):
                     self._log_sparingly(event, **fields)
--- a/tests/evacuation/test_evacuation.py
+++ b/tests/evacuation/test_evacuation.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from madderwind.evacuation import actions, decision, evacuation, held, messages
+from madderwind.evacuation import actions, decision, evacuation, messages, state
 from madderwind.evacuation.areas import (
     Area,
     AreaError,
@@ -45,12 +45,12 @@
     data = messages.write_view(0.0, "a", 2.5, {"b": ZoneObservation(bads, goods)}, frozenset("b"))
     read = messages.read_view(data)
     assert read.per_s == 2.5 and read.zones[zone_mark("b")].bads <= {messages.short(m) for m in bads}
-    hold = messages.Hold(7, 0, 3, 9, 1, 2, False, 100, (1, 2, 3))
-    assert messages.read_hold(hold.order, messages.write_hold(hold)) == hold
+    evacuation = messages.Evacuation(7, 0, 3, 9, 1, 2, False, 100, (1, 2, 3))
+    assert messages.read_evacuation(evacuation.order, messages.write_evacuation(evacuation)) == evacuation
     copy = copy_of(0)
     copy.heard_view(0.0, 1, noise)
     copy.heard_view(0.0, 1, data[:-1] + noise)
-    assert not copy.heard_hold(0.0, (3, 5), noise)
+    assert not copy.heard_evacuation(0.0, (3, 5), noise)
 
 
 def copy_of(me: int, **settings: object) -> evacuation.Leaving:
@@ -139,8 +139,8 @@
 def leave_by(
     copy: evacuation.Leaving, now: float, witnesses: tuple[int, ...], area: str = "b"
 ) -> list[actions.Action]:
-    hold = messages.Hold(zone_mark(area), 0, 1, 1, 0, witnesses=witnesses)
-    return copy.heard_hold(now, hold.order, messages.write_hold(hold))
+    evacuation = messages.Evacuation(zone_mark(area), 0, 1, 1, 0, witnesses=witnesses)
+    return copy.heard_evacuation(now, evacuation.order, messages.write_evacuation(evacuation))
 
 
 def test_a_leave_needs_witnesses_and_never_takes_the_last_zone() -> None:
@@ -158,13 +158,13 @@
 def test_a_step_that_nobody_renews_is_given_up_and_silence_forgets_all() -> None:
     copy = copy_of(1, alone_after_s=5)
     leave_by(copy, 0.0, (1, 2, 3))
-    step = messages.Hold(zone_mark("b"), 0, 1, 2, 2, witnesses=(1, 2, 3))
-    copy.heard_hold(100.0, step.order, messages.write_hold(step))
+    step = messages.Evacuation(zone_mark("b"), 0, 1, 2, 2, witnesses=(1, 2, 3))
+    copy.heard_evacuation(100.0, step.order, messages.write_evacuation(step))
     at_step = copy.withheld
     assert len(at_step) < 4
     copy.heard_message(100.0)
     copy.tick(200.0)
-    copy.tick(100.0 + held.LEASE_MS + 100.0)
+    copy.tick(100.0 + state.LEASE_MS + 100.0)
     assert copy.withheld == {1, 3, 5, 7}, "a copy that hears no renewal goes back"
     copy.tick(6000.0)
     assert not copy.withheld and copy.counts["alone"] == 1
@@ -174,8 +174,8 @@
     """Guards against an error in the tick where the step-0 message of a new episode was lost on its way."""
     copy = copy_of(0)
     for scope, episode, step in ((0, 1, messages.FULL), (zone_mark("a"), 1, 1), (0, 2, 1)):
-        hold = messages.Hold(zone_mark("b"), scope, episode, 1, step)
-        copy.heard_hold(0.0, hold.order, messages.write_hold(hold))
+        evacuation = messages.Evacuation(zone_mark("b"), scope, episode, 1, step)
+        copy.heard_evacuation(0.0, evacuation.order, messages.write_evacuation(evacuation))
     assert copy.left() == [("b", 1), ("b", 1)]
     copy.tick(100.0)
     data = messages.write_view(
