Rename: ZoneEvacuation and its calls, EvacuationSettings, the actions Probe and LogEvent

A pure rename of Leaving, LeavingSettings, leave, give_back, Ask and Say; settings, operators' words and the log stay.

--- a/madderwind/evacuation/actions.py
+++ b/madderwind/evacuation/actions.py
@@ -29,7 +29,7 @@
     key: Key
 
 
-class Ask(msgspec.Struct, frozen=True):
+class Probe(msgspec.Struct, frozen=True):
     """A probe of an upstream."""
 
     upstream: int
@@ -48,11 +48,11 @@
     payload: bytes
 
 
-class Say(msgspec.Struct, frozen=True):
+class LogEvent(msgspec.Struct, frozen=True):
     """A log event."""
 
     event: str
     fields: dict[str, Any]
 
 
-Action = Withhold | Reopen | TakeBack | Ask | TellView | TellEvacuation | Say
+Action = Withhold | Reopen | TakeBack | Probe | TellView | TellEvacuation | LogEvent
--- a/madderwind/evacuation/areas.py
+++ b/madderwind/evacuation/areas.py
@@ -10,7 +10,7 @@
 Part = Annotated[float, msgspec.Meta(gt=0, le=1)]
 
 
-class LeavingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class EvacuationSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """`fleet.leaving` of a configuration; without it no zone is left.
 
     `regions` are named groups of zones. No more than `most_withheld` of the upstreams, by size, is ever
@@ -59,7 +59,7 @@
     return Area(zone, (zone,), False, zone_mark(zone))
 
 
-def regions_of(settings: LeavingSettings) -> tuple[Area, ...]:
+def regions_of(settings: EvacuationSettings) -> tuple[Area, ...]:
     """Guards against two copies that mean other zones by one name: they have other marks for it."""
     found = []
     for name, zones in settings.regions.items():
@@ -68,7 +68,7 @@
     return tuple(found)
 
 
-def check_regions(settings: LeavingSettings, zones: tuple[str, ...]) -> None:
+def check_regions(settings: EvacuationSettings, zones: tuple[str, ...]) -> None:
     """AreaError: a region without a name or zones, named as a zone is, of a zone that is not known, or of all
     there are."""
     for name, inside in settings.regions.items():
--- a/madderwind/evacuation/evacuation.py
+++ b/madderwind/evacuation/evacuation.py
@@ -1,7 +1,7 @@
 """One balancer's part in leaving areas and returning: what it saw and heard becomes what it withholds.
 
-`tick`, `listed`, `heard_evacuation`, `leave` and `give_back` return what is to be done, in order. Time is the
-call's; what all balancers have to choose alike is drawn from marks and numbers that are alike at all.
+`tick`, `listed`, `heard_evacuation`, `evacuate` and `return_to` return what is to be done, in order. Time is
+the call's; what all balancers have to choose alike is drawn from marks and numbers that are alike at all.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 from madderwind.evacuation import decision, messages
 from madderwind.evacuation.actions import Action
-from madderwind.evacuation.areas import LeavingSettings, Place, zone_mark
+from madderwind.evacuation.areas import EvacuationSettings, Place, zone_mark
 from madderwind.evacuation.initiation import Initiation
 from madderwind.evacuation.messages import EVERYWHERE, Evacuation, MalformedMessage
 from madderwind.evacuation.observations import Observations, ZoneObservation
@@ -29,7 +29,7 @@
 LATE_MS = 1000.0  # a tick so late says that this process was stopped
 
 
-class Leaving:
+class ZoneEvacuation:
     """`living` tells the balancers not held dead, this one among them; `able` those of them that requests
     come to; `carried_per_s` what all together carry, as far as it is known."""
 
@@ -37,7 +37,7 @@
         self,
         me: int,
         standing: str,
-        settings: LeavingSettings,
+        settings: EvacuationSettings,
         living: Callable[[], list[int]],
         warm_after_ms: float = 0.0,
         may_probe: bool = False,
@@ -114,7 +114,7 @@
                 self.counts["unfounded"] += 1
         return self._done()
 
-    def leave(self, now: float, name: str) -> tuple[list[Action], str]:
+    def evacuate(self, now: float, name: str) -> tuple[list[Action], str]:
         """By hand, until it is given back; and why not, where that cannot be."""
         area = self._topology.named(name)
         if area is None:
@@ -125,7 +125,7 @@
         self._withholding.update(now)
         return self._done(), ""
 
-    def give_back(self, now: float, name: str) -> tuple[list[Action], str]:
+    def return_to(self, now: float, name: str) -> tuple[list[Action], str]:
         """By hand: in steps from now on, whoever left it."""
         area = self._topology.named(name)
         state = self._register.evacuations.items()
--- a/madderwind/evacuation/initiation.py
+++ b/madderwind/evacuation/initiation.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 from madderwind.evacuation import decision
-from madderwind.evacuation.actions import Action, Say
+from madderwind.evacuation.actions import Action, LogEvent
 from madderwind.evacuation.areas import Area, zone_mark
 from madderwind.evacuation.messages import EVERYWHERE, MOST_LEVEL
 from madderwind.evacuation.observations import NOTHING, ZoneObservation
@@ -111,7 +111,7 @@
         if self._register.why_not.get(slot) != why:
             self._register.why_not[slot] = why
             self._counts["not_left"] += 1
-            self._out.append(Say("area_not_left", {"area": area.name, "why": why}))
+            self._out.append(LogEvent("area_not_left", {"area": area.name, "why": why}))
 
     def _judge_alone(
         self, now: float, area: Area, own: Mapping[str, ZoneObservation], withheld: frozenset[int]
--- a/madderwind/evacuation/recovery.py
+++ b/madderwind/evacuation/recovery.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 
 from madderwind.evacuation import decision
-from madderwind.evacuation.actions import Action, Ask
+from madderwind.evacuation.actions import Action, Probe
 from madderwind.evacuation.areas import Area, fraction
 from madderwind.evacuation.messages import MOST_LEVEL
 from madderwind.evacuation.observations import NOTHING, Observations, ZoneObservation
@@ -146,4 +146,4 @@
             state.next, state.tried_ms = state.next + 1, now
             self._counts["tries"] += 1
             if self._may_probe:
-                self._out.append(Ask(state.trial))
+                self._out.append(Probe(state.trial))
--- a/madderwind/evacuation/register.py
+++ b/madderwind/evacuation/register.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from madderwind.evacuation import messages
-from madderwind.evacuation.actions import Action, Say, TellEvacuation
+from madderwind.evacuation.actions import Action, LogEvent, TellEvacuation
 from madderwind.evacuation.areas import Area, zone_mark
 from madderwind.evacuation.messages import EVERYWHERE, FULL, STEPS, Evacuation, View
 from madderwind.evacuation.observations import Observations
@@ -119,12 +119,12 @@
         if evacuation.step == 0:
             self._counts["left" if new else "relapsed"] += 1
             told |= {"witnesses": list(evacuation.witnesses), "part": evacuation.part, "stays": state.stays}
-            self._out.append(Say("area_left" if new else "area_relapsed", told))
+            self._out.append(LogEvent("area_left" if new else "area_relapsed", told))
         elif evacuation.step == FULL:
             self._counts["returned"] += 1
-            self._out.append(Say("area_returned", told))
+            self._out.append(LogEvent("area_returned", told))
         else:
-            self._out.append(Say("area_step", told))
+            self._out.append(LogEvent("area_step", told))
 
     def _scope_name(self, scope: int) -> str:
         return {EVERYWHERE: "all", SELF: "self"}.get(scope, self._standing)
@@ -138,7 +138,7 @@
                     self._counts["alone"] += 1
                     area = self._topology.areas.get(slot[0])
                     told = {"area": area.name if area else "", "why": "no words"}
-                    self._out.append(Say("area_forgotten", told))
+                    self._out.append(LogEvent("area_forgotten", told))
 
     def saw(self, now: float, copy: int, view: View) -> None:
         """What a balancer's view tells of the areas that are left."""
--- a/madderwind/evacuation/topology.py
+++ b/madderwind/evacuation/topology.py
@@ -6,14 +6,14 @@
 from collections import Counter
 from collections.abc import Container, Mapping
 
-from madderwind.evacuation.areas import Area, LeavingSettings, Place, area_of_zone, regions_of
+from madderwind.evacuation.areas import Area, EvacuationSettings, Place, area_of_zone, regions_of
 
 
 class Topology:
     """`places` are the upstreams that discovery calls ready and nobody suspended, `ready` how many each zone
     has, `areas` the zones and regions by their marks."""
 
-    def __init__(self, settings: LeavingSettings) -> None:
+    def __init__(self, settings: EvacuationSettings) -> None:
         self._settings = settings
         self.places: Mapping[int, Place] = {}
         self.ready: dict[str, int] = {}
--- a/madderwind/evacuation/withholding.py
+++ b/madderwind/evacuation/withholding.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from madderwind.evacuation.actions import Action, Reopen, TakeBack, Withhold
-from madderwind.evacuation.areas import Area, LeavingSettings, fraction
+from madderwind.evacuation.areas import Area, EvacuationSettings, fraction
 from madderwind.evacuation.messages import FULL, STEPS
 from madderwind.evacuation.observations import Observations
 from madderwind.evacuation.register import Register
@@ -22,7 +22,7 @@
         self,
         me: int,
         may_probe: bool,
-        settings: LeavingSettings,
+        settings: EvacuationSettings,
         topology: Topology,
         observations: Observations,
         register: Register,
--- a/madderwind/lab/outages.py
+++ b/madderwind/lab/outages.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from madderwind.evacuation import actions, evacuation
-from madderwind.evacuation.areas import LeavingSettings, Place
+from madderwind.evacuation.areas import EvacuationSettings, Place
 from madderwind.evacuation.observations import Key
 from madderwind.gossip import fellowship as gossip
 from madderwind.gossip.wire import Kind
@@ -86,8 +86,8 @@
         outages = world.outages
         zone = outages.zones[number % len(outages.zones)]
         self.fellows = gossip.Fellowship(number, outages.copies, seed * 100_003 + number, 1, "lab")
-        self.leaving = evacuation.Leaving(
-            number, zone, LeavingSettings(), lambda: [number, *self.fellows.members.living()], 20_000.0
+        self.leaving = evacuation.ZoneEvacuation(
+            number, zone, EvacuationSettings(), lambda: [number, *self.fellows.members.living()], 20_000.0
         )
         self.owed: list[int] = []
         self.withheld: set[int] = set()
@@ -206,7 +206,7 @@
                     self._say(number, copy.fellows.tell_view(now_ms, payload))
                 case actions.TellEvacuation(order, payload):
                     self._say(number, copy.fellows.tell_shared(now_ms, order, payload))
-                case actions.Say(event, fields):
+                case actions.LogEvent(event, fields):
                     self._note(number, event, fields)
 
     def _note(self, number: int, event: str, fields: dict[str, Any]) -> None:
--- a/madderwind/program/configuration.py
+++ b/madderwind/program/configuration.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from madderwind.agreement.versions import Stamp, digest_of, why_not
-from madderwind.evacuation.areas import AreaError, LeavingSettings, check_regions
+from madderwind.evacuation.areas import AreaError, EvacuationSettings, check_regions
 from madderwind.gossip.fellowship import FleetSettings
 from madderwind.protocol.listing import UNREADABLE, Listing, ListingError, read_address, read_listing
 from madderwind.settings import HostSettings, SettingsError, read_host_settings
@@ -27,7 +27,7 @@
 class Fleet(FleetSettings, frozen=True, forbid_unknown_fields=True):
     """`fleet` of the file: how copies speak with one another, and whether they leave zones together."""
 
-    leaving: LeavingSettings | None = None
+    leaving: EvacuationSettings | None = None
 
 
 class _File(msgspec.Struct):
--- a/madderwind/routing/withdrawal.py
+++ b/madderwind/routing/withdrawal.py
@@ -13,16 +13,16 @@
 from madderwind.clock import Clock
 from madderwind.evacuation.actions import (
     Action,
-    Ask,
+    LogEvent,
+    Probe,
     Reopen,
-    Say,
     TakeBack,
     TellEvacuation,
     TellView,
     Withhold,
 )
-from madderwind.evacuation.areas import LeavingSettings, Place
-from madderwind.evacuation.evacuation import TICK_MS, Leaving
+from madderwind.evacuation.areas import EvacuationSettings, Place
+from madderwind.evacuation.evacuation import TICK_MS, ZoneEvacuation
 from madderwind.eventlog import EventLog, Sparing
 from madderwind.policy.api import Outcome, Settings
 from madderwind.routing.fellows import Fellows
@@ -47,14 +47,14 @@
         hands: Hands,
         settings: Settings,
         zone: str,
-        leaving: LeavingSettings,
+        leaving: EvacuationSettings,
         clock: Clock,
         log: EventLog,
         log_sparingly: Sparing,
     ) -> None:
         self._fellows, self._hands, self._clock = fellows, hands, clock
         self._log, self._log_sparingly = log, log_sparingly
-        self._leaving = Leaving(
+        self._evacuation = ZoneEvacuation(
             settings.me,
             zone,
             leaving,
@@ -77,29 +77,29 @@
     # --- what happens ---
 
     def listed(self, places: Mapping[int, Place]) -> None:
-        self._do(self._leaving.listed(self._clock.now_ms(), places))
+        self._do(self._evacuation.listed(self._clock.now_ms(), places))
 
     def began(self, upstream: int, key: tuple[int, int]) -> None:
-        self._leaving.observations.began(self._clock.now_ms(), upstream, key)
+        self._evacuation.observations.began(self._clock.now_ms(), upstream, key)
 
     def ended(self, key: tuple[int, int], outcome: Outcome | None, elapsed_ms: float) -> None:
-        self._leaving.observations.ended(self._clock.now_ms(), key, outcome, elapsed_ms)
+        self._evacuation.observations.ended(self._clock.now_ms(), key, outcome, elapsed_ms)
 
     def probed(self, upstream: int, good: bool, sent_ms: float) -> None:
-        self._leaving.observations.saw(self._clock.now_ms(), upstream, good, sent_ms)
+        self._evacuation.observations.saw(self._clock.now_ms(), upstream, good, sent_ms)
 
     def heard_message(self) -> None:
-        self._leaving.heard_message(self._clock.now_ms())
+        self._evacuation.heard_message(self._clock.now_ms())
 
     def heard_view(self, origin: int, payload: bytes) -> None:
-        self._leaving.heard_view(self._clock.now_ms(), origin, payload)
+        self._evacuation.heard_view(self._clock.now_ms(), origin, payload)
 
     def heard_shared(self, order: tuple[int, int], payload: bytes) -> None:
-        self._do(self._leaving.heard_evacuation(self._clock.now_ms(), order, payload))
+        self._do(self._evacuation.heard_evacuation(self._clock.now_ms(), order, payload))
 
     def by_hand(self, name: str, back: bool) -> str:
         """Leave a zone or region, or return to it, as the whole fleet; "" or why not."""
-        call = self._leaving.give_back if back else self._leaving.leave
+        call = self._evacuation.return_to if back else self._evacuation.evacuate
         actions, why_not = call(self._clock.now_ms(), name)
         self._log("area_by_hand", area=name, back=back, why_not=why_not)
         self._do(actions)
@@ -108,10 +108,10 @@
     # --- what is seen of it ---
 
     def counts(self) -> Counter[str]:
-        return self._leaving.counts + Counter(withheld=len(self._leaving.withheld))
+        return self._evacuation.counts + Counter(withheld=len(self._evacuation.withheld))
 
     def left(self) -> list[tuple[str, int]]:
-        return self._leaving.left()
+        return self._evacuation.left()
 
     # --- within ---
 
@@ -120,7 +120,7 @@
         self._timer = asyncio.get_running_loop().call_at(
             self._clock.loop_time_s(now_ms + TICK_MS), self._tick
         )
-        self._do(self._leaving.tick(now_ms))
+        self._do(self._evacuation.tick(now_ms))
 
     def _do(self, actions: list[Action]) -> None:
         for action in actions:
@@ -131,13 +131,13 @@
                     self._hands.reopen(upstreams, started_ms, owed)
                 case TakeBack((request, attempt)):
                     self._hands.take_back(request, attempt)
-                case Ask(upstream):
+                case Probe(upstream):
                     self._hands.start_probe(upstream)
                 case TellView(payload):
                     self._fellows.tell_view(payload)
                 case TellEvacuation(order, payload):
                     self._fellows.tell_shared(order, payload)
-                case Say("area_not_left" as event, fields):
+                case LogEvent("area_not_left" as event, fields):
                     self._log_sparingly(event, **fields)
-                case Say(event, fields):
+                case LogEvent(event, fields):
                     self._log(event, **fields)
--- a/tests/evacuation/test_evacuation.py
+++ b/tests/evacuation/test_evacuation.py
@@ -14,7 +14,7 @@
 from madderwind.evacuation.areas import (
     Area,
     AreaError,
-    LeavingSettings,
+    EvacuationSettings,
     Place,
     area_of_zone,
     check_regions,
@@ -53,9 +53,9 @@
     assert not copy.heard_evacuation(0.0, (3, 5), noise)
 
 
-def copy_of(me: int, **settings: object) -> evacuation.Leaving:
-    chosen = msgspec.convert(settings, LeavingSettings)
-    copy = evacuation.Leaving(me, "ab"[me % 2], chosen, lambda: list(range(6)))
+def copy_of(me: int, **settings: object) -> evacuation.ZoneEvacuation:
+    chosen = msgspec.convert(settings, EvacuationSettings)
+    copy = evacuation.ZoneEvacuation(me, "ab"[me % 2], chosen, lambda: list(range(6)))
     copy.listed(0.0, {n: Place(n + 1, "ab"[n % 2], 1.0, 0.0) for n in range(8)})
     return copy
 
@@ -137,7 +137,7 @@
 
 
 def leave_by(
-    copy: evacuation.Leaving, now: float, witnesses: tuple[int, ...], area: str = "b"
+    copy: evacuation.ZoneEvacuation, now: float, witnesses: tuple[int, ...], area: str = "b"
 ) -> list[actions.Action]:
     evacuation = messages.Evacuation(zone_mark(area), 0, 1, 1, 0, witnesses=witnesses)
     return copy.heard_evacuation(now, evacuation.order, messages.write_evacuation(evacuation))
@@ -149,7 +149,7 @@
     assert actions.Withhold(frozenset({1, 3, 5, 7})) in leave_by(copy, 0.0, (1, 2, 3))
     assert leave_by(copy, 1.0, (1, 2, 3), area="a")[:1] != [actions.Withhold(frozenset({0, 2, 4, 6}))]
     assert copy.withheld == {1, 3, 5, 7}
-    assert copy.leave(2.0, "a")[1] and copy.leave(2.0, "nowhere")[1]
+    assert copy.evacuate(2.0, "a")[1] and copy.evacuate(2.0, "nowhere")[1]
     assert not [
         a for a in leave_by(copy_of(1, most_withheld=0.3), 0.0, (1, 2, 3)) if isinstance(a, actions.Withhold)
     ]
@@ -200,7 +200,7 @@
 )
 def test_regions_that_cannot_be_are_one_plain_line(regions: dict[str, list[str]], said: str) -> None:
     with pytest.raises(AreaError, match=said):
-        check_regions(msgspec.convert({"regions": regions}, LeavingSettings), ("a", "b", "c"))
+        check_regions(msgspec.convert({"regions": regions}, EvacuationSettings), ("a", "b", "c"))
 
 
 def test_a_fleet_leaves_what_is_lost_and_nothing_else() -> None:
