Sends and loads are told within some 40 ms, and the quicker upstream weighs more

Data planes now report every 25 ms where there is something (1 ms more for each data plane beyond 25), the primary passes it on as often; that nothing was sent is told every 400 ms.

--- a/madderwind/dataplane/reports.py
+++ b/madderwind/dataplane/reports.py
@@ -14,7 +14,9 @@
 
 MS_PER_S = 1000.0
 # How often use is reported, and how often own sends and what is at upstreams.
-USAGE_REPORT_S, LOAD_REPORT_S = 0.25, 0.075
+USAGE_REPORT_S = 0.25
+# Sends and load are told this often, and less often the more data planes tell theirs.
+LEAST_LOAD_REPORT_S, LOAD_REPORT_S_PER_DATA_PLANE = 0.025, 0.001
 
 
 class Reports:
@@ -62,7 +64,9 @@
         """Tell the primary what was sent to upstreams, and what is there where that changed."""
         told, told_to = LoadReport({}), ""
         while True:
-            await asyncio.sleep(LOAD_REPORT_S)
+            await asyncio.sleep(
+                max(LEAST_LOAD_REPORT_S, LOAD_REPORT_S_PER_DATA_PLANE * self._subscriber.data_planes)
+            )
             prompts, load = self._placement.take_sent(), LoadReport(self._placement.load())
             primary = self._subscriber.primary
             if not self._subscriber.is_in_touch(self._now_ms()):
--- a/madderwind/distribution/exchange.py
+++ b/madderwind/distribution/exchange.py
@@ -25,6 +25,8 @@
 MOST_TENANTS = 10_000
 # Reports of sends that are kept for participants that have not been told of them yet.
 MOST_SEND_REPORTS = 2_000
+# How often a participant is told that the others sent nothing.
+NOTHING_SENT_INTERVAL_MS = 400.0
 # What a participant that is away has at upstreams and asks for counts for so long.
 AWAY_COUNTS_MS = 2_000.0
 # For so long its sequence and what it was told are kept, so that it goes on where it was.
@@ -177,6 +179,7 @@
         self._reports: deque[tuple[Hashable, SendReport]] = deque(maxlen=MOST_SEND_REPORTS)
         self._reported = 0
         self._positions: dict[Hashable, int] = {}
+        self._told_ms: dict[Hashable, float] = {}
 
     def join(self, participant: Hashable) -> None:
         """A participant that is new or comes back is told what is reported from now on."""
@@ -191,13 +194,18 @@
     def forget(self, participant: Hashable) -> None:
         """The participant won't come back."""
         self._positions.pop(participant, None)
+        self._told_ms.pop(participant, None)
 
-    def owed(self, participant: Hashable) -> SendsOfOthers:
-        """What the others sent since this participant was last told."""
+    def owed(self, now_ms: float, participant: Hashable) -> SendsOfOthers | None:
+        """What the others sent since this participant was last told; that it was nothing is told seldom."""
         unheard = self._reported - self._positions[participant]
         self._positions[participant] = self._reported
         recent = islice(reversed(self._reports), unheard)
         reports = [report for reporter, report in recent if reporter != participant]
+        told_ms = self._told_ms.get(participant)
+        if not reports and told_ms is not None and now_ms - told_ms < NOTHING_SENT_INTERVAL_MS:
+            return None
+        self._told_ms[participant] = now_ms
         return SendsOfOthers(tuple(prompt for report in reversed(reports) for prompt in report.prompts))
 
 
--- a/madderwind/distribution/publisher.py
+++ b/madderwind/distribution/publisher.py
@@ -45,7 +45,7 @@
 FRESHNESS_INTERVAL_MS = 250.0
 EXCHANGE_INTERVAL_MS = 200.0
 # Loads and sends are told this often, and less often the more data planes there are to tell.
-LEAST_LOAD_INTERVAL_MS, LOAD_INTERVAL_MS_PER_DATA_PLANE = 75.0, 2.0
+LEAST_LOAD_INTERVAL_MS, LOAD_INTERVAL_MS_PER_DATA_PLANE = 25.0, 1.2
 SAMPLE_INTERVAL_MS = 10_000.0
 PEERS_IN_A_SAMPLE = 8
 # A data plane that asks again for what was just sent to it has that under way.
@@ -192,7 +192,7 @@
             deliveries += self._exchange_usage()
         if now_ms >= self._load_due_ms and self._standing.is_primary:
             self._load_due_ms = now_ms + self._load_interval_ms()
-            deliveries += self._exchange_load()
+            deliveries += self._exchange_load(now_ms)
         if now_ms >= self._sample_due_ms:
             self._sample_due_ms = now_ms + SAMPLE_INTERVAL_MS
             deliveries += [SendTo(connection, self._sample(connection)) for connection in self._subscribers]
@@ -367,10 +367,11 @@
     def _load_interval_ms(self) -> float:
         return max(LEAST_LOAD_INTERVAL_MS, LOAD_INTERVAL_MS_PER_DATA_PLANE * len(self._subscribers))
 
-    def _exchange_load(self) -> list[Delivery]:
+    def _exchange_load(self, now_ms: float) -> list[Delivery]:
         deliveries: list[Delivery] = []
         for connection, subscriber in self._subscribers.items():
-            deliveries.append(SendTo(connection, self._sends.owed(subscriber.participant)))
+            if (sends := self._sends.owed(now_ms, subscriber.participant)) is not None:
+                deliveries.append(SendTo(connection, sends))
             if (load := self._load.owed(subscriber.participant)) is not None:
                 deliveries.append(SendTo(connection, load))
         return deliveries
--- a/madderwind/placement/costs.py
+++ b/madderwind/placement/costs.py
@@ -21,7 +21,7 @@
     late_midpoint: float = 0.85
     late_width: float = 0.12
     # Prefer the quicker even where none is late.
-    slower: float = 0.03
+    slower: float = 0.2
 
     def lateness(self, first_ms: float, aim_ms: float) -> float:
         """The cost of a first event predicted at `first_ms`."""
--- a/tests/distribution/test_exchange.py
+++ b/tests/distribution/test_exchange.py
@@ -107,27 +107,33 @@
     def test_each_hears_of_the_others_in_order_and_once(self) -> None:
         self.exchange.report("a", SendReport((prompt("1"), prompt("2"))))
         self.exchange.report("b", SendReport((prompt("3"),)))
-        self.assertEqual(self.exchange.owed("c"), SendsOfOthers((prompt("1"), prompt("2"), prompt("3"))))
-        self.assertEqual(self.exchange.owed("a"), SendsOfOthers((prompt("3"),)))
+        self.assertEqual(self.exchange.owed(0.0, "c"), SendsOfOthers((prompt("1"), prompt("2"), prompt("3"))))
+        self.assertEqual(self.exchange.owed(0.0, "a"), SendsOfOthers((prompt("3"),)))
         self.exchange.report("c", SendReport((prompt("4"),)))
-        self.assertEqual(self.exchange.owed("a"), SendsOfOthers((prompt("4"),)))
-        self.assertEqual(self.exchange.owed("c"), SendsOfOthers(()))
+        self.assertEqual(self.exchange.owed(0.0, "a"), SendsOfOthers((prompt("4"),)))
+        self.assertIsNone(self.exchange.owed(0.0, "c"))
+
+    def test_that_nothing_was_sent_is_told_seldom(self) -> None:
+        times = [time_ms for time_ms in range(0, 2_000, 25) if self.exchange.owed(float(time_ms), "a")]
+        self.assertEqual(times, [0, 400, 800, 1_200, 1_600])
 
     def test_who_joins_hears_of_what_comes_after(self) -> None:
         self.exchange.report("a", SendReport((prompt("1"),)))
         self.exchange.join("d")
         self.exchange.report("a", SendReport((prompt("2"),)))
-        self.assertEqual(self.exchange.owed("d"), SendsOfOthers((prompt("2"),)))
+        self.assertEqual(self.exchange.owed(0.0, "d"), SendsOfOthers((prompt("2"),)))
 
     def test_what_is_kept_is_bounded(self) -> None:
         for _ in range(10_000):
             self.exchange.report("a", SendReport((prompt("1"),)))
-        self.assertLessEqual(len(self.exchange.owed("b").prompts), 2_000)
+        told = self.exchange.owed(0.0, "b")
+        assert told is not None
+        self.assertLessEqual(len(told.prompts), 2_000)
 
     def test_who_is_forgotten_is_not_heard(self) -> None:
         self.exchange.forget("a")
         self.exchange.report("a", SendReport((prompt("1"),)))
-        self.assertEqual(self.exchange.owed("b"), SendsOfOthers(()))
+        self.assertEqual(self.exchange.owed(0.0, "b"), SendsOfOthers(()))
 
 
 if __name__ == "__main__":
