--- a/madderwind/messages/distribution.py
+++ b/madderwind/messages/distribution.py
@@ -167,7 +167,7 @@
 
 
 class SendsOfOthers(Message, frozen=True):
-    """Prompts that the other data planes sent since the last message of this kind; it comes without any too."""
+    """Prompts that other data planes sent since the last message of this kind; it comes without any too."""
 
     prompts: tuple[SentPrompt, ...]
 
--- /dev/null
+++ b/tests/messages/test_codec.py
@@ -0,0 +1,56 @@
+"""Messages come back as they were, also long ones; other bytes are a typed error."""
+
+from __future__ import annotations
+
+import random
+import unittest
+import zlib
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from madderwind.errors import MessageError
+from madderwind.messages.codec import COMPRESSED_FROM_BYTES, COMPRESSED_MARK, LONGEST_MESSAGE
+from madderwind.messages.distribution import ConfigurationSnapshot, to_control_plane, to_data_plane
+from madderwind.messages.peering import peer_frames
+
+
+class MessagesComeBack(unittest.TestCase):
+    def test_long_ones_are_shorter_on_the_wire(self) -> None:
+        message = ConfigurationSnapshot(7, b'{"name":"a route"}' * 10_000)
+        data = to_data_plane.encode(message)
+        self.assertLess(len(data), len(message.document) / 5)
+        self.assertEqual(to_data_plane.decode(data), message)
+
+    def test_ones_that_compress_badly_come_back_too(self) -> None:
+        noise = random.Random(1).randbytes(COMPRESSED_FROM_BYTES)
+        message = ConfigurationSnapshot(7, noise)
+        self.assertEqual(to_data_plane.decode(to_data_plane.encode(message)), message)
+
+    def test_short_ones_are_plain(self) -> None:
+        data = to_data_plane.encode(ConfigurationSnapshot(7, b"x" * 100))
+        self.assertNotEqual(data[:1], COMPRESSED_MARK)
+
+
+class OddBytesAreATypedError(unittest.TestCase):
+    @given(st.binary(max_size=200))
+    def test_whatever_they_are(self, data: bytes) -> None:
+        for codec in (to_data_plane, to_control_plane, peer_frames):
+            for frame in (data, COMPRESSED_MARK + data, COMPRESSED_MARK + zlib.compress(data)):
+                with self.assertRaises(MessageError):
+                    codec.decode(frame + b"\xc1")
+
+    def test_what_would_grow_beyond_the_limit(self) -> None:
+        bomb = COMPRESSED_MARK + zlib.compress(b"\x00" * (4 * LONGEST_MESSAGE))
+        self.assertLess(len(bomb), LONGEST_MESSAGE)
+        with self.assertRaises(MessageError):
+            to_data_plane.decode(bomb)
+
+    def test_a_compressed_message_that_was_cut_short(self) -> None:
+        data = to_data_plane.encode(ConfigurationSnapshot(7, b'{"name":"a route"}' * 10_000))
+        with self.assertRaises(MessageError):
+            to_data_plane.decode(data[:-20])
+
+
+if __name__ == "__main__":
+    unittest.main()
