--- a/madderwind/controlplane/process.py
+++ b/madderwind/controlplane/process.py
@@ -17,10 +17,13 @@
 from madderwind.controlplane.core import ControlPlaneCore
 from madderwind.controlplane.host import ControlPlaneHost
 from madderwind.controlplane.internal_server import InternalServer
+from madderwind.controlplane.metrics import control_plane_samples
 from madderwind.controlplane.public_server import PublicServer
 from madderwind.controlplane.status_handler import add_status
 from madderwind.errors import SettingsError, StorageError
+from madderwind.metrics.exporter import start_exporter
 from madderwind.node_settings import CONTROL_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, read_settings
+from madderwind.registry.saved_copy import SavedCopy
 from madderwind.replication.api import Action, Event, Standing
 from madderwind.replication.replica import Replica
 from madderwind.replication.times import ReplicationTimes
@@ -72,8 +75,8 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then hand over and end."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._end_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._end_requested.set)
+        loop.add_signal_handler(signal.SIGTERM, self.request_end)
+        loop.add_signal_handler(signal.SIGINT, self.request_end)
         loop.add_signal_handler(signal.SIGHUP, self._settings_changed.set)
         host = self._host()
         public_server = PublicServer(host, self._log)
@@ -82,6 +85,10 @@
         await self._serve(internal, self._settings.internal_bind_address(CONTROL_PLANE_PORT))
         await self._serve(public_server.application(), self._settings.listen["control"])
         host.start()
+        node, zone = self._settings.node, self._settings.zone
+        exporter = await start_exporter(
+            self._settings.listen, lambda: control_plane_samples(host.status(node, zone))
+        )
         watching = asyncio.create_task(self._watch_settings(host))
         self._log.info("control plane started", address=self._own_address())
         gc.collect()
@@ -90,8 +97,14 @@
         watching.cancel()
         public_server.refuse_new_calls()
         await self._hand_over(host)
+        if exporter is not None:
+            await exporter.close()
         await self._close(host)
 
+    def request_end(self) -> None:
+        """Hand over and end, as SIGTERM asks for."""
+        self._end_requested.set()
+
     def _own_address(self) -> str:
         return self._settings.internal_address(CONTROL_PLANE_PORT)
 
@@ -117,9 +130,11 @@
             self._own_address(),
             settings.seed_addresses(),
             settings.heartbeat_ms,
+            settings.fault_tolerance.machines,
             rng,
         )
-        return ControlPlaneHost(core, self._record_file, self._own_address(), self._log)
+        saved_registry = SavedCopy(FileDisk(settings.data_dir or ""))
+        return ControlPlaneHost(core, self._record_file, saved_registry, self._own_address(), self._log)
 
     async def _serve(self, application: web.Application, address: str) -> None:
         runner = web.AppRunner(
--- a/madderwind/leaving/sights.py
+++ b/madderwind/evacuation/observations.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from madderwind.leaving.areas import Place
+from madderwind.evacuation.areas import Area, Place
 from madderwind.policy.api import Outcome
 
 WINDOW_MS = 1500.0  # what was seen longer ago says nothing of now
@@ -25,8 +25,8 @@
 
 
 class _Seen:
-    """Of one upstream: when the last good and bad sights were, when that bad attempt was sent, and when any
-    answer came, late ones too."""
+    """Of one upstream: when the last good and bad observations were, when that bad attempt was sent, and when
+    any answer came, late ones too."""
 
     __slots__ = ("bad_ms", "bad_sent_ms", "good_ms", "heard_ms")
 
@@ -51,9 +51,9 @@
         self.long_ms += max(LONG_GAIN, 1 / self.seen) * (elapsed_ms - self.long_ms)
 
 
-class ZoneSight(msgspec.Struct, frozen=True):
-    """Marks of a zone's upstreams whose latest sight was bad, or good since the bad ones began; when the
-    latest attempt went out that came to nothing; and when anything last answered there."""
+class ZoneObservation(msgspec.Struct, frozen=True):
+    """Marks of a zone's upstreams whose latest observation was bad, or good since the bad ones began; when
+    the latest attempt went out that came to nothing; and when anything last answered there."""
 
     bads: frozenset[int] = frozenset()
     goods: frozenset[int] = frozenset()
@@ -66,10 +66,10 @@
         return len(self.bads) / max(1, len(self.bads) + len(self.goods))
 
 
-NOTHING = ZoneSight()
+NOTHING = ZoneObservation()
 
 
-class Sights:
+class Observations:
     """Time from the calls. Bounded by the upstreams listed and the attempts open."""
 
     def __init__(self, warm_after_ms: float = 0.0) -> None:
@@ -81,12 +81,17 @@
         self._per_s, self._rate_ms = 0.0, -math.inf
         self._reopened_ms: dict[int, float] = {}
         self.dark = frozenset[int]()  # upstreams of what this copy has left, no step yet taken back
+        self.accused_ms = dict[str, float]()  # zones that others accuse, and since when
 
     def listed(self, places: Mapping[int, Place]) -> None:
         self._places = places
         self._seen = {number: seen for number, seen in self._seen.items() if number in places}
         self._reopened_ms = {n: at_ms for n, at_ms in self._reopened_ms.items() if n in places}
 
+    def accused(self, now: float, zones: set[str]) -> None:
+        """Zones that others accuse now: good answers since then speak against it."""
+        self.accused_ms = {zone: self.accused_ms.get(zone, now) for zone in zones}
+
     def reopened(self, upstreams: frozenset[int], started_ms: float) -> None:
         """They count as started then, whatever discovery says."""
         self._reopened_ms.update(dict.fromkeys(upstreams, started_ms))
@@ -122,7 +127,7 @@
             seen.bad_ms, seen.bad_sent_ms = now, sent_ms
 
     def slow_ms(self, now: float, upstream: int) -> float:
-        """From when on an answer is late enough to be a bad sight: over what is usual in its zone, and
+        """From when on an answer is late enough to be a bad observation: over what is usual in its zone, and
         elsewhere now, so that what slows everything down is held against no zone. Not elsewhere where the
         zone is left, or returns: the others may be slow because they carry its load."""
         place = self._places[upstream]
@@ -138,7 +143,7 @@
         return patience * max(SLOW_LEAST_MS, SLOW_FACTOR * max(usual_ms, default=0.0))
 
     def look(self, now: float) -> None:
-        """Silence with work out is a bad sight, for as long as it lasts."""
+        """Silence with work out is a bad observation, for as long as it lasts."""
         for upstream, sent_ms in self._open.values():
             if upstream in self._places and now - sent_ms > self.slow_ms(now, upstream):
                 seen = self._seen.setdefault(upstream, _Seen())
@@ -159,7 +164,7 @@
         return any(number == upstream and at_ms >= since_ms for number, at_ms in self._open.values())
 
     def since(self, upstream: int, at_ms: float) -> bool | None:
-        """Whether the latest sight of an attempt since then was good; None: there was none."""
+        """Whether the latest observation of an attempt since then was good; None: there was none."""
         seen = self._seen.get(upstream, NEVER)
         if seen.good_ms > at_ms and seen.good_ms > seen.bad_ms:
             return True
@@ -171,9 +176,8 @@
         for seen in self._seen.values():
             seen.bad_ms = -math.inf
 
-    def of_zones(self, now: float, accused_ms: Mapping[str, float] = {}) -> dict[str, ZoneSight]:
-        """What was seen in the window, by zone; nothing of a zone of which nothing was. `accused_ms`: since
-        when others accuse a zone: good answers since then speak against it."""
+    def of_zones(self, now: float) -> dict[str, ZoneObservation]:
+        """What was seen in the window, by zone; nothing of a zone of which nothing was."""
         bads, goods = dict[str, set[int]](), dict[str, set[int]]()
         first_ms, last_ms, heard_ms = dict[str, float](), dict[str, float](), dict[str, float]()
         for number, seen in self._seen.items():
@@ -185,12 +189,12 @@
                 last_ms[place.zone] = max(last_ms.get(place.zone, -math.inf), seen.bad_sent_ms)
         for number, seen in self._seen.items():
             place = self._places[number]
-            since_ms = min(first_ms.get(place.zone, now), accused_ms.get(place.zone, now) - FRESH_MS)
+            since_ms = min(first_ms.get(place.zone, now), self.accused_ms.get(place.zone, now) - FRESH_MS)
             since_ms = max(min(since_ms, now - FRESH_MS), now - WINDOW_MS)
             if seen.good_ms > seen.bad_ms and seen.good_ms >= since_ms:
                 goods.setdefault(place.zone, set()).add(place.mark)
         return {
-            zone: ZoneSight(
+            zone: ZoneObservation(
                 frozenset(bads.get(zone, ())),
                 frozenset(goods.get(zone, ())),
                 last_ms.get(zone, -math.inf),
@@ -199,6 +203,14 @@
             for zone in bads.keys() | goods.keys()
         }
 
+    def reaches(self, now: float, area: Area) -> bool:
+        """Whether this copy has good answers from the area, and no zone of it is mostly bad."""
+        observations = self.of_zones(now)
+        seen = [observations[zone] for zone in area.zones if zone in observations]
+        return any(observation.goods for observation in seen) and all(
+            observation.share < 0.5 for observation in seen
+        )
+
     def good_zones(self, now: float) -> frozenset[str]:
         """Zones that gave a good answer not long ago."""
         return frozenset(
--- a/madderwind/lab/outages.py
+++ b/madderwind/lab/outages.py
@@ -15,6 +15,9 @@
 
 import msgspec
 
+from madderwind.evacuation import actions, evacuation
+from madderwind.evacuation.areas import LeavingSettings, Place
+from madderwind.evacuation.observations import Key
 from madderwind.gossip import fellowship as gossip
 from madderwind.gossip.wire import Kind
 from madderwind.lab.experiment import (
@@ -28,9 +31,6 @@
     variant_of,
 )
 from madderwind.lab.timeline import Due, Timeline
-from madderwind.leaving import leaving
-from madderwind.leaving.areas import LeavingSettings, Place
-from madderwind.leaving.sights import Key
 from madderwind.policy.api import Outcome
 
 DEADLINE_MS, ASIDE_MS = 3000.0, 2000.0
@@ -86,7 +86,7 @@
         outages = world.outages
         zone = outages.zones[number % len(outages.zones)]
         self.fellows = gossip.Fellowship(number, outages.copies, seed * 100_003 + number, 1, "lab")
-        self.leaving = leaving.Leaving(
+        self.leaving = evacuation.Leaving(
             number, zone, LeavingSettings(), lambda: [number, *self.fellows.members.living()], 20_000.0
         )
         self.owed: list[int] = []
@@ -159,7 +159,7 @@
         self._requests += 1
         key, now_ms = (self._requests, 0), self._timeline.now_ms
         copy.open[key] = upstream
-        copy.leaving.sights.began(now_ms, upstream, key)
+        copy.leaving.observations.began(now_ms, upstream, key)
         if self._places[upstream].zone == self.outages.lost and self._is_lost(after_ms=3000):
             self._dark[int(now_ms // 1000)] += 1
         took_ms = self._chance.expovariate(1 / (self.outages.work_ms * self._slow))
@@ -181,32 +181,32 @@
             return  # taken back
         if outcome is Outcome.TIMEOUT:
             copy.aside_ms[upstream] = self._timeline.now_ms + ASIDE_MS
-        copy.leaving.sights.ended(self._timeline.now_ms, key, outcome, took_ms)
+        copy.leaving.observations.ended(self._timeline.now_ms, key, outcome, took_ms)
 
     # --- copies ---
 
     def _tick(self, number: int) -> None:
-        self._timeline.after(leaving.TICK_MS, lambda: self._tick(number))
+        self._timeline.after(evacuation.TICK_MS, lambda: self._tick(number))
         self._left(number, self._copies[number].leaving.tick(self._timeline.now_ms))
 
-    def _left(self, number: int, actions: list[leaving.Action]) -> None:
+    def _left(self, number: int, decided: list[actions.Action]) -> None:
         copy, now_ms = self._copies[number], self._timeline.now_ms
-        for action in actions:
+        for action in decided:
             match action:
-                case leaving.Withhold(upstreams):
+                case actions.Withhold(upstreams):
                     copy.withheld |= upstreams
                     copy.owed = [n for n in copy.owed if n not in upstreams]
-                case leaving.Reopen(upstreams, _, owed):
+                case actions.Reopen(upstreams, _, owed):
                     copy.withheld -= upstreams
                     copy.owed += sorted(upstreams) if owed else []
-                case leaving.TakeBack(key):
+                case actions.TakeBack(key):
                     copy.open.pop(key, None)
-                    copy.leaving.sights.ended(now_ms, key, Outcome.CANCELLED, 0.0)
-                case leaving.TellView(payload):
+                    copy.leaving.observations.ended(now_ms, key, Outcome.CANCELLED, 0.0)
+                case actions.TellView(payload):
                     self._say(number, copy.fellows.tell_view(now_ms, payload))
-                case leaving.TellHold(order, payload):
+                case actions.TellHold(order, payload):
                     self._say(number, copy.fellows.tell_shared(now_ms, order, payload))
-                case leaving.Say(event, fields):
+                case actions.Say(event, fields):
                     self._note(number, event, fields)
 
     def _note(self, number: int, event: str, fields: dict[str, Any]) -> None:
--- a/madderwind/routing/withdrawal.py
+++ b/madderwind/routing/withdrawal.py
@@ -11,13 +11,9 @@
 from typing import Protocol
 
 from madderwind.clock import Clock
-from madderwind.eventlog import EventLog, Sparing
-from madderwind.leaving.areas import LeavingSettings, Place
-from madderwind.leaving.leaving import (
-    TICK_MS,
+from madderwind.evacuation.actions import (
     Action,
     Ask,
-    Leaving,
     Reopen,
     Say,
     TakeBack,
@@ -25,6 +21,9 @@
     TellView,
     Withhold,
 )
+from madderwind.evacuation.areas import LeavingSettings, Place
+from madderwind.evacuation.evacuation import TICK_MS, Leaving
+from madderwind.eventlog import EventLog, Sparing
 from madderwind.policy.api import Outcome, Settings
 from madderwind.routing.fellows import Fellows
 
@@ -81,13 +80,13 @@
         self._do(self._leaving.listed(self._clock.now_ms(), places))
 
     def began(self, upstream: int, key: tuple[int, int]) -> None:
-        self._leaving.sights.began(self._clock.now_ms(), upstream, key)
+        self._leaving.observations.began(self._clock.now_ms(), upstream, key)
 
     def ended(self, key: tuple[int, int], outcome: Outcome | None, elapsed_ms: float) -> None:
-        self._leaving.sights.ended(self._clock.now_ms(), key, outcome, elapsed_ms)
+        self._leaving.observations.ended(self._clock.now_ms(), key, outcome, elapsed_ms)
 
     def probed(self, upstream: int, good: bool, sent_ms: float) -> None:
-        self._leaving.sights.saw(self._clock.now_ms(), upstream, good, sent_ms)
+        self._leaving.observations.saw(self._clock.now_ms(), upstream, good, sent_ms)
 
     def heard_words(self) -> None:
         self._leaving.heard_words(self._clock.now_ms())
--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -33,6 +33,7 @@
     to_control_plane,
     to_data_plane,
 )
+from madderwind.registry.saved_copy import SavedCopy
 from madderwind.storage.disk import FileDisk
 from madderwind.storage.record_file import RecordFile
 from madderwind.structured_log import BatchedOutput, open_log
@@ -99,9 +100,11 @@
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         log = open_log(f"core-{number}", BatchedOutput(self.written))
         core = ControlPlaneCore(
-            self.replicas[number], self.internal[number], self.internal, 1000.0, random.Random(number)
+            self.replicas[number], self.internal[number], self.internal, 1000.0, 1, random.Random(number)
+        )
+        host = ControlPlaneHost(
+            core, RecordFile(FileDisk(folder)), SavedCopy(FileDisk(folder)), self.internal[number], log
         )
-        host = ControlPlaneHost(core, RecordFile(FileDisk(folder)), self.internal[number], log)
         public = PublicServer(host, log)
         self.servers.append(public)
         await self.serve(InternalServer(host, log).application(), self.internal[number])
--- a/tests/leaving/test_leaving.py
+++ b/tests/evacuation/test_evacuation.py
@@ -10,9 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from madderwind.lab import outages
-from madderwind.leaving import leaving, verdict, words
-from madderwind.leaving.areas import (
+from madderwind.evacuation import actions, evacuation, held, verdict, words
+from madderwind.evacuation.areas import (
     Area,
     AreaError,
     LeavingSettings,
@@ -21,7 +20,8 @@
     check_regions,
     zone_mark,
 )
-from madderwind.leaving.sights import Sights, ZoneSight
+from madderwind.evacuation.observations import Observations, ZoneObservation
+from madderwind.lab import outages
 from madderwind.policy.api import Outcome
 
 ROOT = Path(__file__).parents[2]
@@ -32,15 +32,17 @@
 def view(
     standing: str, bads: dict[str, set[int]], goods: dict[str, set[int]], per_s: float = 1.0
 ) -> words.View:
-    sights = {z: ZoneSight(frozenset(bads.get(z, ())), frozenset(goods.get(z, ()))) for z in {*bads, *goods}}
-    return words.read_view(words.write_view(0.0, standing, per_s, sights, frozenset()))
+    observations = {
+        z: ZoneObservation(frozenset(bads.get(z, ())), frozenset(goods.get(z, ()))) for z in {*bads, *goods}
+    }
+    return words.read_view(words.write_view(0.0, standing, per_s, observations, frozenset()))
 
 
 @given(MARKS, MARKS, st.binary(max_size=60))
 def test_words_read_back_and_others_are_refused(
     bads: frozenset[int], goods: frozenset[int], noise: bytes
 ) -> None:
-    data = words.write_view(0.0, "a", 2.5, {"b": ZoneSight(bads, goods)}, frozenset("b"))
+    data = words.write_view(0.0, "a", 2.5, {"b": ZoneObservation(bads, goods)}, frozenset("b"))
     read = words.read_view(data)
     assert read.per_s == 2.5 and read.zones[zone_mark("b")].bads <= {words.short(m) for m in bads}
     hold = words.Hold(7, 0, 3, 9, 1, 2, False, 100, (1, 2, 3))
@@ -51,9 +53,9 @@
     assert not copy.heard_hold(0.0, (3, 5), noise)
 
 
-def copy_of(me: int, **settings: object) -> leaving.Leaving:
+def copy_of(me: int, **settings: object) -> evacuation.Leaving:
     chosen = msgspec.convert(settings, LeavingSettings)
-    copy = leaving.Leaving(me, "ab"[me % 2], chosen, lambda: list(range(6)))
+    copy = evacuation.Leaving(me, "ab"[me % 2], chosen, lambda: list(range(6)))
     copy.listed(0.0, {n: Place(n + 1, "ab"[n % 2], 1.0, 0.0) for n in range(8)})
     return copy
 
@@ -82,8 +84,10 @@
 def seen_b(bad: bool, sent_ms: float, heard_ms: float) -> words.View:
     """Zone b as one copy saw it at 0 ms."""
     marks = frozenset({2, 4, 6})
-    sight = ZoneSight(marks if bad else frozenset(), frozenset() if bad else marks, sent_ms, heard_ms)
-    return words.read_view(words.write_view(0.0, "a", 1.0, {"b": sight}, frozenset()))
+    observation = ZoneObservation(
+        marks if bad else frozenset(), frozenset() if bad else marks, sent_ms, heard_ms
+    )
+    return words.read_view(words.write_view(0.0, "a", 1.0, {"b": observation}, frozenset()))
 
 
 @pytest.mark.parametrize(
@@ -99,7 +103,7 @@
 
 
 def test_what_enough_have_said_is_not_said_again() -> None:
-    bad, good = ZoneSight(frozenset({2}), frozenset()), ZoneSight(frozenset(), frozenset({2}))
+    bad, good = ZoneObservation(frozenset({2}), frozenset()), ZoneObservation(frozenset(), frozenset({2}))
     accusers = said_by([seen_b(True, -500.0, -700.0)] * 5)
     objectors = said_by([seen_b(False, -math.inf, -10.0)] * 6)
     assert verdict.needed("b", bad, accusers[:4], 8, doubt=False)
@@ -120,21 +124,21 @@
 
 
 def test_what_slows_everything_is_held_against_no_zone() -> None:
-    sights = Sights()
-    sights.listed({n: Place(n + 1, "ab"[n % 2], 1.0, 0.0) for n in range(4)})
+    observations = Observations()
+    observations.listed({n: Place(n + 1, "ab"[n % 2], 1.0, 0.0) for n in range(4)})
     for number in range(400):
-        sights.began(0.0, number % 4, (number, 0))
-        sights.ended(100.0, (number, 0), Outcome.OK, 100.0)
-    assert sights.slow_ms(100.0, 1) == pytest.approx(400.0)
+        observations.began(0.0, number % 4, (number, 0))
+        observations.ended(100.0, (number, 0), Outcome.OK, 100.0)
+    assert observations.slow_ms(100.0, 1) == pytest.approx(400.0)
     for number in range(0, 40, 2):  # zone a is slow now: what b takes is measured by that
-        sights.began(200.0, number % 4, (number, 0))
-        sights.ended(1200.0, (number, 0), Outcome.OK, 1000.0)
-    assert sights.slow_ms(1200.0, 1) > 3000
+        observations.began(200.0, number % 4, (number, 0))
+        observations.ended(1200.0, (number, 0), Outcome.OK, 1000.0)
+    assert observations.slow_ms(1200.0, 1) > 3000
 
 
 def leave_by(
-    copy: leaving.Leaving, now: float, witnesses: tuple[int, ...], area: str = "b"
-) -> list[leaving.Action]:
+    copy: evacuation.Leaving, now: float, witnesses: tuple[int, ...], area: str = "b"
+) -> list[actions.Action]:
     hold = words.Hold(zone_mark(area), 0, 1, 1, 0, witnesses=witnesses)
     return copy.heard_hold(now, hold.order, words.write_hold(hold))
 
@@ -142,12 +146,12 @@
 def test_a_leave_needs_witnesses_and_never_takes_the_last_zone() -> None:
     copy = copy_of(0)
     assert leave_by(copy, 0.0, (1, 2)) == [] and copy.counts["unfounded"] == 1
-    assert leaving.Withhold(frozenset({1, 3, 5, 7})) in leave_by(copy, 0.0, (1, 2, 3))
-    assert leave_by(copy, 1.0, (1, 2, 3), area="a")[:1] != [leaving.Withhold(frozenset({0, 2, 4, 6}))]
+    assert actions.Withhold(frozenset({1, 3, 5, 7})) in leave_by(copy, 0.0, (1, 2, 3))
+    assert leave_by(copy, 1.0, (1, 2, 3), area="a")[:1] != [actions.Withhold(frozenset({0, 2, 4, 6}))]
     assert copy.withheld == {1, 3, 5, 7}
     assert copy.leave(2.0, "a")[1] and copy.leave(2.0, "nowhere")[1]
     assert not [
-        a for a in leave_by(copy_of(1, most_withheld=0.3), 0.0, (1, 2, 3)) if isinstance(a, leaving.Withhold)
+        a for a in leave_by(copy_of(1, most_withheld=0.3), 0.0, (1, 2, 3)) if isinstance(a, actions.Withhold)
     ]
 
 
@@ -160,12 +164,30 @@
     assert len(at_step) < 4
     copy.heard_words(100.0)
     copy.tick(200.0)
-    copy.tick(100.0 + leaving.LEASE_MS + 100.0)
+    copy.tick(100.0 + held.LEASE_MS + 100.0)
     assert copy.withheld == {1, 3, 5, 7}, "a copy that hears no renewal goes back"
     copy.tick(6000.0)
     assert not copy.withheld and copy.counts["alone"] == 1
 
 
+def test_a_relapse_of_all_ends_the_hold_of_one_zone_in_the_same_tick() -> None:
+    """Guards against an error in the tick where the step-0 word of a new episode was lost on its way."""
+    copy = copy_of(0)
+    for scope, episode, step in ((0, 1, words.FULL), (zone_mark("a"), 1, 1), (0, 2, 1)):
+        hold = words.Hold(zone_mark("b"), scope, episode, 1, step)
+        copy.heard_hold(0.0, hold.order, words.write_hold(hold))
+    assert copy.left() == [("b", 1), ("b", 1)]
+    copy.tick(100.0)
+    data = words.write_view(
+        150.0, "a", 9.0, {"b": ZoneObservation(frozenset({2, 4, 6}), frozenset())}, frozenset()
+    )
+    for other in (2, 4):
+        copy.heard_words(150.0)
+        copy.heard_view(150.0, other, data)
+    copy.tick(200.0)
+    assert copy.left() == [("b", 0)]
+
+
 @pytest.mark.parametrize(
     ("regions", "said"),
     [
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,12 +18,12 @@
     "simhost": {"policy", "settings"},
     "gossip": set(),
     "agreement": {"policy", "settings"},
-    "leaving": {"policy"},
-    "lab": {"policy", "gossip", "leaving"},
+    "evacuation": {"policy"},
+    "lab": {"policy", "gossip", "evacuation"},
     "drill": {"policy", "lab", "gossip"},
     "transport": {"policy", "settings", "clock", "eventlog"},
     "protocol": {"policy", "settings", "clock", "eventlog", "transport"},
-    "routing": {"policy", "settings", "clock", "eventlog", "gossip", "leaving", "transport", "protocol"},
+    "routing": {"policy", "settings", "clock", "eventlog", "gossip", "evacuation", "transport", "protocol"},
     "admin": {"policy", "settings", "clock", "eventlog", "transport", "protocol", "routing"},
     "handover": {"policy", "settings", "clock", "eventlog", "transport", "protocol", "routing"},
     "program": {
@@ -38,7 +38,7 @@
         "handover",
         "gossip",
         "agreement",
-        "leaving",
+        "evacuation",
         "lab",
         "drill",
     },
@@ -61,9 +61,10 @@
 )
 BELOW |= {part: set(SYSTEM[:place]) for place, part in enumerate(SYSTEM) if part != "balancing"}
 # The two hosts know nothing of each other, and the control plane nothing of requests.
-SHARED_WITH_HOSTS = {"clock", "eventlog", "structured_log", "transport", "protocol"}
+SHARED_WITH_HOSTS = {"clock", "eventlog", "structured_log", "transport", "protocol", "metrics"}
 BELOW["dataplane"] = {*SYSTEM, *SHARED_WITH_HOSTS}
 BELOW["structured_log"] = set()
+BELOW["metrics"] = {"errors"}
 # Beside the programs: stand-ins of upstreams, and whole fleets as processes of one machine.
 BELOW["standin"] = {"errors", "messages", "placement"}
 BELOW["local"] = {*SYSTEM, "structured_log", "drill", "standin"}
