--- a/madderwind/evacuation/initiation.py
+++ b/madderwind/evacuation/initiation.py
@@ -111,7 +111,10 @@
         if self._register.why_not.get(slot) != why:
             self._register.why_not[slot] = why
             self._counts["not_left"] += 1
-            self._out.append(LogEvent("area_not_left", {"area": area.name, "why": why}))
+            self._log("area_not_left", {"area": area.name, "why": why})
+
+    def _log(self, event: str, fields: dict[str, str]) -> None:
+        self._out.append(LogEvent(event, dict(fields)))
 
     def _judge_alone(
         self, now: float, area: Area, own: Mapping[str, ZoneObservation], withheld: frozenset[int]
--- a/madderwind/evacuation/register.py
+++ b/madderwind/evacuation/register.py
@@ -119,12 +119,18 @@
         if evacuation.step == 0:
             self._counts["left" if new else "relapsed"] += 1
             told |= {"witnesses": list(evacuation.witnesses), "part": evacuation.part, "stays": state.stays}
-            self._out.append(LogEvent("area_left" if new else "area_relapsed", told))
+            if new:
+                self._log("area_left", told)
+            else:
+                self._log("area_relapsed", told)
         elif evacuation.step == FULL:
             self._counts["returned"] += 1
-            self._out.append(LogEvent("area_returned", told))
+            self._log("area_returned", told)
         else:
-            self._out.append(LogEvent("area_step", told))
+            self._log("area_step", told)
+
+    def _log(self, event: str, fields: dict[str, Any]) -> None:
+        self._out.append(LogEvent(event, fields))
 
     def _scope_name(self, scope: int) -> str:
         return {EVERYWHERE: "all", SELF: "self"}.get(scope, self._standing)
@@ -138,7 +144,7 @@
                     self._counts["alone"] += 1
                     area = self._topology.areas.get(slot[0])
                     told = {"area": area.name if area else "", "why": "no words"}
-                    self._out.append(LogEvent("area_forgotten", told))
+                    self._log("area_forgotten", told)
 
     def saw(self, now: float, copy: int, view: View) -> None:
         """What a balancer's view tells of the areas that are left."""
