Replication: what only announces itself is no sign of life; stories, a campaign and mutants

Cause: a backup that could send to the primary but not hear it announced itself and counted as heard, so it stayed in the in-sync set and held orders up; and an entry counted as sent where none was. Ruled out: taking a member out at its first announcement, which a restarted one sends as well. Change: an announcement makes a newcomer a learner and tells nothing of a member's life; waiting begins whether or not something was sent.

--- a/madderwind/replication/peers.py
+++ b/madderwind/replication/peers.py
@@ -46,9 +46,12 @@
         if self.waiting_since is not None:
             self.waiting_since = now_ms
 
-    def note_sent(self, now_ms: float, last_index: int) -> None:
+    def note_sent(self, now_ms: float) -> None:
         """Something that it has to acknowledge is on its way."""
         self.sent_ms = now_ms
+
+    def note_waiting(self, now_ms: float, last_index: int) -> None:
+        """There may be something that it has not acknowledged, sent or not."""
         if self.waiting_since is None and self.lags(last_index):
             self.waiting_since = now_ms
 
@@ -74,7 +77,7 @@
         return is_late or self.silent_ms(now_ms) > times.silence_ms
 
     def silent_ms(self, now_ms: float) -> float:
-        """Since anything was heard of it."""
+        """Since it last answered anything."""
         return now_ms - self.heard_ms
 
     def is_sound(self, now_ms: float, times: ReplicationTimes) -> bool:
--- a/madderwind/replication/primary.py
+++ b/madderwind/replication/primary.py
@@ -140,15 +140,14 @@
     # --- messages ---
 
     def take_announcement(self, now_ms: float, announcement: Announce) -> None:
-        """A replica that looks for a primary: a member that lost touch, or one that wants to learn."""
+        """A replica that looks for a primary: one that is not known yet is to learn. Of others it is no sign
+        of life, as it may be that they can't hear this primary."""
         member = announcement.member
-        peer = self.peers.get(member.incarnation)
-        if peer is None:
-            if member.incarnation == self._core.me.incarnation or self._learners() >= MOST_LEARNERS:
-                return
+        if member.incarnation in self.peers or self._learners() >= MOST_LEARNERS:
+            return
+        if member.incarnation != self._core.me.incarnation:
             peer = self.peers[member.incarnation] = Peer(member, now_ms, self._core.log.last_index + 1)
             self._probe(now_ms, peer)
-        peer.heard_ms = now_ms
 
     def take_answer(self, now_ms: float, answer: HeartbeatAnswer) -> None:
         """A member's or learner's answer to a heartbeat."""
@@ -285,12 +284,11 @@
         """Send what a replica that keeps up does not have yet."""
         last_index = self._core.log.last_index
         while peer.progress is Progress.STREAMING and peer.next_index <= last_index:
-            if not self._send_batch(peer):
+            if not self._send_batch(now_ms, peer):
                 self._probe(now_ms, peer)
-                return
-        peer.note_sent(now_ms, last_index)
+        peer.note_waiting(now_ms, last_index)
 
-    def _send_batch(self, peer: Peer) -> bool:
+    def _send_batch(self, now_ms: float, peer: Peer) -> bool:
         """Send entries from the next on; False where the log no longer holds them."""
         previous_epoch = self._core.log.epoch_at(peer.next_index - 1)
         if previous_epoch is None:
@@ -298,6 +296,7 @@
         entries = self._core.log.batch(peer.next_index)
         self._core.send(peer.member.address, self._append_message(peer, previous_epoch, entries))
         peer.next_index += len(entries)
+        peer.note_sent(now_ms)
         return True
 
     def _probe(self, now_ms: float, peer: Peer) -> None:
@@ -309,7 +308,8 @@
         else:
             entries = self._core.log.batch(peer.next_index)
             self._core.send(peer.member.address, self._append_message(peer, previous_epoch, entries))
-        peer.note_sent(now_ms, self._core.log.last_index)
+        peer.note_sent(now_ms)
+        peer.note_waiting(now_ms, self._core.log.last_index)
 
     def _probe_again(self, now_ms: float, peer: Peer) -> None:
         """Nothing came of what was sent: begin again after what is sure."""
--- a/tests/fleet/campaign.py
+++ b/tests/fleet/campaign.py
@@ -9,13 +9,14 @@
 import sys
 import time
 
-from tests.fleet.faults import Faults
+from tests.fleet.faults import CATCH_UP_MS, Faults
 from tests.fleet.fleet import Fleet
 from tests.fleet.history import History, Violation
-from tests.fleet.operators import Operator
+from tests.fleet.operators import Operator, Reader
 from tests.fleet.register import Register
 
 CHAOS_MS = 8_000.0
+DISK_LOSSES_MS = 20_000.0
 STABLE_MS = 3_000.0
 ACKNOWLEDGED_WITHIN_MS = 4_000.0
 ROUNDS = 3
@@ -35,6 +36,7 @@
             Operator(f"o{number}", self.fleet, self.history, random.Random(rng.getrandbits(64)))
             for number in range(rng.randint(1, 3))
         ]
+        self.reader = Reader(self.fleet, self.history, random.Random(rng.getrandbits(64)))
         self._rng = rng
         self.fleet.observe(self.history.note_committed, self.history.note_view)
 
@@ -49,13 +51,20 @@
     def _chaos(self) -> None:
         for operator in self.operators:
             operator.start(self._rng.uniform(50.0, 400.0))
-        self.faults.start(self._rng.uniform(200.0, 1_500.0))
-        self.fleet.run(CHAOS_MS)
+        self.reader.start()
+        if self._rng.random() < 0.5:
+            self.faults.start(self._rng.uniform(200.0, 1_500.0))
+            self.fleet.run(CHAOS_MS)
+        else:
+            self.fleet.run(CATCH_UP_MS)
+            self.faults.start_disk_losses()
+            self.fleet.run(DISK_LOSSES_MS)
 
     def _calm(self) -> None:
         """In the end everything works, and everything that was seen holds together."""
         for operator in self.operators:
             operator.stop()
+        self.reader.stop()
         self.faults.heal()
         self.fleet.run(STABLE_MS)
         final = self._read()
--- a/tests/fleet/faults.py
+++ b/tests/fleet/faults.py
@@ -24,14 +24,16 @@
         self._replacements = 0
         self._is_active = False
         self.log: list[tuple[float, str]] = []
+        self._disk_losses: tuple[Callable[[], None], ...] = (
+            self._wipe,
+            self._wipe_while_others_lose_power,
+            self._replace,
+        )
         self._kinds: tuple[tuple[Callable[[], None], float], ...] = (
             (self._kill, 3),
             (self._kill_all, 1),
             (self._lose_power, 2),
             (self._lose_power_everywhere, 1),
-            (self._wipe, 2),
-            (self._wipe_while_others_lose_power, 1),
-            (self._replace, 2),
             (self._freeze, 3),
             (self._cut_pair, 2),
             (self._cut_one_way, 2),
@@ -50,6 +52,11 @@
         self._pause_ms = pause_ms
         self._schedule()
 
+    def start_disk_losses(self) -> None:
+        """Let machines lose their disks as often as the fleet is to bear it, each time with other faults."""
+        self._is_active = True
+        self._lose_disk()
+
     def heal(self) -> None:
         """End all faults: everything runs and is connected."""
         self._is_active = False
@@ -57,6 +64,8 @@
         for machine in self._fleet.machines.values():
             self._mend_disk(machine)
             machine.thaw()
+            if machine.is_leaving:
+                machine.kill()
             machine.start()
 
     def _schedule(self) -> None:
@@ -65,9 +74,21 @@
     def _happen(self) -> None:
         if not self._is_active:
             return
+        self._happen_once()
+        self._schedule()
+
+    def _lose_disk(self) -> None:
+        """A disk is lost, and shortly after it other things happen that cost no disk."""
+        if not self._is_active:
+            return
+        self._rng.choice(self._disk_losses)()
+        for _ in range(self._rng.randrange(4)):
+            self._later(0.0, 3_000.0, self._happen_once)
+        self._later(7_500.0, 9_500.0, self._lose_disk)
+
+    def _happen_once(self) -> None:
         kinds, weights = zip(*self._kinds, strict=True)
         self._rng.choices(kinds, weights)[0]()
-        self._schedule()
 
     # --- whom it may hit ---
 
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -37,9 +37,10 @@
         return self.machines[address]
 
     def add(self, address: str) -> Machine:
-        """A machine with an empty disk, not started."""
+        """A machine with an empty disk, not started. Its settings name machines of this moment as seeds."""
         rng = random.Random(self.rng.getrandbits(64))
-        machine = Machine(address, self.clock, self.network, rng, self.seeds, self.tolerance)
+        seeds = self.seeds if address in self.seeds else tuple(self.machines)[: len(self.seeds)]
+        machine = Machine(address, self.clock, self.network, rng, seeds, self.tolerance)
         machine.on_committed, machine.on_view = self._on_committed, self._on_view
         self.machines[address] = machine
         return machine
--- a/tests/fleet/history.py
+++ b/tests/fleet/history.py
@@ -9,6 +9,9 @@
 from tests.fleet.machine import Machine
 from tests.fleet.register import Register, change_of
 
+# Members at the founding, whatever the tolerance.
+MOST_SEEDS = 3
+
 Taken = tuple[int, bytes]  # base version and body of one order
 
 
@@ -84,6 +87,8 @@
         known = self._views.setdefault(view.epoch, view)
         if known != view:
             raise Violation(f"two views of one epoch: {known} and {view}")
+        if len(view.members) > max(2 * self._tolerance + 1, MOST_SEEDS):
+            raise Violation(f"more members than are needed: {view}")
         if len(view.in_sync) <= self._tolerance:
             raise Violation(f"the in-sync set is smaller than what has to hold an order: {view}")
 
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -73,6 +73,7 @@
         self._inbox: deque[Event] = deque()
         self._is_frozen = False
         self._is_removed = False
+        self.is_leaving = False
         self._orders: dict[int, OnOrder] = {}
         self._reads: dict[int, OnRead] = {}
         self._last_token = 0
@@ -103,18 +104,23 @@
             recovered=self._file.recover(),
             empty_state=Register,
             restore_state=Register.restore,
-            rng=random.Random(self._rng.getrandbits(64)),
+            rng=self.replica_rng(),
             now_ms=self.clock.now_ms,
             times=ReplicationTimes(),
         )
         self._tick(self.life)
 
+    def replica_rng(self) -> random.Random:
+        """Chance as one life of the process has it."""
+        return random.Random(self._rng.getrandbits(64))
+
     def kill(self) -> None:
         """End the process; what it wrote stays, synced or not."""
         if self.replica is None:
             return
         self._interrupt_write()
         self.replica = None
+        self.is_leaving = False
         self._is_frozen = False
         self.life += 1
         for on_order in self._orders.values():
@@ -153,6 +159,7 @@
 
     def leave(self) -> None:
         """SIGTERM: the process is to hand over, and ends a little later."""
+        self.is_leaving = True
         self._event(LeaveRequested())
         life = self.life
         self.clock.after(300.0, lambda: self.kill() if life == self.life else None)
--- a/tests/fleet/operators.py
+++ b/tests/fleet/operators.py
@@ -108,6 +108,42 @@
         return machine
 
 
+class Reader:
+    """Asks whoever takes itself for the primary, all the time: most of all one that is none any more."""
+
+    def __init__(self, fleet: Fleet, history: History, rng: random.Random) -> None:
+        self._fleet, self._history, self._rng = fleet, history, rng
+        self._is_active = False
+
+    def start(self) -> None:
+        """Go on until stopped."""
+        self._is_active = True
+        self._next()
+
+    def stop(self) -> None:
+        """Read no more."""
+        self._is_active = False
+
+    def _next(self) -> None:
+        if not self._is_active:
+            return
+        for machine in list(self._fleet.machines.values()):
+            standing = machine.standing()
+            if standing is not None and standing.is_primary:
+                self._read(machine)
+        self._fleet.clock.after(self._rng.uniform(20.0, 200.0), self._next)
+
+    def _read(self, machine: Machine) -> None:
+        began_ms = self._fleet.clock.now_ms
+
+        def on_result(register: Register | None) -> None:
+            if register is not None:
+                now_ms = self._fleet.clock.now_ms
+                self._history.reads.append(ProvenRead(began_ms, now_ms, tuple(register.taken)))
+
+        machine.read(on_result)
+
+
 class _Call:
     """Ends once: by its answer or by its silence."""
 
--- /dev/null
+++ b/tests/replication/test_failover.py
@@ -0,0 +1,307 @@
+"""Processes that end, freeze or lose touch, and disks that are slow, stall or are full."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.fleet.machine import Machine
+from tests.replication.story import FAILOVER_MS, FleetStory
+
+
+class ProcessesEnd(FleetStory):
+    def test_given_the_primary_killed_then_another_takes_over(self) -> None:
+        old = self.primary
+        old.kill()
+        self.assertLess(self.fleet.take_order(3, 5), FAILOVER_MS)
+        old.start()
+        self.fleet.run(1_500.0)
+        self.assert_all_follow(5)
+
+    def test_given_a_backup_killed_then_orders_wait_for_its_silence_alone(self) -> None:
+        self.backups()[0].kill()
+        self.assertLess(self.fleet.take_order(3, 5), 1_000.0)
+        self.assertLess(self.fleet.take_order(5, 6), 100.0)
+
+    def test_given_the_primary_killed_at_any_moment_of_an_order_then_it_is_not_lost(self) -> None:
+        for version in range(3, 23, 2):
+            old = self.primary
+            results = self.fleet.submit(old, version, version + 2)
+            self.fleet.run(0.4 * (version - 3))
+            old.lose_power()
+            self.fleet.run(1.0)
+            self.assertEqual(1, len(results))
+            self.fleet.take_order(version, version + 2)
+            old.start()
+            self.fleet.run(3_000.0)
+            self.assert_all_follow(version + 2)
+
+    def test_given_all_killed_then_they_are_back_with_everything(self) -> None:
+        for machine in self.fleet.machines.values():
+            machine.kill()
+        self.fleet.run(500.0)
+        for machine in self.fleet.machines.values():
+            machine.start()
+        self.assertLess(self.fleet.take_order(3, 5), FAILOVER_MS)
+        self.fleet.run(1_500.0)
+        self.assert_all_follow(5)
+
+    def test_given_all_lose_power_in_the_middle_of_an_order_then_it_ends_one_way_or_the_other(self) -> None:
+        for version in range(3, 23, 2):
+            results = self.fleet.submit(self.primary, version, version + 2)
+            self.fleet.run(0.5 * (version - 3))
+            for machine in self.fleet.machines.values():
+                machine.lose_power()
+            self.assertEqual(1, len(results))
+            for machine in self.fleet.machines.values():
+                machine.start()
+            self.fleet.take_order(version, version + 2)
+            self.fleet.run(2_000.0)
+            self.assert_all_follow(version + 2)
+
+    def test_given_the_primary_asked_to_leave_then_another_is_primary_before_it_ends(self) -> None:
+        old = self.primary
+        old.leave()
+        self.fleet.run(100.0)
+        self.assertIsNot(old, self.primary)
+        self.assertLess(self.fleet.take_order(3, 5), 200.0)
+
+    def test_given_a_backup_asked_to_leave_then_orders_do_not_wait_for_it(self) -> None:
+        self.backups()[0].leave()
+        self.fleet.run(50.0)
+        self.assertLess(self.fleet.take_order(3, 5), 200.0)
+
+    def test_given_all_stopped_and_started_in_turn_then_each_order_goes_through(self) -> None:
+        version = 3
+        for machine in list(self.fleet.machines.values()):
+            machine.leave()
+            self.fleet.run(500.0)
+            machine.start()
+            self.assertLess(self.fleet.take_order(version, version + 1), FAILOVER_MS)
+            version += 1
+            self.fleet.run(2_500.0)
+        self.assert_all_follow(version)
+
+
+class ProcessesFreeze(FleetStory):
+    def test_given_the_primary_frozen_then_another_takes_over_and_it_follows_when_it_wakes(self) -> None:
+        old = self.primary
+        old.freeze()
+        waiting = self.fleet.submit(old, 3, 4, "queued")
+        self.assertLess(self.fleet.take_order(3, 5), FAILOVER_MS)
+        self.fleet.run(2_000.0)
+        old.thaw()
+        self.assertIsNone(self.fleet.read(old))
+        self.fleet.run(1_500.0)
+        self.assert_unclear(waiting)
+        self.assert_all_follow(5)
+
+    def test_given_the_primary_frozen_with_an_order_sent_out_when_it_wakes_then_what_it_tells_is_true(
+        self,
+    ) -> None:
+        old = self.primary
+        results = self.fleet.submit(old, 3, 5, "frozen")
+        old.freeze()
+        self.fleet.run(2_000.0)
+        self.assertEqual(5, self.primary.register.version)  # the others had it, so it is committed
+        self.fleet.take_order(5, 8, "later")
+        old.thaw()
+        self.fleet.run(1_500.0)
+        self.assert_taken(results)
+        self.assert_all_follow(8)
+
+    def test_given_the_primary_frozen_before_an_order_got_out_when_it_wakes_then_it_acknowledges_nothing(
+        self,
+    ) -> None:
+        old = self.primary
+        self.fleet.network.isolate(old.address)
+        results = self.fleet.submit(old, 3, 5, "frozen")
+        old.freeze()
+        self.fleet.network.heal()
+        self.fleet.run(2_000.0)
+        self.fleet.take_order(3, 8, "later")
+        old.thaw()
+        self.fleet.run(1_500.0)
+        self.assert_unclear(results)
+        self.assert_all_follow(8)
+
+    def test_given_a_backup_that_wakes_then_it_does_not_take_over(self) -> None:
+        primary, backup = self.primary, self.backups()[0]
+        backup.freeze()
+        self.fleet.run(3_000.0)
+        backup.thaw()
+        self.fleet.run(2_500.0)
+        self.assertIs(primary, self.primary)
+        self.assert_all_follow(3)
+
+    def test_given_a_short_freeze_then_the_primary_goes_on(self) -> None:
+        primary = self.primary
+        epoch = primary.replica.view.epoch if primary.replica and primary.replica.view else 0
+        primary.freeze()
+        self.fleet.run(350.0)
+        primary.thaw()
+        self.fleet.run(2_000.0)
+        standing = self.primary.standing()
+        assert standing is not None
+        self.assertEqual((primary, epoch), (self.primary, standing.epoch))
+
+
+class LinksAreCut(FleetStory):
+    def assert_stays_primary(self, primary: Machine) -> None:
+        self.fleet.run(4_000.0)
+        self.assertIs(primary, self.primary)
+        self.assertLess(self.fleet.take_order(3, 5), 100.0)
+        self.fleet.network.heal()
+        self.fleet.run(2_500.0)
+        self.assertIs(primary, self.primary)
+        self.assert_all_follow(5)
+
+    def test_given_a_backup_that_cannot_hear_the_primary_then_it_does_not_push_it_out(self) -> None:
+        primary = self.primary
+        self.fleet.network.cut(primary.address, self.backups()[0].address)
+        self.assert_stays_primary(primary)
+
+    def test_given_a_backup_that_the_primary_cannot_hear_then_orders_go_on_without_it(self) -> None:
+        primary = self.primary
+        self.fleet.network.cut(self.backups()[0].address, primary.address)
+        self.assert_stays_primary(primary)
+
+    def test_given_a_backup_that_stands_while_the_others_hear_the_primary_then_it_is_refused(self) -> None:
+        primary, backup = self.primary, self.backups()[0]
+        before = primary.standing()
+        assert backup.replica is not None
+        backup.replica._election_due_ms = self.fleet.clock.now_ms
+        self.fleet.run(50.0)
+        self.assertIn("role", [report.event for _, report in backup.reports[-2:]])
+        self.fleet.run(1_000.0)
+        after = self.primary.standing()
+        assert before is not None and after is not None
+        self.assertEqual((primary, before.epoch), (self.primary, after.epoch))
+
+    def test_given_two_backups_cut_from_each_other_then_nothing_changes(self) -> None:
+        primary, (one, other) = self.primary, self.backups()
+        self.fleet.network.cut_both(one.address, other.address)
+        self.assert_stays_primary(primary)
+
+    def test_given_a_backup_cut_off_then_it_harms_nothing_when_it_is_back(self) -> None:
+        primary = self.primary
+        self.fleet.network.isolate(self.backups()[0].address)
+        self.assert_stays_primary(primary)
+
+    def test_given_a_primary_that_hears_nobody_then_another_takes_over(self) -> None:
+        old = self.primary
+        for backup in self.backups():
+            self.fleet.network.cut(backup.address, old.address)
+        self.fleet.run(2_500.0)
+        self.assertIsNot(old, self.primary)
+        self.assertLess(self.fleet.take_order(3, 5), FAILOVER_MS)
+
+    def test_given_a_primary_that_nobody_hears_then_another_takes_over(self) -> None:
+        old = self.primary
+        for backup in self.backups():
+            self.fleet.network.cut(old.address, backup.address)
+        self.fleet.run(2_500.0)
+        self.assertIsNot(old, self.primary)
+        self.assertLess(self.fleet.take_order(3, 5), FAILOVER_MS)
+
+    def test_given_all_cut_from_each_other_then_nothing_is_promised_until_they_are_joined(self) -> None:
+        for machine in self.fleet.running():
+            self.fleet.network.isolate(machine.address)
+        results = self.fleet.submit(self.primary, 3, 5)
+        self.fleet.run(5_000.0)
+        self.assert_unclear(results)
+        self.assertIsNone(self.fleet.primary())
+        self.fleet.network.heal()
+        self.assertLess(self.fleet.take_order(3, 5), 2_000.0)
+
+
+class DisksInTrouble(FleetStory):
+    def test_given_a_stalled_disk_at_the_primary_then_it_hands_over_and_the_order_goes_through(self) -> None:
+        old = self.primary
+        old.stalled_until_ms = self.fleet.clock.now_ms + 6_000.0
+        self.assertLess(self.fleet.take_order(3, 5), 1_200.0)
+        self.assertIsNot(old, self.primary)
+        self.assertLess(self.fleet.take_order(5, 6), 100.0)
+        self.fleet.run(9_000.0)
+        self.assert_all_follow(6)
+
+    def test_given_a_stalled_disk_at_a_backup_then_orders_go_on_without_it(self) -> None:
+        self.backups()[0].stalled_until_ms = self.fleet.clock.now_ms + 6_000.0
+        self.assertLess(self.fleet.take_order(3, 5), 1_000.0)
+        self.assertLess(self.fleet.take_order(5, 6), 100.0)
+        self.fleet.run(9_000.0)
+        self.assert_all_follow(6)
+
+    def test_given_a_full_disk_at_the_primary_then_it_hands_over_at_once(self) -> None:
+        old = self.primary
+        old.disk.is_full = True
+        self.assertLess(self.fleet.take_order(3, 5), 300.0)
+        self.assertIsNot(old, self.primary)
+        old.disk.is_full = False
+        self.fleet.run(3_000.0)
+        self.assert_all_follow(5)
+
+    def test_given_a_full_disk_at_a_backup_then_it_leaves_the_set_and_comes_back(self) -> None:
+        backup = self.backups()[0]
+        backup.disk.is_full = True
+        self.assertLess(self.fleet.take_order(3, 5), 300.0)
+        self.assertNotIn(backup.address, self.fleet.in_sync())
+        backup.disk.is_full = False
+        self.fleet.run(3_000.0)
+        self.assert_all_follow(5)
+
+    def test_given_slow_disks_everywhere_then_orders_are_still_taken(self) -> None:
+        for machine in self.fleet.running():
+            machine.sync_ms = 200.0
+        primary = self.primary
+        self.assertLess(self.fleet.take_order(3, 5), 1_000.0)
+        self.assertIs(primary, self.primary)
+
+    def test_given_failing_syncs_then_nothing_is_promised_on_them(self) -> None:
+        for machine in self.fleet.running():
+            machine.disk.fails_syncs = True
+        results = self.fleet.submit(self.primary, 3, 5)
+        self.fleet.run(5_000.0)
+        self.assert_unclear(results)
+        for machine in self.fleet.running():
+            machine.disk.fails_syncs = False
+        self.fleet.take_order(3, 5)
+
+
+class FiveMachines(FleetStory):
+    """Given five machines that are to bear the loss of two."""
+
+    machines = 5
+    tolerance = 2
+
+    def test_given_the_primary_and_a_backup_killed_then_orders_go_on(self) -> None:
+        self.backups()[0].kill()
+        self.primary.kill()
+        self.assertLess(self.fleet.take_order(3, 5), 2_000.0)
+
+    def test_given_two_wiped_while_the_others_lose_power_then_nothing_is_lost(self) -> None:
+        self.fleet.take_order(3, 5)
+        machines = list(self.fleet.machines.values())
+        for machine in machines[:2]:
+            machine.wipe()
+        for machine in machines[2:]:
+            machine.lose_power()
+        for machine in machines:
+            machine.start()
+        self.assertLess(self.fleet.take_order(5, 6), FAILOVER_MS)
+        self.fleet.run(2_000.0)
+        self.assert_all_follow(6)
+
+    def test_given_a_minority_cut_off_then_the_majority_goes_on_and_they_join_again(self) -> None:
+        minority = [self.primary, self.backups()[0]]
+        for machine in minority:
+            self.fleet.network.isolate(machine.address)
+        self.fleet.run(3_000.0)
+        self.assertNotIn(self.primary, minority)
+        self.fleet.take_order(3, 5)
+        self.fleet.network.heal()
+        self.fleet.run(4_000.0)
+        self.assert_all_follow(5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/replication/test_founding.py
@@ -0,0 +1,120 @@
+"""How a system begins."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.fleet.fleet import Fleet
+
+
+class TheFirstStart(unittest.TestCase):
+    def test_given_any_order_of_starts_then_one_system_is_founded_within_a_second(self) -> None:
+        for seed in range(30):
+            fleet = Fleet(3, 1, seed=seed)
+            fleet.start()
+            fleet.run(1_000.0)
+            standings = [machine.standing() for machine in fleet.running()]
+            self.assertEqual(
+                {("m1", ("m1", "m2", "m3"))},
+                {(standing.primary, standing.members) for standing in standings if standing is not None},
+            )
+
+    def test_given_seeds_that_start_late_then_nothing_is_founded_without_a_majority(self) -> None:
+        fleet = Fleet(3, 1)
+        fleet["m1"].start(bootstrap=True)
+        fleet.run(5_000.0)
+        self.assertIsNone(fleet.primary())
+        fleet["m3"].start(bootstrap=True)
+        fleet.run(500.0)
+        self.assertEqual("m1", fleet.settle().address)
+
+    def test_given_a_seed_that_never_starts_then_the_others_found_and_it_joins_when_it_comes(self) -> None:
+        fleet = Fleet(3, 1)
+        fleet["m1"].start(bootstrap=True)
+        fleet["m2"].start(bootstrap=True)
+        fleet.settle()
+        fleet.take_order(0, 1)
+        fleet["m3"].start(bootstrap=True)
+        fleet.run(1_000.0)
+        self.assertEqual({"m1", "m2", "m3"}, fleet.in_sync())
+
+    def test_given_the_founder_killed_at_any_moment_of_the_founding_then_it_founds_after_its_restart(
+        self,
+    ) -> None:
+        for moment_ms in range(0, 40, 2):
+            fleet = Fleet(3, 1, seed=moment_ms + 1)
+            fleet.start(spread_ms=5.0)
+            fleet.run(moment_ms)
+            fleet["m1"].lose_power()
+            fleet.run(100.0)
+            fleet["m1"].start(bootstrap=True)
+            fleet.run(1_500.0)
+            fleet.settle()
+            fleet.take_order(0, 1)
+
+    def test_given_the_founder_restarted_without_bootstrap_then_its_file_still_knows(self) -> None:
+        fleet = Fleet(3, 1)
+        fleet["m1"].start(bootstrap=True)
+        fleet.run(50.0)
+        fleet["m1"].kill()
+        for machine in fleet.machines.values():
+            machine.start()
+        fleet.run(1_000.0)
+        self.assertEqual("m1", fleet.settle().address)
+
+    def test_given_empty_disks_without_bootstrap_then_nobody_founds(self) -> None:
+        fleet = Fleet(3, 1)
+        for machine in fleet.machines.values():
+            machine.start()
+        fleet.run(10_000.0)
+        self.assertIsNone(fleet.primary())
+
+    def test_given_the_founder_wiped_later_then_it_does_not_found_again(self) -> None:
+        fleet = Fleet(3, 1)
+        fleet.start()
+        fleet.settle()
+        fleet.take_order(0, 1)
+        for machine in fleet.machines.values():
+            machine.kill()
+        fleet["m1"].wipe()
+        fleet["m1"].start()
+        fleet.run(3_000.0)
+        self.assertIsNone(fleet.primary())
+        fleet["m2"].start()
+        fleet["m3"].start()
+        fleet.settle()
+        self.assertEqual(1, fleet.take_read().version)
+
+
+class LargerAndSmallerFleets(unittest.TestCase):
+    def test_given_five_machines_to_bear_two_losses_then_all_become_members(self) -> None:
+        fleet = Fleet(5, 2)
+        fleet.start()
+        fleet.settle()
+        fleet.run(500.0)
+        self.assertEqual({"m1", "m2", "m3", "m4", "m5"}, fleet.in_sync())
+
+    def test_given_more_machines_than_the_tolerance_needs_then_the_rest_learns_and_has_no_vote(self) -> None:
+        fleet = Fleet(5, 1)
+        fleet.start()
+        fleet.settle()
+        fleet.take_order(0, 1)
+        fleet.run(500.0)
+        standing = fleet["m5"].standing()
+        assert standing is not None
+        self.assertEqual(("m1", "m2", "m3"), standing.members)
+        self.assertEqual(1, standing.committed_version)
+
+    def test_given_one_machine_then_it_is_a_system_of_its_own(self) -> None:
+        fleet = Fleet(1, 0)
+        fleet.start()
+        fleet.settle()
+        fleet.take_order(0, 1)
+        fleet["m1"].lose_power()
+        fleet["m1"].start()
+        fleet.settle()
+        self.assertEqual(1, fleet.take_read().version)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/replication/test_lost_disks.py
@@ -0,0 +1,155 @@
+"""Machines that lose their disk, or are replaced by others."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.replication.story import FAILOVER_MS, FleetStory
+
+
+class DisksAreLost(FleetStory):
+    def test_given_a_wiped_backup_then_it_comes_back_as_another_and_is_in_sync(self) -> None:
+        backup = self.backups()[0]
+        assert backup.replica is not None
+        before = backup.replica.incarnation
+        backup.wipe()
+        self.fleet.run(200.0)
+        backup.start()
+        self.fleet.run(1_500.0)
+        assert backup.replica is not None
+        self.assertNotEqual(before, backup.replica.incarnation)
+        self.assert_all_follow(3)
+
+    def test_given_a_wiped_primary_then_another_takes_over_as_soon_as_it_is_back(self) -> None:
+        old = self.primary
+        old.wipe()
+        self.fleet.run(100.0)
+        old.start()
+        self.assertLess(self.fleet.take_order(3, 5), 500.0)
+        self.fleet.run(1_500.0)
+        self.assert_all_follow(5)
+
+    def test_given_each_wiped_in_turn_while_the_others_lose_power_then_nothing_is_lost(self) -> None:
+        for address in ("m1", "m2", "m3"):
+            with self.subTest(wiped=address):
+                version = self.primary.register.version
+                self.fleet.take_order(version, version + 1)
+                for machine in self.fleet.machines.values():
+                    if machine.address == address:
+                        machine.wipe()
+                    else:
+                        machine.lose_power()
+                for machine in self.fleet.machines.values():
+                    machine.start()
+                self.assertLess(self.fleet.take_order(version + 1, version + 2), FAILOVER_MS)
+                self.fleet.run(4_000.0)
+                self.assert_all_follow(version + 2)
+
+    def test_given_a_wiped_machine_when_another_is_away_then_its_vote_does_not_count(self) -> None:
+        primary, (wiped, other) = self.primary, self.backups()
+        other.kill()
+        primary.kill()
+        wiped.wipe()
+        wiped.start()
+        self.fleet.run(5_000.0)
+        self.assertIsNone(self.fleet.primary())
+        other.start()
+        self.fleet.run(5_000.0)
+        self.assertIsNone(self.fleet.primary())
+        primary.start()
+        self.fleet.settle()
+        self.assertEqual(3, self.fleet.take_read().version)
+
+    def test_given_a_backup_that_was_out_of_sync_when_the_in_sync_one_is_wiped_then_nothing_is_lost(
+        self,
+    ) -> None:
+        primary, (wiped, late) = self.primary, self.backups()
+        self.fleet.network.isolate(late.address)
+        self.fleet.take_order(3, 5)
+        self.fleet.network.heal()
+        wiped.wipe()
+        primary.lose_power()
+        late.lose_power()
+        for machine in (late, wiped, primary):
+            machine.start()
+        self.assertLess(self.fleet.take_order(5, 6), 2_000.0)
+
+
+class MessagesAreLost(FleetStory):
+    def test_given_a_learner_that_missed_the_first_entries_while_orders_go_on_then_it_catches_up(
+        self,
+    ) -> None:
+        primary, learner = self.primary, self.backups()[0]
+        learner.wipe()
+        self.fleet.take_order(3, 4)
+        self.fleet.network.cut(primary.address, learner.address)
+        learner.start()
+        for version in range(4, 104):
+            results = self.fleet.submit(primary, version, version + 1)
+            self.fleet.run(30.0)
+            self.assert_taken(results)
+            if version == 24:
+                self.fleet.network.heal()
+        self.fleet.run(20.0)
+        self.assert_all_follow(104)
+
+
+class MachinesAreReplaced(FleetStory):
+    def test_given_a_machine_removed_without_notice_then_its_successor_takes_its_place(self) -> None:
+        for number, leaves in enumerate((False, True, False, True)):
+            with self.subTest(number=number, leaves=leaves):
+                version = self.primary.register.version
+                removed = next(iter(self.fleet.machines.values()))
+                if leaves:
+                    removed.leave()
+                    self.fleet.run(350.0)
+                removed.remove()
+                del self.fleet.machines[removed.address]
+                successor = self.fleet.add(f"new{number}")
+                self.fleet.run(200.0)
+                successor.start()
+                self.assertLess(self.fleet.take_order(version, version + 1), FAILOVER_MS)
+                self.fleet.run(3_000.0)
+                standing = self.primary.standing()
+                assert standing is not None
+                self.assertIn(successor.address, standing.members)
+                self.assertEqual(3, len(standing.members))
+                self.assert_all_follow(version + 1)
+
+    def test_given_all_replaced_one_after_the_other_then_what_was_acknowledged_is_still_there(self) -> None:
+        for number, address in enumerate(("m1", "m2", "m3")):
+            self.fleet[address].remove()
+            del self.fleet.machines[address]
+            self.fleet.add(f"new{number}").start()
+            self.fleet.run(5_000.0)
+        self.assertEqual(3, self.fleet.take_read().version)
+
+    def test_given_a_member_whose_place_was_taken_when_it_is_back_then_it_stands_by(self) -> None:
+        member = self.backups()[0]
+        member.kill()
+        self.fleet.add("new").start()
+        self.fleet.run(3_000.0)
+        member.start()
+        self.fleet.run(2_000.0)
+        standing = member.standing()
+        assert standing is not None
+        self.assertNotIn(member.address, standing.members)
+        self.fleet.take_order(3, 5)
+        self.fleet.run(200.0)
+        self.assertEqual(5, member.register.version)
+
+    def test_given_a_spare_machine_that_stands_by_then_it_takes_the_place_of_a_member_that_is_away(
+        self,
+    ) -> None:
+        self.fleet.add("spare").start()
+        self.fleet.run(1_000.0)
+        self.backups()[0].kill()
+        self.fleet.run(2_500.0)
+        standing = self.primary.standing()
+        assert standing is not None
+        self.assertIn("spare", standing.members)
+        self.assertEqual(3, len(self.fleet.in_sync()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/replication/test_mutants.py
@@ -0,0 +1,153 @@
+"""Faults put into the code on purpose: the campaigns or the stories have to find each of them."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from unittest.mock import PropertyMock, patch
+
+from madderwind.replication.api import ReadResolved
+from madderwind.replication.core import ReplicaCore
+from madderwind.replication.membership import MembershipRules, PeerStanding
+from madderwind.replication.peers import Peer
+from madderwind.replication.primary import Primary
+from madderwind.replication.replica import Replica
+from tests.fleet.campaign import Campaign
+from tests.fleet.disk import MemoryDisk
+from tests.fleet.history import Violation
+from tests.fleet.machine import Machine
+from tests.replication import test_failover, test_lost_disks, test_orders, test_witness
+
+MOST_CAMPAIGNS = 40
+
+
+ordinary_promotion = Replica._promote_if_due
+
+
+def read_without_a_fence(primary: Primary, now_ms: float, token: int) -> None:
+    primary._core.actions.append(ReadResolved(token, is_newest=True))
+
+
+def append_without_a_sync(disk: MemoryDisk, name: str, data: bytes) -> None:
+    disk._write(disk._files[name], data)
+
+
+def chance_by_address(machine: Machine) -> random.Random:
+    return random.Random(machine.address)
+
+
+def ready_without_the_log(primary: Primary, now_ms: float, peer: Peer) -> PeerStanding:
+    is_sound = peer.is_sound(now_ms, primary._core.times)
+    return PeerStanding(peer.member, is_sound, not is_sound, False)
+
+
+def as_if_synced_everywhere(primary: Primary, incarnation: str) -> int:
+    return primary._core.synced_index
+
+
+def promote_after_a_restart(replica: Replica, now_ms: float) -> None:
+    ordinary_promotion(replica, now_ms)
+    view = replica.view
+    if replica._handed_over_epoch < 0:
+        return
+    if view is not None and view.primary == replica.incarnation and replica._primary is None:
+        replica._handed_over_epoch = -1  # once a life
+        replica._primary = Primary(replica._core, view, replica._rules, now_ms)
+
+
+class CampaignsFindMutants(unittest.TestCase):
+    def assert_found(self, likely_seed: int = 1) -> None:
+        """Within a few campaigns, something happens that must not. The likely seed is only tried first."""
+        for seed in (likely_seed, *range(1, MOST_CAMPAIGNS + 1)):
+            try:
+                Campaign(seed).run()
+            except (Violation, ValueError):
+                return
+        self.fail(f"not found in {MOST_CAMPAIGNS} campaigns")
+
+    def test_a_read_without_a_fence(self) -> None:
+        with patch.object(Primary, "read", read_without_a_fence):
+            self.assert_found(likely_seed=4)
+
+    def test_a_sync_left_out(self) -> None:
+        with patch.object(MemoryDisk, "append", append_without_a_sync):
+            self.assert_found()
+
+    def test_a_wiped_machine_that_votes(self) -> None:
+        with patch.object(Machine, "replica_rng", chance_by_address):
+            self.assert_found(likely_seed=8)
+
+    def test_a_learner_taken_into_the_set_without_the_log(self) -> None:
+        with patch.object(Primary, "_standing", ready_without_the_log):
+            self.assert_found()
+
+    def test_members_that_only_grow(self) -> None:
+        with patch("madderwind.replication.replica.membership_goal", return_value=9):
+            self.assert_found(likely_seed=6)
+
+    def test_a_set_too_small_to_acknowledge(self) -> None:
+        with patch.object(MembershipRules, "smallest_in_sync", PropertyMock(return_value=1)):
+            self.assert_found()
+
+    def test_a_commit_that_does_not_wait_for_the_others(self) -> None:
+        with patch.object(Primary, "_synced_by", as_if_synced_everywhere):
+            self.assert_found()
+
+    def test_a_takeover_by_a_replica_that_is_not_in_sync(self) -> None:
+        with patch.object(ReplicaCore, "is_in_sync", PropertyMock(return_value=True)):
+            self.assert_found(likely_seed=30)
+
+    def test_a_restarted_primary_that_goes_on_in_its_epoch(self) -> None:
+        with patch.object(Replica, "_promote_if_due", promote_after_a_restart):
+            self.assert_found(likely_seed=44)
+
+
+class StoriesFindMutants(unittest.TestCase):
+    def test_a_lease_that_is_not_looked_at(self) -> None:
+        with patch.object(Replica, "_protects_primary", return_value=False):
+            self.assert_found_by(
+                test_failover.LinksAreCut(
+                    "test_given_a_backup_that_stands_while_the_others_hear_the_primary_then_it_is_refused"
+                )
+            )
+
+    def test_promises_that_are_not_written(self) -> None:
+        with patch.object(ReplicaCore, "record_witness", lambda core: None):
+            self.assert_found_by(
+                test_witness.PromisesOutlastRestarts(
+                    "test_given_a_promise_when_power_is_lost_then_no_lower_ballot_is_accepted"
+                )
+            )
+
+    def test_a_read_without_a_fence(self) -> None:
+        with patch.object(Primary, "read", read_without_a_fence):
+            self.assert_found_by(
+                test_orders.APrimaryThatIsNoneAnyMore("test_when_it_is_asked_to_read_then_it_proves_nothing")
+            )
+
+    def test_a_wiped_machine_that_votes(self) -> None:
+        with patch.object(Machine, "replica_rng", chance_by_address):
+            self.assert_found_by(
+                test_lost_disks.DisksAreLost(
+                    "test_given_a_wiped_machine_when_another_is_away_then_its_vote_does_not_count"
+                )
+            )
+
+    def test_refusals_without_a_fence(self) -> None:
+        with patch.object(Primary, "_round_from_now", return_value=0):
+            self.assert_found_by(
+                test_orders.APrimaryThatIsNoneAnyMore(
+                    "test_when_an_order_builds_on_what_it_does_not_know_then_it_is_not_refused"
+                )
+            )
+
+    def assert_found_by(self, story: unittest.TestCase) -> None:
+        """The story fails."""
+        result = unittest.TestResult()
+        story.run(result)
+        self.assertEqual(1, result.testsRun)
+        self.assertTrue(result.failures)
+
+
+if __name__ == "__main__":
+    unittest.main()
