--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -16,7 +16,6 @@
 from madderwind.messages.distribution import SentPrompt
 from madderwind.placement.costs import PlacementCosts
 from madderwind.placement.first_event_model import FirstEventModel
-from madderwind.placement.holders import PrefixHolders
 from madderwind.placement.popularity import PrefixRates
 from madderwind.placement.prompts import Generation, PromptPart
 from madderwind.placement.rendezvous import RendezvousRanking
@@ -42,8 +41,6 @@
 PREFILL_BOUNDS_MS = (120.0, 480.0)
 # How many ranks of routes are told apart.
 RANKS = 3
-# Away from home a prefix counts as if this part of it were read again, so that balancers agree where it goes.
-HOME_PREFERENCE = 0.02
 BYTES_PER_PROMPT_TOKEN = 1.0
 BYTES_PER_OUTPUT_TOKEN = 25.0
 MS_PER_S = 1000.0
@@ -66,7 +63,6 @@
         self.ranking = RendezvousRanking()
         self.model = FirstEventModel()
         self.rates = PrefixRates(POPULARITY_WINDOW_MS)
-        self.holders = PrefixHolders()
 
 
 class Placement:
@@ -131,26 +127,14 @@
         for prompt in prompts:
             if prompt.instance in self._zones:
                 upstream = self._upstream(prompt.instance)
-                parts = tuple(map(PromptPart, prompt.part_ids, prompt.part_tokens))
-                upstream.kept.used(parts, upstream.kv_tokens)
-                self._note_holder(parts, prompt.instance)
+                parts = map(PromptPart, prompt.part_ids, prompt.part_tokens)
+                upstream.kept.used(tuple(parts), upstream.kv_tokens)
 
     @property
     def _unheard(self) -> int:
         """How many other balancers there are whose sends are not told."""
         return 0 if self._now_ms - self._heard_at_ms < HEARD_FRESH_MS else self._fleet - 1
 
-    def _rank_anew(self, name: str, service: _Service, candidates: Sequence[str]) -> None:
-        service.ranking.set_members(candidates, self._identities, {})
-        for instance in candidates:
-            upstream = self._upstream(instance)
-            upstream.service, upstream.kv_tokens = name, service.kv_tokens
-
-    def _note_holder(self, parts: tuple[PromptPart, ...], instance: str) -> None:
-        prefix = _prefix_key(parts)
-        if prefix is not None:
-            self._service(self._upstream(instance).service).holders.sent(prefix, instance)
-
     def forget(self, instance: str) -> None:
         """The upstream is gone for good."""
         self._upstreams.pop(instance, None)
@@ -166,8 +150,8 @@
         self._now_ms = max(self._now_ms, now_ms)
         service = self._service(generation.service)
         if service.ranking.members != tuple(candidates):
-            self._rank_anew(generation.service, service, candidates)
-        prefix = _prefix_key(generation.parts)
+            service.ranking.set_members(candidates, self._identities, {})
+        prefix = _prefix_key(generation)
         ranking = service.ranking.ranking(prefix or _own_part_id(generation))
         if avoid:
             ranking = tuple(instance for instance in ranking if instance not in avoid)
@@ -176,8 +160,9 @@
         homes = self._homes(now_ms, service, generation, prefix, len(ranking))
         best: Choice | None = None
         lowest = 0.0
-        for instance in self._weighed(service, prefix, ranking, homes):
-            presumed = instance in ranking[:homes]
+        for rank in self._weighed_ranks(len(ranking), homes):
+            instance = ranking[rank]
+            presumed = rank < homes
             first_ms, cost = self._cost(now_ms, service, generation, instance, presumed)
             if not presumed:
                 cost += TIE_BREAK * self._rng.random()
@@ -189,7 +174,7 @@
         """The request was sent to this upstream."""
         self._now_ms = max(self._now_ms, now_ms)
         service = self._service(generation.service)
-        prefix = _prefix_key(generation.parts)
+        prefix = _prefix_key(generation)
         if prefix:
             service.rates.arrived(now_ms, prefix)
         upstream = self._upstream(instance)
@@ -198,8 +183,8 @@
         ahead = upstream.waiting_tokens(now_ms, self._unheard)
         copies = 1 + self._unheard
         upstream.sent(now_ms, key, Sent(generation, now_ms, uncached, ahead))
+        upstream.kv_tokens = service.kv_tokens
         upstream.kept.used(generation.parts, service.kv_tokens, copies)
-        self._note_holder(generation.parts, instance)
         if len(self._outbox) < MOST_UNTOLD:
             ids = tuple(part.id for part in generation.parts)
             self._outbox.append(SentPrompt(instance, ids, tuple(part.tokens for part in generation.parts)))
@@ -266,16 +251,12 @@
         busy = arrivals_per_s * own_tokens * service.model.ms_per_token / MS_PER_S
         return min(1 + int(busy / HOME_UTILIZATION), upstreams)
 
-    def _weighed(
-        self, service: _Service, prefix: str | None, ranking: tuple[str, ...], homes: int
-    ) -> Sequence[str]:
-        """The upstreams whose cost is looked at: all of few; else the first by rank, holders, some drawn."""
-        if len(ranking) <= WEIGH_ALL_BELOW:
-            return ranking
-        weighed = [*ranking[: homes + RANKED_WEIGHED], *self._rng.choices(ranking, k=DRAWN_WEIGHED)]
-        if prefix is not None:
-            weighed += [holder for holder in service.holders.of(prefix) if holder in ranking]
-        return weighed
+    def _weighed_ranks(self, upstreams: int, homes: int) -> Sequence[int]:
+        if upstreams <= WEIGH_ALL_BELOW:
+            return range(upstreams)
+        ranked = min(homes + RANKED_WEIGHED, upstreams)
+        drawn = [self._rng.randrange(upstreams) for _ in range(DRAWN_WEIGHED)]
+        return [*range(ranked), *drawn]
 
     def _uncached(self, generation: Generation, upstream: UpstreamLoad, presumed: bool) -> float:
         cached = upstream.kept.cached_tokens(generation.parts)
@@ -295,21 +276,13 @@
         first_ms += self._admission_ms(service, generation, upstream)
         cost = costs.lateness(first_ms, generation.aim_ms)
         cost += costs.failed * upstream.failure_chance(now_ms)
-        cost += self._reread_cost(generation, upstream, presumed)
+        if not presumed:
+            shared = generation.shared_parts
+            cost += costs.reread_per_token * (_tokens(shared) - upstream.kept.cached_tokens(shared))
         if self._zone and self._zones.get(instance, self._zone) != self._zone:
             cost += costs.cross_zone_per_byte * _bytes(generation)
         return first_ms, cost
 
-    def _reread_cost(self, generation: Generation, upstream: UpstreamLoad, presumed: bool) -> float:
-        shared = generation.shared_parts
-        if presumed and self._unheard:
-            return 0.0
-        tokens = _tokens(shared)
-        unkept = float(tokens - upstream.kept.cached_tokens(shared))
-        if not presumed:
-            unkept += HOME_PREFERENCE * tokens
-        return self._costs.reread_per_token * unkept
-
     def _admission_ms(self, service: _Service, generation: Generation, upstream: UpstreamLoad) -> float:
         """The wait for a place in the batch or for memory."""
         waiting_sequences = upstream.sequences(self._unheard) + 1.0 - service.slots
@@ -322,8 +295,8 @@
         return wait_ms
 
 
-def _prefix_key(parts: tuple[PromptPart, ...]) -> str | None:
-    shared = parts[:-1]
+def _prefix_key(generation: Generation) -> str | None:
+    shared = generation.shared_parts
     if not shared:
         return None
     return shared[-1].id if len(shared) == 1 else ",".join(part.id for part in shared)
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -40,7 +40,6 @@
     """The estimate of one upstream."""
 
     def __init__(self, now_ms: float, kv_tokens: int) -> None:
-        self.service = ""
         self.kv_tokens = kv_tokens
         self.kept = KeptParts()
         self.slowness = 1.0
