--- a/deploy/sites/lay_system.py
+++ b/deploy/sites/lay_system.py
@@ -30,6 +30,19 @@
 PLAIN_ANSWER_BYTES: Table = {"mean": 2500.0, "spread": 0.6, "tail": 0.0, "tail_x": 1.0, "max": 20000.0}
 """What a request that was a stream becomes where there are no streams."""
 
+# Troubles that need a contract, by kind and variant; "" stands for every variant.
+CLOSED_WITHOUT: dict[str, frozenset[tuple[str, str]]] = {
+    "quota": frozenset({("hot_tenant", ""), ("config_change", "quota"), ("config_storm", "quota")}),
+    "tenants": frozenset(
+        {
+            ("revoke", ""),
+            ("config_change", "tenant"),
+            ("config_storm", "tenant"),
+            ("bad_config", "shared_key"),
+        }
+    ),
+}
+
 DAY_MARKS = ("goal", "floor_classes", "floor_zones", "small")
 
 
@@ -205,8 +218,16 @@
 
 
 def without_contracts(site: Site, *contracts: str) -> None:
-    """Takes parts of the rules out of force."""
+    """Takes parts of the rules out of force, and the troubles that need them out of the site and its days."""
     site["contracts"] = [contract for contract in site["contracts"] if contract not in contracts]
+    closed = frozenset[tuple[str, str]]().union(*(CLOSED_WITHOUT.get(name, ()) for name in contracts))
+    lists = [site["troubles"], *(day[part] for day in site["day"] for part in ("plan", "faults"))]
+    for troubles in lists:
+        troubles[:] = [
+            trouble
+            for trouble in troubles
+            if closed.isdisjoint({(trouble["kind"], ""), (trouble["kind"], trouble.get("how", ""))})
+        ]
 
 
 def no_quota(site: Site) -> None:
