Read over: one watch of the settings file for both programs; what nothing calls goes; pages say what is

The on-call page's test leaves settings_watch.py to the two pages of the system, whose tests take it in: no line is unexplained.

--- a/madderwind/controlplane/process.py
+++ b/madderwind/controlplane/process.py
@@ -27,11 +27,11 @@
 from madderwind.replication.api import Action, Event, Standing
 from madderwind.replication.replica import Replica
 from madderwind.replication.times import ReplicationTimes
+from madderwind.settings_watch import SettingsWatch
 from madderwind.storage.disk import FileDisk
 from madderwind.storage.record_file import RecordFile, RecoveredFile
 from madderwind.structured_log import BatchedOutput, Log, open_log
 
-SETTINGS_CHECK_S = 1.0
 # What stays of the grace period for closing connections and for the start of the last write.
 END_RESERVE_S = 1.5
 LONGEST_HANDOVER_S = 4.0
@@ -69,7 +69,6 @@
         self._output = BatchedOutput()
         self._log: Log = open_log(settings.node, self._output)
         self._end_requested = asyncio.Event()
-        self._settings_changed = asyncio.Event()
         self._runners: list[web.AppRunner] = []
 
     async def run(self) -> None:
@@ -77,8 +76,9 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_end)
         loop.add_signal_handler(signal.SIGINT, self.request_end)
-        loop.add_signal_handler(signal.SIGHUP, self._settings_changed.set)
         host = self._host()
+        watch = self._settings_watch(host)
+        loop.add_signal_handler(signal.SIGHUP, watch.read_again)
         public_server = PublicServer(host, self._log)
         internal = InternalServer(host, self._log).application()
         add_status(internal, host, self._settings.node, self._settings.zone)
@@ -89,7 +89,7 @@
         exporter = await start_exporter(
             self._settings.listen, lambda: control_plane_samples(host.status(node, zone))
         )
-        watching = asyncio.create_task(self._watch_settings(host))
+        watching = asyncio.create_task(watch.run())
         self._log.info("control plane started", address=self._own_address())
         gc.collect()
         gc.freeze()
@@ -145,30 +145,16 @@
         ip, _, port = address.rpartition(":")
         await web.TCPSite(runner, ip, int(port), backlog=BACKLOG, reuse_address=True).start()
 
-    async def _watch_settings(self, host: ControlPlaneHost) -> None:
-        """Take over new seeds on SIGHUP, or once the file changed without a signal."""
-        path = os.environ.get(SETTINGS_VARIABLE, "")
-        seen = _modified_ns(path)
-        while True:
-            try:
-                async with asyncio.timeout(SETTINGS_CHECK_S):
-                    await self._settings_changed.wait()
-            except TimeoutError:
-                if _modified_ns(path) == seen:
-                    continue
-            self._settings_changed.clear()
-            seen = _modified_ns(path)
-            self._read_settings_again(host)
-
-    def _read_settings_again(self, host: ControlPlaneHost) -> None:
-        try:
-            settings = read_settings()
-        except SettingsError as error:
-            self._log.error("settings unreadable, the former stay", field=error.field, reason=error.reason)
-            return
-        self._settings = settings
-        host.set_seeds(settings.seed_addresses())
-        self._log.info("settings read again", seeds=list(settings.seeds))
+    def _settings_watch(self, host: ControlPlaneHost) -> SettingsWatch:
+        def take(settings: NodeSettings) -> None:
+            self._settings = settings
+            host.set_seeds(settings.seed_addresses())
+            self._log.info("settings read again", seeds=list(settings.seeds))
+
+        def log(event: str, /, **fields: object) -> None:
+            self._log.warning(event, **fields)
+
+        return SettingsWatch(Path(os.environ.get(SETTINGS_VARIABLE, "")), take, log)
 
     async def _hand_over(self, host: ControlPlaneHost) -> None:
         """Give the primary's role up where it is held, and answer the calls under way."""
@@ -188,13 +174,6 @@
         self._output.flush()
 
 
-def _modified_ns(path: str) -> int:
-    try:
-        return Path(path).stat().st_mtime_ns
-    except OSError:
-        return 0
-
-
 async def _run(settings: NodeSettings, record_file: RecordFile, recovered: RecoveredFile) -> None:
     await ControlPlaneProcess(settings, record_file, recovered).run()
 
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -18,7 +18,6 @@
 from madderwind.dataplane.readiness import ReadyListener
 from madderwind.dataplane.reports import Reports
 from madderwind.dataplane.retrying import Retries
-from madderwind.dataplane.settings_watch import SettingsWatch
 from madderwind.dataplane.subscriber_links import SubscriberLinks
 from madderwind.dataplane.upstream_pool import UpstreamPool
 from madderwind.distribution.subscriber import (
@@ -45,6 +44,7 @@
 from madderwind.node_settings import DATA_PLANE_PORT, NodeSettings
 from madderwind.placement.placement import Placement
 from madderwind.registry.upstreams import KnownUpstreams
+from madderwind.settings_watch import SettingsWatch
 from madderwind.transport.listening import CallerTimes, Listener
 
 MS_PER_S = 1000.0
--- a/madderwind/local/load_figures.py
+++ b/madderwind/local/load_figures.py
@@ -36,11 +36,6 @@
     first: Times
     between: Times
 
-    @property
-    def served_share(self) -> float:
-        """The part of the requests that were served whole, in time or late."""
-        return (self.in_time + self.late) / self.requests if self.requests else 0.0
-
 
 def times_of(values_ms: Iterable[float]) -> Times:
     """The quantiles of some times, by a histogram of microseconds."""
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -43,7 +43,6 @@
         self.kv_tokens = kv_tokens
         self.kept = KeptParts()
         self.slowness = 1.0
-        self.first_seen_ms = now_ms
         self._sent: OrderedDict[str, Sent] = OrderedDict()
         self._own_waiting = 0.0
         self._own_held = 0.0
--- a/madderwind/replication/log.py
+++ b/madderwind/replication/log.py
@@ -27,11 +27,6 @@
         """Index of the newest entry; 0 if there never was one."""
         return self.anchor_index + len(self._entries)
 
-    @property
-    def last_epoch(self) -> int:
-        """Epoch of the newest entry."""
-        return self._entries[-1].epoch if self._entries else self.anchor_epoch
-
     def epoch_at(self, index: int) -> int | None:
         """The epoch of an entry; None where it is not held (any more)."""
         if index == self.anchor_index:
--- a/madderwind/dataplane/settings_watch.py
+++ b/madderwind/settings_watch.py
@@ -25,9 +25,13 @@
         """Look at the file from time to time."""
         while True:
             await asyncio.sleep(WATCH_S)
-            if (mark := self._mark()) != self._seen:
-                self._seen = mark
-                self.read_again()
+            self.look()
+
+    def look(self) -> None:
+        """Read the file again if it has changed since the last look."""
+        if (mark := self._mark()) != self._seen:
+            self._seen = mark
+            self.read_again()
 
     def read_again(self) -> None:
         """Take what the file says now; one that can't be read changes nothing."""
--- a/madderwind/storage/records.py
+++ b/madderwind/storage/records.py
@@ -44,11 +44,6 @@
     return DecodedRecords(tuple(records), position)
 
 
-def encoded_length(payload: bytes) -> int:
-    """How many bytes the record of this payload takes in a file."""
-    return _HEADER.size + len(payload)
-
-
 def _record_at(data: bytes, position: int) -> bytes | None:
     start = position + _HEADER.size
     if start > len(data):
--- a/tests/dataplane/test_log_page.py
+++ b/tests/dataplane/test_log_page.py
@@ -10,6 +10,7 @@
 SOURCES = (
     *(ROOT / "madderwind" / "dataplane").glob("*.py"),
     ROOT / "madderwind" / "distribution" / "subscriber.py",
+    ROOT / "madderwind" / "settings_watch.py",
 )
 # Calls that write a line: the log itself, the subscriber's reports, a request's note.
 SAYING = re.compile(r"\b(?:_?log|Report|_note)\(\s*(.*?)[,)]", re.DOTALL)
--- a/tests/program/test_log.py
+++ b/tests/program/test_log.py
@@ -111,8 +111,12 @@
 
 
 def test_the_on_call_page_explains_every_line_and_no_other() -> None:
-    # The system's data plane has a page of its own: tests/dataplane/test_log_page.py.
-    paths = [path for path in (ROOT / "madderwind").rglob("*.py") if path.parent.name != "dataplane"]
+    # The system's programs have pages of their own, held by tests/{dataplane,controlplane}/test_log_page.py.
+    paths = [
+        path
+        for path in (ROOT / "madderwind").rglob("*.py")
+        if path.parent.name != "dataplane" and path.name != "settings_watch.py"
+    ]
     code = "".join(path.read_text() for path in paths)
     said = set(re.findall(r"\b_?(?:log|say)(?:_sparingly)?\(\s*\"([a-z_]+)\"", code)) | set(
         re.findall(r"self\(\"([a-z_]+)\"", code)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -61,8 +61,17 @@
 )
 BELOW |= {part: set(SYSTEM[:place]) for place, part in enumerate(SYSTEM) if part != "balancing"}
 # The two hosts know nothing of each other, and the control plane nothing of requests.
-SHARED_WITH_HOSTS = {"clock", "eventlog", "structured_log", "transport", "protocol", "metrics"}
+SHARED_WITH_HOSTS = {
+    "clock",
+    "eventlog",
+    "settings_watch",
+    "structured_log",
+    "transport",
+    "protocol",
+    "metrics",
+}
 BELOW["dataplane"] = {*SYSTEM, *SHARED_WITH_HOSTS}
+BELOW["settings_watch"] = {"errors", "eventlog", "node_settings"}
 BELOW["structured_log"] = set()
 BELOW["metrics"] = {"errors"}
 # Beside the programs: stand-ins of upstreams, and whole fleets as processes of one machine.
