Many balancers take a part of their arrivals while every upstream is cold

Cause: where no upstream is warm, a balancer may have one attempt at a time at each. That bounds the sum only over few balancers. Of 200 each admits its first request whatever its part of the room, as its credit starts whole; two causes add to it: gaps on the ring differ twofold in a list that grew one by one, and chance. Change: with more balancers than are near to one upstream (8), each takes the upstreams' mean warmth times the stated multiple of the fall of its arrivals while all are cold, by a credit whose start is spread over the balancers.

--- a/madderwind/standalone/policy/picker.py
+++ b/madderwind/standalone/policy/picker.py
@@ -6,8 +6,9 @@
 from madderwind.balancing.candidates import idle_first
 from madderwind.balancing.estimates import GAIN, SLOW_GAIN, Mean
 from madderwind.standalone.policy import api, repetition
-from madderwind.standalone.policy.fleet import NEAR, STEEPNESS, Fleet
+from madderwind.standalone.policy.fleet import COPIES_EACH, NEAR, STEEPNESS, Fleet
 from madderwind.standalone.policy.records import Request
+from madderwind.standalone.policy.ring import GOLDEN
 from madderwind.standalone.policy.traffic import Traffic
 from madderwind.standalone.policy.upstreams import DEAD, Upstream
 
@@ -24,6 +25,7 @@
         self._fleet, self._traffic, self._rng = fleet, traffic, rng
         self._now, self.typical = 0.0, Mean(SLOW_GAIN)
         self._cold, self._warm = list[Upstream](), 0.0  # that the last pick met, and the warm ones' size
+        self._all_cold_credit = settings.me * GOLDEN % 1  # spread, so that not all send their first at once
         self._keys = list[int]()  # of the last requests
         self.cells = dict[int, float]()  # each one's slowness: its members may have a limit in common
         self.tune(settings)
@@ -41,7 +43,10 @@
     def pick(self, request: Request, now: float) -> Upstream | None:
         """The upstream for the request's next attempt, or None where no upstream may have it."""
         self._now = now
-        able, cold = self._able(request, now)
+        any_warm = any(u.warmth(now, self._settings) >= 1 for u in self._fleet.order)
+        if self._fleet.order and not any_warm and not self._takes_part_while_all_are_cold(now):
+            return None
+        able, cold = self._able(request, now, any_warm)
         sound = [u for u in able if u.sound(now)]
         if len(sound) < SOUND_PART * len(able):
             sound = able
@@ -60,11 +65,27 @@
             self._warm = sum(self._size(u) for u in sound if u.warmth(now, self._settings) >= 1)
         return chosen
 
-    def _able(self, request: Request, now: float) -> tuple[list[Upstream], list[Upstream]]:
+    def _takes_part_while_all_are_cold(self, now: float) -> bool:
+        """Whether this arrival is within what all cold upstreams bear of the fleet's usual traffic.
+
+        No warm upstream shows how much that is, and one attempt at a time bounds the sum only over as many
+        balancers as are near to an upstream: with more, each takes the part of its own arrivals by which a
+        fleet that was busy stays below the fall.
+        """
+        if self._traffic.copies <= COPIES_EACH:
+            return True
+        order = self._fleet.order
+        warmth = sum(u.warmth(now, self._settings) for u in order) / len(order)
+        self._all_cold_credit += min(1.0, warmth * self._settings.fall_multiple)
+        if self._all_cold_credit < 1.0:
+            return False
+        self._all_cold_credit -= 1.0
+        return True
+
+    def _able(self, request: Request, now: float, any_warm: bool) -> tuple[list[Upstream], list[Upstream]]:
         """The nearest that may have it, until enough are idle; and the cold ones among those looked at. One
         just tried, or dead, which looks idle, only where no others live."""
         tried = request.attempts[-1].upstream.upstream if request.attempts else None
-        any_warm = any(u.warmth(now, self._settings) >= 1 for u in self._fleet.order)
         order, near = self._preference(request, now)
         able, cold, last, idle = list[Upstream](), list[Upstream](), list[Upstream](), 0.0
         for u in order:
--- a/tests/standalone/policy/test_fleet.py
+++ b/tests/standalone/policy/test_fleet.py
@@ -123,7 +123,7 @@
         return worst
 
 
-@pytest.mark.parametrize("copies", [20, 30, 200])
+@pytest.mark.parametrize("copies", [20, 30, 200, 400])
 @pytest.mark.parametrize(
     "case", ["all cold", "few warm", "half back at once", "one after the other", "heard of late"]
 )
