--- a/madderwind/testing/engine_emulator/__main__.py
+++ b/madderwind/testing/engine_emulator/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
@@ -12,11 +13,15 @@
 from madderwind.testing.engine_emulator.report import Figures, figures, table
 
 
-def play(*files: str, cores: int = 4, seeds: int = 0, policies: str = "") -> None:
-    """Play each file's experiment with each of its policies and seeds."""
+def play(*files: str, cores: int = 4, seeds: int = 0, policies: str | Sequence[str] = ()) -> None:
+    """Play each file's experiment with each of its policies and seeds.
+
+    `policies`: names with commas between them, which fire may hand over as a tuple.
+    """
     for file in files:
         experiment = read_experiment(Path(file))
-        names = policies.split(",") if policies else experiment.policies
+        named = policies.split(",") if isinstance(policies, str) and policies else policies
+        names = list(named or experiment.policies)
         runs = [(name, seed) for name in names for seed in range(seeds or experiment.seeds)]
         with ProcessPoolExecutor(cores) as pool:
             results = list(pool.map(_run, [experiment] * len(runs), *zip(*runs, strict=True)))
--- a/madderwind/testing/engine_emulator/engine.py
+++ b/madderwind/testing/engine_emulator/engine.py
@@ -154,6 +154,15 @@
         """Requests in the batch."""
         return len(self._running)
 
+    def tokens_ahead(self, priority: int) -> int:
+        """Prompt tokens that are prefilled before those of a request of this priority that came now."""
+        return sum(
+            sequence.to_prefill
+            for sequence in (*self._running, *self._waiting)
+            if sequence.state is SequenceState.PREFILL
+            or (sequence.state is SequenceState.WAITING and sequence.request.priority <= priority)
+        )
+
     def submit(self, now_ms: float, request: EngineRequest) -> Admission:
         """A request arrives."""
         tokens = sum(part.tokens for part in request.parts) + request.output_tokens
--- a/madderwind/testing/engine_emulator/fleet.py
+++ b/madderwind/testing/engine_emulator/fleet.py
@@ -14,7 +14,9 @@
 from madderwind.placement.prompts import PromptPart
 from madderwind.testing.engine_emulator.engine import Admission, Engine, EngineEvent, EngineRequest
 from madderwind.testing.engine_emulator.experiment import Crash, Experiment, Release
-from madderwind.testing.engine_emulator.policies import POLICIES, Policy
+from madderwind.testing.engine_emulator.policies import Policy
+from madderwind.testing.engine_emulator.policy_names import POLICIES
+from madderwind.testing.engine_emulator.whole_knowledge import WholeKnowledge
 from madderwind.testing.engine_emulator.workload import MS_PER_S, Arrival, Workload
 
 SERVICE = "model"
@@ -93,6 +95,7 @@
         self._identities: dict[int, str] = {}
         self._candidates: tuple[str, ...] = ()
         self._by_instance: dict[str, Upstream] = {}
+        self._engines: dict[str, Engine] = {}
         self._tries: dict[str, _Try] = {}
         self._last_use: dict[str, float] = {}
         self._read_once: set[str] = set()
@@ -237,6 +240,7 @@
         instance = f"i-{self._incarnations}-{self._rng.getrandbits(32):08x}"
         upstream = Upstream(instance, place, f"z{place % experiment.zones}", Engine(settings))
         self._by_instance[instance] = upstream
+        self._engines[instance] = upstream.engine
         self._identities.setdefault(place, instance)
         return upstream
 
@@ -247,6 +251,8 @@
         if isinstance(made, Placement):
             engine = self._experiment.engine_settings
             made.configure(SERVICE, engine.slots, engine.kv_tokens, engine.stride)
+        if isinstance(made, WholeKnowledge):
+            made.watch(self._engines)
         return DataPlane(number, zone, made)
 
     def _publish(self) -> None:
--- a/madderwind/testing/engine_emulator/policies.py
+++ b/madderwind/testing/engine_emulator/policies.py
@@ -4,10 +4,10 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
-from madderwind.placement.placement import Choice, Placement
+from madderwind.placement.placement import Choice
 from madderwind.placement.prompts import Generation
 
 
@@ -122,14 +122,3 @@
             return self._rng.choice(idle)
         mean = sum(self._counts[instance] for instance in left) / len(left)
         return self._rng.choice([instance for instance in left if self._counts[instance] <= mean])
-
-
-PolicyMaker = Callable[[random.Random, str], Policy]
-
-POLICIES: dict[str, PolicyMaker] = {
-    "placement": lambda rng, zone: Placement(rng, zone),
-    "random": lambda rng, zone: RandomPick(rng),
-    "round-robin": lambda rng, zone: RoundRobin(rng),
-    "least-loaded": lambda rng, zone: LeastLoaded(rng),
-    "idle-first": lambda rng, zone: IdleFirst(rng),
-}
