Placement: a peer's dispatch counts as load until the next load is told, which drains meanwhile; 64 upstreams are weighed

Cause: at 75 data planes what is known of others is 100 ms old and more in the mean. And of 30 upstreams it weighs four by rank and four drawn ones. Change: a dispatch that is told counts at its upstream at once, until a load comes that includes it; between loads the peers' waiting tokens go down by the learned speed; up to 64 upstreams are all weighed.

--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -236,7 +236,7 @@
             case PeerUsage(used, asked):
                 self.quota.handle_peer_usage(now_ms, used, asked)
             case PeerLoad(load):
-                self.placement.handle_peer_load(load)
+                self.placement.handle_peer_load(now_ms, load)
             case PeerDispatches(prompts):
                 self.placement.handle_peer_dispatches(now_ms, prompts)
             case Freshness():
--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -28,8 +28,9 @@
 # What is reported others' sends is complete for this long; beyond, a home is presumed to keep its prefixes.
 PEER_DISPATCH_FRESH_MS = 1500.0
 MOST_UNTOLD = 1000
-# With more upstreams than this, only the first by rank and a few drawn ones are weighed.
-WEIGH_ALL_BELOW = 10
+# With more upstreams than this, only the first by rank and a few drawn ones are weighed: a choice among all
+# takes about 10 us an upstream.
+WEIGH_ALL_UP_TO = 64
 RANKED_WEIGHED = 3
 DRAWN_WEIGHED = 4
 # The part of an upstream's prefill rate that one prefix may take before it gets another home.
@@ -99,11 +100,11 @@
         """How many balancers share the upstreams."""
         self._fleet = max(balancers, 1)
 
-    def handle_peer_load(self, load: Mapping[str, tuple[float, float, float]]) -> None:
+    def handle_peer_load(self, now_ms: float, load: Mapping[str, tuple[float, float, float]]) -> None:
         """What all other balancers together have at upstreams."""
         for instance in self._zones:
             told = load.get(instance)
-            self._upstream(instance).set_peer_load(Load(*told) if told else Load())
+            self._upstream(instance).set_peer_load(now_ms, Load(*told) if told else Load())
 
     def load(self) -> dict[str, tuple[float, float, float]]:
         """What this balancer has at upstreams now, those with nothing left out."""
@@ -127,8 +128,8 @@
         for prompt in prompts:
             if prompt.instance in self._zones:
                 upstream = self._upstream(prompt.instance)
-                parts = map(PromptPart, prompt.chunk_ids, prompt.chunk_tokens)
-                upstream.kept.used(tuple(parts), upstream.kv_tokens)
+                parts = tuple(map(PromptPart, prompt.chunk_ids, prompt.chunk_tokens))
+                upstream.handle_peer_dispatch(parts)
 
     @property
     def _unheard(self) -> int:
@@ -180,7 +181,8 @@
         upstream = self._upstream(instance)
         is_home = prefix is not None and service.ranking.ranking(prefix)[:1] == (instance,)
         uncached = self._uncached(generation, upstream, is_home)
-        ahead = upstream.waiting_tokens(now_ms, self._unheard)
+        model = service.model
+        ahead = upstream.waiting_tokens(now_ms, self._unheard, 1.0 / model.ms_per_token)
         copies = 1 + self._unheard
         upstream.sent(now_ms, key, Sent(generation, now_ms, uncached, ahead))
         upstream.kv_tokens = service.kv_tokens
@@ -254,7 +256,7 @@
         return min(1 + int(busy / HOME_UTILIZATION), upstreams)
 
     def _weighed_ranks(self, upstreams: int, homes: int) -> Sequence[int]:
-        if upstreams <= WEIGH_ALL_BELOW:
+        if upstreams <= WEIGH_ALL_UP_TO:
             return range(upstreams)
         ranked = min(homes + RANKED_WEIGHED, upstreams)
         drawn = [self._rng.randrange(upstreams) for _ in range(DRAWN_WEIGHED)]
@@ -273,7 +275,7 @@
         costs, model = self._costs, service.model
         upstream = self._upstream(instance)
         uncached = self._uncached(generation, upstream, presumed)
-        waiting = upstream.waiting_tokens(now_ms, self._unheard)
+        waiting = upstream.waiting_tokens(now_ms, self._unheard, 1.0 / model.ms_per_token)
         first_ms = model.predicted_ms(uncached + waiting) * upstream.slowness
         first_ms += self._admission_ms(service, generation, upstream)
         cost = costs.lateness(first_ms, generation.aim_ms)
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -4,10 +4,11 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from madderwind.placement.prefix_cache_view import PrefixCacheView
-from madderwind.placement.prompts import Generation
+from madderwind.placement.prompts import Generation, PromptPart
 
 MEAN_WINDOW_MS = 4000.0
 SLOWNESS_GAIN = 0.08
@@ -48,7 +49,8 @@
         self._own_held = 0.0
         self._mean_waiting = 0.0
         self._mean_at_ms = now_ms
-        self._others = Load()
+        self._peers = Load()
+        self._peers_at_ms = now_ms
         self._failures = 0.0
         self._failed_at_ms = now_ms
 
@@ -56,30 +58,50 @@
         """What this balancer has there."""
         return Load(self._own_waiting, float(len(self._sent)), self._own_held)
 
-    def set_peer_load(self, load: Load) -> None:
-        """What all other balancers have there."""
-        self._others = load
-
-    def waiting_tokens(self, now_ms: float, unheard: int) -> float:
+    def set_peer_load(self, now_ms: float, load: Load) -> None:
+        """What all other balancers have there, dispatches that were told before included."""
+        self._peers, self._peers_at_ms = load, now_ms
+
+    def handle_peer_dispatch(self, parts: Sequence[PromptPart]) -> None:
+        """Another balancer sent a prompt there; it counts until the peers' load is told the next time."""
+        tokens = sum(part.tokens for part in parts)
+        uncached = tokens - self.kept.cached_tokens(parts)
+        peers = self._peers
+        self._peers = Load(
+            peers.prompt_waiting + uncached, peers.sequences + 1.0, peers.tokens_reserved + tokens
+        )
+        self.kept.used(parts, self.kv_tokens)
+
+    def waiting_tokens(self, now_ms: float, unheard: int, tokens_per_ms: float = 0.0) -> float:
         """Prompt tokens ahead of a new request's; a prompt counts whole until its first event.
 
         `unheard`: other balancers of which nothing is heard; the own mean stands for each of them.
+        `tokens_per_ms`: the upstream's speed, by which it has worked on since the peers' load was told.
         """
         if not unheard:
-            return self._own_waiting + self._others.prompt_waiting
+            return self._own_waiting + self._peer_waiting(now_ms, tokens_per_ms)
         self._average(now_ms)
         return self._own_waiting + self._mean_waiting * unheard
 
+    def _peer_waiting(self, now_ms: float, tokens_per_ms: float) -> float:
+        """What is left of the peers' waiting tokens: the upstream works on theirs and own ones alike."""
+        told = self._peers.prompt_waiting
+        if told <= 0.0:
+            return 0.0
+        prefilled = max(0.0, now_ms - self._peers_at_ms) * tokens_per_ms
+        left_part = max(0.0, 1.0 - prefilled / (told + self._own_waiting))
+        return told * left_part
+
     def sequences(self, unheard: int) -> float:
         """Requests there, running or waiting."""
         if not unheard:
-            return len(self._sent) + self._others.sequences
+            return len(self._sent) + self._peers.sequences
         return float(len(self._sent) * (1 + unheard))
 
     def tokens_reserved(self, unheard: int) -> float:
         """Tokens of memory that running requests hold."""
         if not unheard:
-            return self._own_held + self._others.tokens_reserved
+            return self._own_held + self._peers.tokens_reserved
         return self._own_held * (1 + unheard)
 
     def failure_chance(self, now_ms: float) -> float:
--- a/madderwind/testing/engine_emulator/experiment.py
+++ b/madderwind/testing/engine_emulator/experiment.py
@@ -34,7 +34,10 @@
 
 @attrs.frozen
 class Experiment:
-    """One experiment. `report_ms` is how often data planes hear of each other's load (0: never)."""
+    """One experiment.
+
+    `report_ms` and `dispatch_ms`: how often data planes hear of each other's load and dispatches; 0 is never.
+    """
 
     name: str
     question: str
@@ -52,6 +55,7 @@
     seeds: int = 3
     load: float = 1.0
     report_ms: float = 250.0
+    dispatch_ms: float = 250.0
     delay_ms: float = 0.5
     again_s: float = 10.0
     reread_price_per_k: float = 0.09
--- a/madderwind/testing/engine_emulator/fleet.py
+++ b/madderwind/testing/engine_emulator/fleet.py
@@ -121,6 +121,8 @@
             self._release(release)
         if experiment.report_ms:
             self._at(experiment.report_ms, self._report)
+        if experiment.dispatch_ms:
+            self._at(experiment.dispatch_ms, self._report_dispatches)
         while self._agenda:
             self._now_ms, _, action = heapq.heappop(self._agenda)
             action()
@@ -289,7 +291,6 @@
 
     def _report(self) -> None:
         loads = [plane.policy.load() for plane in self._planes]
-        prompts = [_sent_prompts(plane.policy) for plane in self._planes]
         total: dict[str, tuple[float, float, float]] = {}
         for load in loads:
             for instance, (waiting, sequences, held) in load.items():
@@ -301,12 +302,23 @@
                 for instance, known in total.items()
             }
             lag_ms = self._experiment.report_ms * self._rng.random()
-            self._at(self._now_ms + lag_ms, partial(plane.policy.handle_peer_load, others))
+            self._at(self._now_ms + lag_ms, partial(self._tell_load, plane.policy, others))
+        if self._now_ms < self._experiment.for_s * MS_PER_S:
+            self._at(self._now_ms + self._experiment.report_ms, self._report)
+
+    def _tell_load(self, policy: Policy, load: dict[str, tuple[float, float, float]]) -> None:
+        policy.handle_peer_load(self._now_ms, load)
+
+    def _report_dispatches(self) -> None:
+        """Each data plane hears what all others sent, in an order of its own with reports of load."""
+        prompts = [_sent_prompts(plane.policy) for plane in self._planes]
+        for plane in self._planes:
             if isinstance(plane.policy, Placement):
                 told = [prompt for n, sent in enumerate(prompts) if n != plane.number for prompt in sent]
+                lag_ms = self._experiment.dispatch_ms * self._rng.random()
                 self._at(self._now_ms + lag_ms, partial(self._tell, plane.policy, told))
         if self._now_ms < self._experiment.for_s * MS_PER_S:
-            self._at(self._now_ms + self._experiment.report_ms, self._report)
+            self._at(self._now_ms + self._experiment.dispatch_ms, self._report_dispatches)
 
     def _tell(self, policy: Placement, told: list[DispatchedPrompt]) -> None:
         policy.handle_peer_dispatches(self._now_ms, told)
--- a/madderwind/testing/engine_emulator/policies.py
+++ b/madderwind/testing/engine_emulator/policies.py
@@ -34,7 +34,7 @@
     def load(self) -> dict[str, tuple[float, float, float]]:
         """What this data plane tells the others."""
 
-    def handle_peer_load(self, load: Mapping[str, tuple[float, float, float]]) -> None:
+    def handle_peer_load(self, now_ms: float, load: Mapping[str, tuple[float, float, float]]) -> None:
         """What all others have."""
 
     def set_data_planes(self, balancers: int) -> None:
@@ -81,7 +81,7 @@
         """Nothing is told."""
         return {}
 
-    def handle_peer_load(self, load: Mapping[str, tuple[float, float, float]]) -> None:
+    def handle_peer_load(self, now_ms: float, load: Mapping[str, tuple[float, float, float]]) -> None:
         """Nothing is taken."""
 
     def set_data_planes(self, balancers: int) -> None:
--- a/madderwind/testing/engine_emulator/whole_knowledge.py
+++ b/madderwind/testing/engine_emulator/whole_knowledge.py
@@ -1,6 +1,6 @@
 """A policy that sees every engine as it is at the moment of the choice: what better information could earn.
 
-It weighs like the placement, over all upstreams, with the engines' own queues and memory in place of estimates.
+It weighs like the placement, over all upstreams, by the engines' own queues and memory in place of estimates.
 It knows nothing of later arrivals, so it is a bound on knowledge, not on scheduling.
 """
 
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -73,14 +73,14 @@
         placement = balancer(fleet=6)
         home = home_of(placement, "p")
         placement.handle_peer_dispatches(0.0, ())
-        placement.handle_peer_load({home: (100_000.0, 4.0, 120_000.0)})
+        placement.handle_peer_load(0.0, {home: (100_000.0, 4.0, 120_000.0)})
         self.assertNotEqual(home_of(placement, "p", 1.0), home)
 
     def test_a_light_load_does_not_move_a_prefix(self) -> None:
         placement = balancer(fleet=6)
         home = home_of(placement, "p")
         placement.handle_peer_dispatches(0.0, ())
-        placement.handle_peer_load({home: (2_000.0, 10.0, 50_000.0)})
+        placement.handle_peer_load(0.0, {home: (2_000.0, 10.0, 50_000.0)})
         self.assertEqual(home_of(placement, "p", 1.0), home)
 
     def test_the_home_is_taken_again_after_the_load(self) -> None:
@@ -120,7 +120,7 @@
         copy = next(instance for instance in UPSTREAMS if instance != home)
         one.sent(0.0, "k", generation("p", "x"), copy)
         other.handle_peer_dispatches(100.0, one.take_dispatched())
-        other.handle_peer_load({home: (40_000.0, 2.0, 50_000.0)})
+        other.handle_peer_load(0.0, {home: (40_000.0, 2.0, 50_000.0)})
         self.assertEqual(home_of(other, "p", 100.0, shared=12_000), copy)
 
     def test_each_send_is_told_once_and_unasked_ones_are_bounded(self) -> None:
