Dispatches reach the others every 25 ms at 75 data planes, loads every 50

Cause: reports went out every 75 ms and were passed on every 90, on a tick of 25. A dispatch is sent once however often it is due, so that telling it sooner costs frames, not content; a load is sent whole. Change: reports every 0.33 ms a data plane (25 at least), where there is something to report; the primary passes dispatches on as often and loads every 0.66 ms a data plane, behind the dispatches that they include.

--- a/madderwind/dataplane/reports.py
+++ b/madderwind/dataplane/reports.py
@@ -15,8 +15,8 @@
 MS_PER_S = 1000.0
 # How often use is reported, and how often own sends and what is at upstreams.
 USAGE_REPORT_S = 0.25
-# Sends and load are told this often, and less often the more data planes tell theirs.
-LEAST_LOAD_REPORT_S, LOAD_REPORT_S_PER_DATA_PLANE = 0.025, 0.001
+# Dispatches and load are reported this often where there are any, less often the more data planes there are.
+MIN_LOAD_REPORT_S, LOAD_REPORT_S_PER_DATA_PLANE = 0.025, 0.00033
 
 
 class Reports:
@@ -65,7 +65,7 @@
         told, told_to = LoadReport({}), ""
         while True:
             await asyncio.sleep(
-                max(LEAST_LOAD_REPORT_S, LOAD_REPORT_S_PER_DATA_PLANE * self._subscriber.data_planes)
+                max(MIN_LOAD_REPORT_S, LOAD_REPORT_S_PER_DATA_PLANE * self._subscriber.data_planes)
             )
             prompts, load = self._placement.take_dispatched(), LoadReport(self._placement.load())
             primary = self._subscriber.primary
--- a/madderwind/distribution/publisher.py
+++ b/madderwind/distribution/publisher.py
@@ -42,8 +42,10 @@
 
 FRESHNESS_INTERVAL_MS = 250.0
 USAGE_INTERVAL_MS = 200.0
-# Loads and dispatches are sent this often, and less often the more data planes there are.
-MIN_LOAD_INTERVAL_MS, LOAD_INTERVAL_MS_PER_DATA_PLANE = 25.0, 1.2
+# Dispatches and loads are sent this often, and less often the more data planes there are. A dispatch is sent
+# once however often, and stands for its load until the next; a load is sent whole each time.
+MIN_EXCHANGE_INTERVAL_MS = 25.0
+DISPATCH_INTERVAL_MS_PER_DATA_PLANE, LOAD_INTERVAL_MS_PER_DATA_PLANE = 0.33, 0.66
 SAMPLE_INTERVAL_MS = 10_000.0
 PEERS_PER_SAMPLE = 8
 # A data plane that asks again for what was just sent to it has that in flight.
@@ -64,7 +66,8 @@
         self._sessions: dict[int, SubscriberSession] = {}
         self._away_since_ms: dict[Participant, float] = {}
         self._exchanges = PeerExchanges()
-        self._freshness_due_ms = self._usage_due_ms = self._load_due_ms = self._sample_due_ms = 0.0
+        self._freshness_due_ms = self._usage_due_ms = self._sample_due_ms = 0.0
+        self._dispatches_due_ms = self._load_due_ms = 0.0
 
     # --- what the control plane itself learns ---
 
@@ -99,9 +102,8 @@
         if now_ms >= self._usage_due_ms and self._status.is_primary:
             self._usage_due_ms = now_ms + USAGE_INTERVAL_MS
             deliveries += self._usage_deliveries()
-        if now_ms >= self._load_due_ms and self._status.is_primary:
-            self._load_due_ms = now_ms + self._load_interval_ms()
-            deliveries += self._load_deliveries(now_ms)
+        if self._status.is_primary:
+            deliveries += self._exchange_deliveries(now_ms)
         if now_ms >= self._sample_due_ms:
             self._sample_due_ms = now_ms + SAMPLE_INTERVAL_MS
             deliveries += [SendTo(connection, self._sample(connection)) for connection in self._sessions]
@@ -252,15 +254,32 @@
                 deliveries.append(SendTo(connection, usage))
         return deliveries
 
-    def _load_interval_ms(self) -> float:
-        return max(MIN_LOAD_INTERVAL_MS, LOAD_INTERVAL_MS_PER_DATA_PLANE * len(self._sessions))
+    def _exchange_deliveries(self, now_ms: float) -> list[Delivery]:
+        """Dispatches and loads where they are due; a load is sent behind the dispatches that it includes."""
+        load_is_due = now_ms >= self._load_due_ms
+        deliveries: list[Delivery] = []
+        if load_is_due or now_ms >= self._dispatches_due_ms:
+            self._dispatches_due_ms = now_ms + self._interval_ms(DISPATCH_INTERVAL_MS_PER_DATA_PLANE)
+            deliveries += self._dispatch_deliveries(now_ms)
+        if load_is_due:
+            self._load_due_ms = now_ms + self._interval_ms(LOAD_INTERVAL_MS_PER_DATA_PLANE)
+            deliveries += self._load_deliveries()
+        return deliveries
 
-    def _load_deliveries(self, now_ms: float) -> list[Delivery]:
+    def _interval_ms(self, per_data_plane_ms: float) -> float:
+        return max(MIN_EXCHANGE_INTERVAL_MS, per_data_plane_ms * len(self._sessions))
+
+    def _dispatch_deliveries(self, now_ms: float) -> list[Delivery]:
         deliveries: list[Delivery] = []
         for connection, session in self._sessions.items():
             dispatches = self._exchanges.dispatches.owed(now_ms, session.participant)
             if dispatches is not None:
                 deliveries.append(SendTo(connection, dispatches))
+        return deliveries
+
+    def _load_deliveries(self) -> list[Delivery]:
+        deliveries: list[Delivery] = []
+        for connection, session in self._sessions.items():
             if (load := self._exchanges.load.owed(session.participant)) is not None:
                 deliveries.append(SendTo(connection, load))
         return deliveries
