An upstream whose address another instance has called from since is avoided

Cause: after a loss of power the registry comes back from its checkpoint with instances that crashed long before; their successors have the same addresses. Change: known upstreams are indexed by address; one that has not called since another did from there is a hint like one that timed out: it is chosen last, never removed.

--- a/madderwind/dataplane/choosing.py
+++ b/madderwind/dataplane/choosing.py
@@ -71,8 +71,16 @@
         return None
 
     def _silent(self, now_ms: float, candidates: tuple[str, ...]) -> frozenset[str]:
-        """Those that no control plane hears, or none of whose streams goes on: hints, no proof."""
-        timed_out = frozenset(instance for instance in candidates if self._upstreams.is_timed_out(instance))
+        """Those that no control plane hears, whose address another has, or none of whose streams goes on.
+
+        Hints, no proof.
+        """
+        upstreams = self._upstreams
+        timed_out = frozenset(
+            instance
+            for instance in candidates
+            if upstreams.is_timed_out(instance) or upstreams.is_superseded(instance)
+        )
         return timed_out | self.streams.timed_out(now_ms, candidates)
 
     def _pick(
--- a/madderwind/registry/known_upstreams.py
+++ b/madderwind/registry/known_upstreams.py
@@ -34,6 +34,7 @@
         sequence: Of the heartbeat that described it so.
         slow_start_until_ms: Until when it is slow from its start, ms on the steady clock.
         timed_out: No control plane receives its heartbeats: a hint that an answer of it clears.
+        last_heartbeat_ms: The latest heartbeat that a record told of, ms on the steady clock.
     """
 
     instance: str
@@ -46,6 +47,7 @@
     sequence: int
     slow_start_until_ms: float
     timed_out: bool
+    last_heartbeat_ms: float
 
 
 class KnownUpstreams:
@@ -56,6 +58,7 @@
         self._heartbeat_timeout_ms = HEARTBEAT_TIMEOUT_INTERVALS * heartbeat_ms
         self._known: dict[str, KnownUpstream] = {}
         self._by_service: dict[str, dict[str, KnownUpstream]] = {}
+        self._at_address: dict[str, set[str]] = {}  # the instances that were last described there
         self._ready: dict[str, tuple[str, ...]] = {}  # by service, as it was last requested
         self._deregistered_ms: dict[str, float] = {}  # by instance, oldest first
 
@@ -93,6 +96,16 @@
         known = self._known.get(instance)
         return known is not None and known.timed_out
 
+    def is_superseded(self, instance: str) -> bool:
+        """Whether another instance has called from its address since it did: a hint that it has ended."""
+        known = self._known.get(instance)
+        if known is None:
+            return False
+        here = self._at_address[known.address]
+        return len(here) > 1 and any(
+            self._known[other].last_heartbeat_ms > known.last_heartbeat_ms for other in here
+        )
+
     def address(self, instance: str) -> str | None:
         """Its ip:port, unless it is unknown or deregistered."""
         known = self._known.get(instance)
@@ -128,6 +141,7 @@
             self._add(now_ms, record, state)
             return True
         known.timed_out = self._is_timed_out_in(record)
+        known.last_heartbeat_ms = max(known.last_heartbeat_ms, now_ms - record.heartbeat_age_ms)
         changed = record.sequence > known.sequence and self._describe(now_ms, known, record)
         return self._enter(known, state) or changed
 
@@ -146,8 +160,10 @@
             sequence=record.sequence,
             slow_start_until_ms=now_ms + record.slow_start_remaining_ms,
             timed_out=self._is_timed_out_in(record),
+            last_heartbeat_ms=now_ms - record.heartbeat_age_ms,
         )
         self._known[record.instance] = known
+        self._at_address.setdefault(record.address, set()).add(record.instance)
         self._by_service.setdefault(record.service, {})[record.instance] = known
 
     def _describe(self, now_ms: float, known: KnownUpstream, record: UpstreamRecord) -> bool:
@@ -156,6 +172,9 @@
         if record.service != known.service:
             self._remove_from_service(known)
             self._by_service.setdefault(record.service, {})[record.instance] = known
+        if record.address != known.address:
+            self._remove_from_address(known)
+            self._at_address.setdefault(record.address, set()).add(record.instance)
         known.service, known.address, known.zone = record.service, record.address, record.zone
         known.version, known.slots = record.version, record.slots
         known.sequence = record.sequence
@@ -177,6 +196,7 @@
             return False
         known.state = UpstreamState.DEREGISTERED
         self._remove_from_service(known)
+        self._remove_from_address(known)
         return True
 
     def _remove_from_service(self, known: KnownUpstream) -> None:
@@ -185,6 +205,12 @@
         if not instances:
             del self._by_service[known.service]
 
+    def _remove_from_address(self, known: KnownUpstream) -> None:
+        here = self._at_address[known.address]
+        here.discard(known.instance)
+        if not here:
+            del self._at_address[known.address]
+
     def _drop_old_deregistrations(self, now_ms: float) -> None:
         while self._deregistered_ms:
             oldest = next(iter(self._deregistered_ms))
--- a/tests/dataplane/test_metrics.py
+++ b/tests/dataplane/test_metrics.py
@@ -14,7 +14,9 @@
 
 def upstream(instance: str, state: UpstreamState) -> KnownUpstream:
     """An instance of the service `stock`."""
-    return KnownUpstream(instance, "stock", "u:1", "z", "1", 4, state, 1, 0.0, timed_out=False)
+    return KnownUpstream(
+        instance, "stock", "u:1", "z", "1", 4, state, 1, 0.0, timed_out=False, last_heartbeat_ms=0.0
+    )
 
 
 def value(samples: list[Sample], name: str, **labels: str) -> float | None:
