Last parts of prompts are remembered in blocks, not by name; tests of fresher peer load, of addresses used again and of the exchange's order

Cause: the last part of a prompt is asked for once, but each was remembered with its id for each upstream: some 550 entries of 30 upstreams at the deployment's size, in each of 75 data planes, where only their tokens matter. Change: their tokens are summed in blocks of a thirty-second of the memory, which give way whole.

--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -281,8 +281,8 @@
         cost = costs.lateness(first_ms, generation.aim_ms)
         cost += costs.failed * upstream.failure_chance(now_ms)
         if not presumed:
-            shared = generation.shared_parts
-            cost += costs.reread_per_token * (_tokens(shared) - upstream.kept.cached_tokens(shared))
+            cached = upstream.kept.cached_tokens(generation.parts)
+            cost += costs.reread_per_token * (_tokens(generation.shared_parts) - cached)
         if self._zone and self._zones.get(instance, self._zone) != self._zone:
             cost += costs.cross_zone_per_byte * _bytes(generation)
         return first_ms, cost
--- a/madderwind/placement/prefix_cache_view.py
+++ b/madderwind/placement/prefix_cache_view.py
@@ -1,4 +1,4 @@
-"""Which prompt parts an upstream is believed to keep, from what this balancer sent to it."""
+"""Which prompt parts an upstream is believed to keep, from what was sent to it."""
 
 from __future__ import annotations
 
@@ -7,23 +7,33 @@
 
 from madderwind.placement.prompts import PromptPart
 
+# Last parts of prompts are asked for once, so that only their tokens matter: they are remembered together, in
+# blocks of this part of the memory, each of which gives way whole.
+OWN_BLOCK_PART = 1 / 32
+
 
 class PrefixCacheView:
-    """Parts by last use, those unused longest dropped once they would not fit the memory.
+    """Shared parts by last use, those unused longest dropped once all would not fit the memory.
 
     A balancer that hears nothing of the others' sends counts a prompt's last part `copies` times, once for
     each balancer that sends as much.
     """
 
     def __init__(self) -> None:
-        self._weights: OrderedDict[str, float] = OrderedDict()
+        # Shared parts by their ids, and blocks of last parts by their numbers; those unused longest first.
+        self._weights: OrderedDict[str | int, float] = OrderedDict()
         self._total = 0.0
+        self._block = 0
+
+    def __len__(self) -> int:
+        """How many parts and blocks are remembered."""
+        return len(self._weights)
 
     def cached_tokens(self, parts: Sequence[PromptPart]) -> int:
-        """Tokens of the longest chain of kept parts from the prompt's start."""
+        """Tokens of the longest chain of kept parts from the prompt's start, its last part left out."""
         weights = self._weights
         tokens = 0
-        for part in parts:
+        for part in parts[:-1]:
             if part.id not in weights:
                 break
             tokens += part.tokens
@@ -31,9 +41,10 @@
 
     def used(self, parts: Sequence[PromptPart], kv_tokens: int, copies: int = 1) -> None:
         """A prompt of these parts was sent to the upstream, whose memory holds `kv_tokens`."""
-        last = len(parts) - 1
-        for index, part in enumerate(parts):
-            self._touch(part.id, float(part.tokens * (copies if index == last else 1)))
+        for part in parts[:-1]:
+            self._touch(part.id, float(part.tokens))
+        if parts:
+            self._add_own(float(parts[-1].tokens * copies), kv_tokens)
         self._evict(kv_tokens)
 
     def _touch(self, part_id: str, weight: float) -> None:
@@ -41,6 +52,13 @@
         self._weights[part_id] = weight
         self._total += weight - known
 
+    def _add_own(self, weight: float, kv_tokens: int) -> None:
+        block_weight = self._weights.get(self._block, 0.0) + weight
+        self._weights[self._block] = block_weight
+        self._total += weight
+        if block_weight >= OWN_BLOCK_PART * kv_tokens:
+            self._block += 1
+
     def _evict(self, kv_tokens: int) -> None:
         while self._total > kv_tokens and self._weights:
             _, weight = self._weights.popitem(last=False)
--- a/tests/dataplane/test_choosing.py
+++ b/tests/dataplane/test_choosing.py
@@ -48,6 +48,17 @@
         self.chooser.began(0.0, "l", None, "i-1")
         self.assertEqual(self.chosen(), {"i-2"})
 
+    def test_leaves_out_one_whose_address_another_has_called_from_since(self) -> None:
+        successor = UpstreamRecord("i-9", "app", "10.0.0.0:80", "z1", "v1", 8, "ready", 1, 0.0, 0.0)
+        self.chooser.changed(self.upstreams.merge(5_000.0, [successor]))
+        for generation in (None, GENERATION):
+            self.assertNotIn("i-0", self.chosen(generation))
+        self.assertEqual(
+            self.chosen(GENERATION, frozenset({"i-1", "i-2", "i-9"})) - {"i-1", "i-2", "i-9"}, set()
+        )
+        self.full = {"i-1", "i-2", "i-9"}
+        self.assertEqual(self.chosen(GENERATION), {"i-0"})
+
     def test_prefers_a_connection_that_stands(self) -> None:
         self.kept = {"i-1", "i-2"}
         self.assertEqual(self.chosen(), {"i-1"})
--- a/tests/distribution/test_publisher.py
+++ b/tests/distribution/test_publisher.py
@@ -15,10 +15,13 @@
     ConfigurationDelta,
     ConfigurationSnapshot,
     ControlPlanes,
+    DispatchedPrompt,
+    DispatchReport,
     FetchConfiguration,
     Freshness,
     Goodbye,
     LoadReport,
+    PeerDispatches,
     PeerLoad,
     PeerSample,
     PeerUsage,
@@ -228,6 +231,24 @@
         self.publisher.receive(2001.0, 1, UsageReport(2, {"t": 4.0}, {}))
         self.assertEqual(sent(self.publisher.tick(3000.0), PeerUsage, 2), [PeerUsage({"t": 4.0}, {})])
 
+    def test_a_load_comes_behind_the_dispatches_that_it_includes_and_less_often(self) -> None:
+        for connection in range(1, 101):
+            self.subscribed(connection, f"front-{connection}")
+        kinds: list[list[str]] = []
+        for number in range(1, 13):
+            self.publisher.receive(float(number), 1, DispatchReport((DispatchedPrompt("i-1", ("x",), (5,)),)))
+            self.publisher.receive(float(number), 1, LoadReport({"i-1": (5.0 * number, 1.0, 9.0)}))
+            deliveries = self.publisher.tick(25.0 * number)
+            to_second = [
+                each.message for each in deliveries if isinstance(each, SendTo) and each.connection == 2
+            ]
+            kinds.append(
+                [type(each).__name__ for each in to_second if isinstance(each, PeerDispatches | PeerLoad)]
+            )
+        both, alone = ["PeerDispatches", "PeerLoad"], ["PeerDispatches"]
+        self.assertEqual([kind for kind in kinds if kind not in ([], both, alone)], [])
+        self.assertEqual((kinds.count(both), kinds.count(both) + kinds.count(alone)), (4, 8))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -6,6 +6,7 @@
 import unittest
 
 from madderwind.placement.placement import Placement
+from madderwind.placement.prefix_cache_view import PrefixCacheView
 from madderwind.placement.prompts import Generation, PromptPart
 
 SERVICE = "model"
@@ -101,6 +102,74 @@
         self.assertNotEqual(home_of(placement, "p", 5.0), home)
 
 
+class FreshnessOfPeerLoad(unittest.TestCase):
+    def setUp(self) -> None:
+        self.one, self.other = balancer(1, fleet=2), balancer(2, fleet=2)
+        self.home = home_of(self.one, "p")
+        self.other.handle_peer_dispatches(0.0, ())
+        self.other.handle_peer_load(0.0, {})
+
+    def dispatch_to_home(self, tokens: int) -> None:
+        """One balancer sends a long prompt to the home, and the other is told of it."""
+        self.one.sent(0.0, "long", generation("q", "x", 0, tokens), self.home)
+        self.other.handle_peer_dispatches(1.0, self.one.take_dispatched())
+
+    def test_a_dispatch_counts_before_any_load_tells_of_it(self) -> None:
+        self.assertEqual(home_of(self.other, "p", 1.0), self.home)
+        self.dispatch_to_home(60_000)
+        self.assertNotEqual(home_of(self.other, "p", 1.0), self.home)
+
+    def test_a_load_that_includes_it_takes_its_place(self) -> None:
+        self.dispatch_to_home(60_000)
+        self.other.handle_peer_load(2.0, {self.home: (0.0, 1.0, 60_000.0)})
+        self.assertEqual(home_of(self.other, "p", 2.0), self.home)
+
+    def test_what_was_told_is_worked_on_until_the_next_time(self) -> None:
+        self.other.handle_peer_load(0.0, {self.home: (60_000.0, 1.0, 60_000.0)})
+        self.assertNotEqual(home_of(self.other, "p", 1.0), self.home)
+        self.other.handle_peer_dispatches(1_400.0, ())
+        self.assertEqual(home_of(self.other, "p", 1_801.0), self.home)
+
+
+class ManyUpstreams(unittest.TestCase):
+    def test_the_only_idle_one_of_thirty_is_found(self) -> None:
+        upstreams = [f"i-{number}" for number in range(30)]
+        placement = balancer(fleet=2)
+        for instance in upstreams:
+            placement.locate(instance, "zone")
+        for idle in upstreams[::7]:
+            placement.handle_peer_dispatches(0.0, ())
+            load = {instance: (80_000.0, 2.0, 80_000.0) for instance in upstreams if instance != idle}
+            placement.handle_peer_load(0.0, load)
+            choice = placement.choose(1.0, generation("p", "own"), upstreams, NOBODY)
+            assert choice is not None
+            self.assertEqual(choice.instance, idle)
+
+
+class BeliefOfKeptParts(unittest.TestCase):
+    def test_last_parts_push_out_what_was_unused_for_longest(self) -> None:
+        view = PrefixCacheView()
+        shared = (PromptPart("a", 100), PromptPart("x", 50))
+        view.used(shared, 1_000)
+        self.assertEqual(view.cached_tokens(shared), 100)
+        for number in range(20):
+            view.used((PromptPart("b", 100), PromptPart(f"own-{number}", 50)), 1_000)
+        self.assertEqual(view.cached_tokens(shared), 0)
+        self.assertEqual(view.cached_tokens((PromptPart("b", 100), PromptPart("new", 1))), 100)
+
+    def test_a_chain_ends_at_the_first_part_that_is_missing(self) -> None:
+        view = PrefixCacheView()
+        view.used((PromptPart("a", 100), PromptPart("b", 30), PromptPart("x", 5)), 1_000)
+        known = (PromptPart("a", 100), PromptPart("c", 30), PromptPart("b", 30), PromptPart("y", 5))
+        self.assertEqual(view.cached_tokens(known), 100)
+
+    def test_its_size_does_not_grow_with_the_number_of_prompts(self) -> None:
+        view = PrefixCacheView()
+        for number in range(5_000):
+            view.used((PromptPart("a", 100), PromptPart(f"own-{number}", 10)), 100_000)
+        self.assertLess(len(view), 100)
+
+
 class Notices(unittest.TestCase):
     def test_a_prefix_that_another_balancer_had_read_is_known_as_kept(self) -> None:
         one, other = balancer(1, fleet=2), balancer(2, fleet=2)
--- a/tests/registry/test_known_upstreams.py
+++ b/tests/registry/test_known_upstreams.py
@@ -70,3 +70,40 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class AnAddressThatIsUsedAgain(unittest.TestCase):
+    def setUp(self) -> None:
+        self.upstreams = KnownUpstreams(1000.0)
+        self.upstreams.merge(0.0, [record(instance="old")])
+
+    def test_its_former_instance_is_superseded_once_another_calls_from_there(self) -> None:
+        self.assertFalse(self.upstreams.is_superseded("old"))
+        self.upstreams.merge(9_000.0, [record(instance="new")])
+        self.assertTrue(self.upstreams.is_superseded("old"))
+        self.assertFalse(self.upstreams.is_superseded("new"))
+        self.assertTrue(self.upstreams.takes_new("old"))
+
+    def test_after_a_restart_ages_of_heartbeats_tell_which_is_newer(self) -> None:
+        restarted = KnownUpstreams(1000.0)
+        restarted.merge(50_000.0, [record(instance="new", timed_out_ms=400.0)])
+        restarted.merge(50_000.0, [record(instance="old", timed_out_ms=4_000.0)])
+        self.assertTrue(restarted.is_superseded("old"))
+        self.assertFalse(restarted.is_superseded("new"))
+
+    def test_one_that_calls_again_is_not(self) -> None:
+        self.upstreams.merge(9_000.0, [record(instance="new")])
+        self.upstreams.merge(12_000.0, [record(instance="old", sequence=2)])
+        self.assertFalse(self.upstreams.is_superseded("old"))
+
+    def test_one_that_moves_to_another_address_is_not(self) -> None:
+        self.upstreams.merge(9_000.0, [record(instance="new")])
+        self.upstreams.merge(
+            9_500.0, [record(instance="old", sequence=2, address="10.0.0.9:80", timed_out_ms=9_500.0)]
+        )
+        self.assertFalse(self.upstreams.is_superseded("old"))
+
+    def test_nor_one_whose_successor_is_gone(self) -> None:
+        self.upstreams.merge(9_000.0, [record(instance="new")])
+        self.upstreams.merge(9_500.0, [record("gone", 2, instance="new")])
+        self.assertFalse(self.upstreams.is_superseded("old"))
