A tenant beyond its limit is told when there will be room

Cause: whoever was refused was told 0.5 to 1 s, whatever the tenant's excess. Change: each data plane keeps how much the fleet refused since the tenant went beyond its limit, from the demand that is reported and the chance by which all admit; over the rate that is when a request refused now would find room. It is told with jitter, 0.5 to 1 s at least and 30 s at most.

--- a/madderwind/dataplane/admission.py
+++ b/madderwind/dataplane/admission.py
@@ -24,9 +24,9 @@
 # client is asked to come back after this part of the objective.
 MIN_RETRY_AFTER, MAX_RETRY_AFTER = 0.1, 0.25
 MIN_RETRY_AFTER_MS, DEFAULT_RETRY_AFTER_MS = 20.0, 200.0
-# A tenant beyond its quota is told to come back after a time in which its rate yields a large request: a
-# client that is refused twice does not come a third time.
-QUOTA_RETRY_AFTER_MS = 1000.0
+# A tenant beyond its quota is told to come back no sooner than after this time, in which its rate yields a
+# large request: a client that is refused twice does not come a third time.
+MIN_QUOTA_RETRY_AFTER_MS = 1000.0
 
 
 class TenantQuota(Protocol):
@@ -35,6 +35,9 @@
     def admit(self, now_ms: float, tenant_name: str, amount: float) -> bool:
         """Whether so much more is within the tenant's quota; it is drawn then."""
 
+    def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
+        """When a request that is refused now would find room."""
+
     def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
         """What was drawn for a request that never ran."""
 
@@ -134,7 +137,7 @@
         usage = token_usage(headers)
         amount = 0.0 if tenant is None else _quota_amount(tenant, usage)
         if tenant is not None and amount and not self._quota.admit(now_ms, tenant.name, amount):
-            return Rejected(429, "beyond the quota", QUOTA_RETRY_AFTER_MS * self._rng.uniform(0.5, 1.0))
+            return Rejected(429, "beyond the quota", self._quota_retry_after_ms(now_ms, tenant))
         return self._admitted(table, arrived_ms, route, tenant, amount, usage, headers)
 
     def never_ran(self, now_ms: float, admitted: Admitted) -> None:
@@ -149,6 +152,10 @@
         part = self._rng.uniform(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
         return max(MIN_RETRY_AFTER_MS, part * route.target_latency_ms)
 
+    def _quota_retry_after_ms(self, now_ms: float, tenant: Tenant) -> float:
+        expected_ms = self._quota.retry_after_ms(now_ms, tenant.name)
+        return max(MIN_QUOTA_RETRY_AFTER_MS, expected_ms) * self._rng.uniform(0.5, 1.0)
+
     def _come_back(self, reason: str) -> Rejected:
         return Rejected(503, reason, DEFAULT_RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
 
--- a/madderwind/limits/quota.py
+++ b/madderwind/limits/quota.py
@@ -134,6 +134,11 @@
         state.spend(now_ms, amount)
         return True
 
+    def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
+        """When a request of the tenant that is refused now would find room; 0 where that is not known."""
+        state = self._tenants.get(tenant_name)
+        return 0.0 if state is None else state.shared.retry_after_ms(now_ms)
+
     def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
         """An admitted request provably didn't and won't run."""
         state = self._tenants.get(tenant_name)
--- a/madderwind/limits/shared_bucket.py
+++ b/madderwind/limits/shared_bucket.py
@@ -41,6 +41,8 @@
 # What the others are asked for is forgotten no faster: who is away for a moment is asked all the same.
 FORGET_DEMAND_S = 0.5
 MEAN_DEMAND_S = 4.0
+# Nobody is told to come back later than after this time, nor is more remembered of what was refused.
+MAX_RETRY_AFTER_S = 30.0
 
 
 class SharedBucket:
@@ -59,6 +61,8 @@
         self._is_connected = True
         self._assumed = 0.0
         self._caught_up_ms = now_ms
+        self._refused_backlog = 0.0
+        self._backlog_at_ms = now_ms
 
     def change_terms(self, now_ms: float, terms: QuotaTerms) -> None:
         """Take new terms at once; the level is kept, up to the new burst."""
@@ -103,6 +107,7 @@
     def set_peer_demand(self, now_ms: float, per_s: float) -> None:
         """What the others are asked for a second."""
         self._advance(now_ms)
+        self._advance_backlog(now_ms)
         self._reported_peer_demand = per_s
         self._peer_demand = max(self._peer_demand, per_s)
 
@@ -130,6 +135,28 @@
         wanted = self.demand(now_ms) * HORIZON_S
         return available / wanted if wanted > 0 else float(available > 0)
 
+    def retry_after_ms(self, now_ms: float) -> float:
+        """When the limit would have room for a request that is refused now, behind all refused before it.
+
+        That is what the fleet refused since the tenant went beyond its limit, over the rate. A client that
+        has no time for it need not come back: while the tenant stays beyond its limit it would be refused
+        again, or take the place of another.
+        """
+        self._advance_backlog(now_ms)
+        return self._refused_backlog / self.terms.rate_per_s * MS_PER_S
+
+    def _advance_backlog(self, now_ms: float) -> None:
+        """Add what the fleet refused since the last time; the rate works it off once all is admitted."""
+        elapsed_s = max(0.0, now_ms - self._backlog_at_ms) / MS_PER_S
+        self._backlog_at_ms = now_ms
+        admitted_part = min(1.0, max(0.0, self.chance(now_ms)))
+        if admitted_part < 1.0:
+            growth_per_s = (1.0 - admitted_part) * self.demand(now_ms)
+        else:
+            growth_per_s = -self.terms.rate_per_s
+        most = MAX_RETRY_AFTER_S * self.terms.rate_per_s
+        self._refused_backlog = min(max(0.0, self._refused_backlog + growth_per_s * elapsed_s), most)
+
     def demand(self, now_ms: float) -> float:
         """What all data planes together are asked for a second."""
         return self.own_demand(now_ms) + self._peer_demand
--- a/tests/configuration/cost_of_change.py
+++ b/tests/configuration/cost_of_change.py
@@ -35,6 +35,9 @@
     def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
         return None
 
+    def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
+        return 0.0
+
 
 def large_configuration(routes: int, version: int = 1) -> bytes:
     """The JSON of a configuration with so many routes, on many hosts, and a tenant for every 20."""
--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -54,6 +54,9 @@
     def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
         """Nothing was drawn."""
 
+    def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
+        return 0.0
+
 
 class JumpingLoop(asyncio.SelectorEventLoop):
     """Its clock jumps to the next timer once no socket has anything more to tell: no time is waited out."""
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -332,6 +332,7 @@
     def __init__(self) -> None:
         self.admits = True
         self.drawn: list[tuple[str, float]] = []
+        self.room_in_ms = 0.0
 
     def admit(self, now_ms: float, tenant_name: str, amount: float) -> bool:
         if self.admits:
@@ -341,6 +342,9 @@
     def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
         self.drawn.remove((tenant_name, amount))
 
+    def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
+        return self.room_in_ms
+
 
 class Admitting(unittest.TestCase):
     def setUp(self) -> None:
@@ -407,6 +411,12 @@
         self.assertEqual(rejected.status, 429)
         self.assertTrue(500.0 <= (rejected.retry_after_ms or 0.0) <= 1000.0)
 
+    def test_tells_one_beyond_its_quota_when_there_will_be_room(self) -> None:
+        self.quota.admits, self.quota.room_in_ms = False, 6_000.0
+        told_ms = [self.rejected(X_Key="k-thrifty").retry_after_ms or 0.0 for _ in range(50)]
+        self.assertTrue(all(3_000.0 <= each <= 6_000.0 for each in told_ms))
+        self.assertGreater(len(set(told_ms)), 10)
+
     def test_counts_tokens_where_the_tenant_is_counted_by_them(self) -> None:
         tenant = {"name": "t", "api_keys": ["k"], "unit": "tokens", "prompt_tokens": 200, "rate_per_s": 9}
         self.configure(tenants=[tenant])
--- a/tests/limits/test_quota.py
+++ b/tests/limits/test_quota.py
@@ -46,6 +46,34 @@
         self.assertEqual(admitted(limited, 0.0, 20), 0)
         self.assertGreater(admitted(limited, 8000.0, 1), 0)
 
+    def test_what_is_refused_is_told_when_the_rate_has_worked_off_what_was_refused_before(self) -> None:
+        limited = quota()
+        self.assertEqual(limited.retry_after_ms(0.0, "blue"), 0.0)
+        limited.handle_peer_usage(0.0, {"blue": 20.0}, {})  # the burst
+        told_ms = []
+        for step in range(1, 21):  # four times the limit for four seconds
+            now_ms = step * 200.0
+            limited.handle_peer_usage(now_ms, {"blue": 2.0}, {"blue": 40.0})
+            told_ms.append(limited.retry_after_ms(now_ms, "blue"))
+        self.assertEqual(told_ms, sorted(told_ms))
+        self.assertAlmostEqual(told_ms[-1] - told_ms[-6], 3_000.0, delta=600.0)
+
+    def test_nothing_is_owed_to_those_refused_once_all_is_admitted(self) -> None:
+        limited = quota()
+        limited.handle_peer_usage(0.0, {"blue": 20.0}, {})
+        for step in range(1, 21):
+            limited.handle_peer_usage(step * 200.0, {"blue": 2.0}, {"blue": 40.0})
+        self.assertGreater(limited.retry_after_ms(4_000.0, "blue"), 1_000.0)
+        for step in range(1, 101):
+            limited.handle_peer_usage(4_000.0 + step * 200.0, {}, {"blue": 1.0})
+        self.assertEqual(limited.retry_after_ms(24_000.0, "blue"), 0.0)
+
+    def test_nobody_is_told_to_wait_for_longer_than_half_a_minute(self) -> None:
+        limited = quota()
+        for step in range(1, 200):
+            limited.handle_peer_usage(step * 1000.0, {"blue": 10.0}, {"blue": 4_000.0})
+        self.assertEqual(limited.retry_after_ms(200_000.0, "blue"), 30_000.0)
+
     def test_a_tenant_that_is_unknown_here_is_passed_over(self) -> None:
         limited = quota()
         limited.handle_peer_usage(0.0, {"red": 40.0}, {"red": 5.0})
