A restored registry goes on counting as timed out who was so before

Change: who had timed out when the checkpoint was written, or had not called since another did from its address, keeps an age beyond the time-out; all others count as heard of now, as before.

--- a/madderwind/controlplane/registry_service.py
+++ b/madderwind/controlplane/registry_service.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Sequence
 
-import msgspec
 
 from madderwind.controlplane.drain_tracker import DrainTracker
 from madderwind.controlplane.effects import Effect, RespondToUpstream, SaveCheckpoint, SendToPeer
@@ -79,8 +78,7 @@
 
     def restore(self, now_ms: float, records: Sequence[UpstreamRecord]) -> None:
         """Know again what was known before the start, as of now; a hint until the upstreams call again."""
-        current = (msgspec.structs.replace(record, heartbeat_age_ms=0.0) for record in records)
-        self._registry.restore(now_ms, current)
+        self._registry.restore(now_ms, records)
 
     def handle_saved(self, records: Sequence[UpstreamRecord]) -> list[Effect]:
         """The registry with these records is on disk: states that wait for that are confirmed."""
--- a/madderwind/registry/registry.py
+++ b/madderwind/registry/registry.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -135,9 +136,29 @@
         return all_known
 
     def restore(self, now_ms: float, records: Iterable[UpstreamRecord]) -> None:
-        """Merge what this control plane stored before its start: what others know of them is not known."""
+        """Merge what this control plane stored before its start: what others know of them is not known.
+
+        Nor is how long it was down, so that whoever had called in time counts as heard of now. Guards against
+        an instance that ended without a word long before and comes back as if it ran: who had timed out then,
+        or had not called since another did from its address, goes on counting as timed out.
+        """
+        records = tuple(records)
+        youngest_ms: dict[str, float] = {}
+        for record in records:
+            age_ms = youngest_ms.get(record.address, math.inf)
+            youngest_ms[record.address] = min(age_ms, record.heartbeat_age_ms)
         for record in records:
-            self._merge_record(now_ms, record)
+            is_superseded = record.heartbeat_age_ms > youngest_ms[record.address]
+            self._merge_record(now_ms, self._as_of_now(record, is_superseded))
+
+    def _as_of_now(self, record: UpstreamRecord, is_superseded: bool) -> UpstreamRecord:
+        """A stored record with the age that it is given after a start."""
+        age_ms = record.heartbeat_age_ms
+        if is_superseded:
+            age_ms = max(age_ms, self._heartbeat_timeout_ms + 1.0)
+        if age_ms <= self._heartbeat_timeout_ms:
+            age_ms = 0.0
+        return msgspec.structs.replace(record, heartbeat_age_ms=age_ms)
 
     def mark_known_elsewhere(self, instance: str) -> None:
         """Another control plane knows the instance, or is being notified of it and can be reached."""
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -163,3 +163,33 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ARegistryThatIsRestored(unittest.TestCase):
+    def restored(self, *records: UpstreamRecord) -> dict[str, float]:
+        """The ages of the heartbeats of what a control plane with this checkpoint publishes first."""
+        registry = Registry(HEARTBEAT_MS)
+        registry.restore(90_000.0, records)
+        return {record.instance: record.heartbeat_age_ms for record in registry.snapshot(90_000.0)}
+
+    def stored(self, instance: str, age_ms: float, address: str = "10.0.0.1:80") -> UpstreamRecord:
+        return UpstreamRecord(instance, "s", address, "z", "v1", 4, "ready", 1, 0.0, age_ms)
+
+    def test_takes_who_called_lately_as_heard_of_now(self) -> None:
+        self.assertEqual(self.restored(self.stored("i-1", SILENT_MS - 2.0)), {"i-1": 0.0})
+
+    def test_still_counts_who_had_timed_out_as_timed_out(self) -> None:
+        self.assertEqual(self.restored(self.stored("i-1", 9_000.0)), {"i-1": 9_000.0})
+
+    def test_counts_who_lost_its_address_as_timed_out(self) -> None:
+        ages = self.restored(
+            self.stored("old", 2_000.0), self.stored("new", 100.0), self.stored("far", 2_000.0, "b:1")
+        )
+        self.assertEqual((ages["new"], ages["far"]), (0.0, 0.0))
+        self.assertGreaterEqual(ages["old"], SILENT_MS - 1.0)
+
+    def test_hears_of_one_that_calls_again(self) -> None:
+        registry = Registry(HEARTBEAT_MS)
+        registry.restore(90_000.0, (self.stored("i-1", 9_000.0),))
+        self.assertIsNone(heard(registry, 90_100.0, 2))
+        self.assertEqual([record.heartbeat_age_ms for record in registry.tick(90_200.0, True)], [100])
