A home that is known not to keep a prefix is charged nine tenths of reading it

Cause: a home cost nothing for a prefix that it does not keep, also where it is known that another upstream does: after a release half of the homes are new, and a quarter of all prefixes were read again although their holders stood. Change: with knowledge of the others' dispatches a home is charged 0.9 of the price; without, it is presumed to keep what is its own. The price of a token is 0.1 per thousand (0.075 before).

--- a/madderwind/placement/costs.py
+++ b/madderwind/placement/costs.py
@@ -15,7 +15,7 @@
 
     late: float = 1.0
     failed: float = 1.4
-    reread_per_token: float = 0.075 / 1000.0
+    reread_per_token: float = 0.1 / 1000.0
     cross_zone_per_byte: float = 1e-6
     # A first event predicted at this share of the objective is as often late as not.
     late_midpoint: float = 0.85
--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -38,6 +38,9 @@
 SLOWEST_STEP_MS = 30.0
 # Upstreams that cost the same are picked by chance.
 TIE_BREAK = 0.005
+# A home is charged this part of the price of a prefix that it is known not to keep, so that balancers agree on
+# the next holder where nobody keeps it.
+HOME_REREAD_PART = 0.9
 # Prefills up to the first bound are short, those beyond the last are long.
 PREFILL_BOUNDS_MS = (120.0, 480.0)
 # How many ranks of routes are told apart.
@@ -280,9 +283,12 @@
         first_ms += self._admission_ms(service, generation, upstream)
         cost = costs.lateness(first_ms, generation.aim_ms)
         cost += costs.failed * upstream.failure_chance(now_ms)
+        cached = upstream.kept.cached_tokens(generation.parts)
+        missing = _tokens(generation.shared_parts) - cached
         if not presumed:
-            cached = upstream.kept.cached_tokens(generation.parts)
-            cost += costs.reread_per_token * (_tokens(generation.shared_parts) - cached)
+            cost += costs.reread_per_token * missing
+        elif not self._unheard:
+            cost += costs.reread_per_token * missing * HOME_REREAD_PART
         if self._zone and self._zones.get(instance, self._zone) != self._zone:
             cost += costs.cross_zone_per_byte * _bytes(generation)
         return first_ms, cost
