An attempt's record in the log at debug level, and `madderwind attempts` to sum it up

`madderwind attempts LOG` makes a row a route of it, late ones by cause: own prefill, queue that was known, not foreseen. Off in service: nothing is recorded or written.

--- a/madderwind/cli/commands.py
+++ b/madderwind/cli/commands.py
@@ -109,6 +109,20 @@
 
         return status(_addresses(control), json)
 
+    def attempts(self, log: str) -> None:
+        """Sum up the attempts at model servers in LOG, which data planes write with --log-level=debug.
+
+        A row a route: attempts, those without an event, late ones by cause (own prefill, the queue that was
+        known, not foreseen), medians in ms (predicted alone, predicted, measured, error, age of the others'
+        load), the share of shared tokens believed kept, and why upstreams were chosen.
+
+        Args:
+            log: lines of one data plane or of many; what stands before a line's JSON is passed over.
+        """
+        from madderwind.cli.attempt_commands import attempts
+
+        attempts(log)
+
     def version(self) -> str:
         """Print the version of this program."""
         from madderwind import __version__
--- a/madderwind/controlplane/registry_service.py
+++ b/madderwind/controlplane/registry_service.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Sequence
 
-
 from madderwind.controlplane.drain_tracker import DrainTracker
 from madderwind.controlplane.effects import Effect, RespondToUpstream, SaveCheckpoint, SendToPeer
 from madderwind.controlplane.peers import Peers
--- /dev/null
+++ b/madderwind/dataplane/attempt_log.py
@@ -0,0 +1,30 @@
+"""One log line an attempt, for measuring the choices: off in service, as it costs a line a request."""
+
+from __future__ import annotations
+
+import msgspec
+
+from madderwind.dataplane.attempts import Attempt
+from madderwind.eventlog import EventLog
+from madderwind.placement.attempt_record import AttemptRecord
+
+
+class AttemptLog:
+    """Writes attempts to the log where there is one at debug level."""
+
+    def __init__(self, debug: EventLog | None) -> None:
+        """`debug`: where lines of that level go; None where they are off."""
+        self._log = debug
+
+    @property
+    def is_on(self) -> bool:
+        """Whether attempts are written."""
+        return self._log is not None
+
+    def write(self, request_id: str | None, route: str, attempt: Attempt, record: AttemptRecord) -> None:
+        """Write an attempt that has ended."""
+        if self._log is None:
+            return
+        fields = msgspec.to_builtins(record)
+        result = None if attempt.result is None else attempt.result.value
+        self._log("attempt", request=request_id, route=route, result=result, **fields)
--- a/madderwind/dataplane/request_forwarding.py
+++ b/madderwind/dataplane/request_forwarding.py
@@ -81,8 +81,15 @@
         finally:
             attempt.result = result
             is_complete = result is AttemptResult.COMPLETE
+            self._log_attempt(key, attempt)
             chooser.ended(self._now_ms(), key, generation, attempt.instance, is_complete)
 
+    def _log_attempt(self, key: str, attempt: Attempt) -> None:
+        attempt_log = self._parts.attempt_log
+        record = self._parts.chooser.placement.attempt_record(key) if attempt_log.is_on else None
+        if record is not None:
+            attempt_log.write(self._request_id, self._admitted.route.name, attempt, record)
+
     async def _waits_for_retry(self) -> bool:
         """Whether there is to be another attempt, once its backoff is over."""
         now_ms = self._now_ms()
--- a/madderwind/dataplane/request_parts.py
+++ b/madderwind/dataplane/request_parts.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from madderwind.dataplane.admission import Admission
+from madderwind.dataplane.attempt_log import AttemptLog
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.retrying import Retries, RetryBudget
 from madderwind.dataplane.upstream_pool import UpstreamPool
@@ -27,6 +28,7 @@
         retries: Whether and when there is another attempt.
         budget: The fleet's retry budget.
         log: Takes events.
+        attempt_log: Takes each attempt where that is on.
         counters: How requests and attempts ended, by name.
     """
 
@@ -37,4 +39,5 @@
     retries: Retries
     budget: RetryBudget
     log: EventLog
+    attempt_log: AttemptLog
     counters: Counter[str]
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -13,6 +13,7 @@
 from madderwind.balancing.retry_quota import RetryQuota
 from madderwind.configuration.reading import Document
 from madderwind.dataplane.admission import Admission
+from madderwind.dataplane.attempt_log import AttemptLog
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.forwarder import Forwarder
 from madderwind.dataplane.metrics import DataPlaneFigures, data_plane_samples
@@ -85,8 +86,17 @@
         log: EventLog,
         rng: random.Random,
         still_accepting_s: float = STILL_ACCEPTING_S,
+        debug_log: EventLog | None = None,
     ) -> None:
-        """Needs a running loop. `still_accepting_s`: how long connections are taken once the end began."""
+        """Needs a running loop.
+
+        Args:
+            settings: The process's settings.
+            log: Takes events.
+            rng: Draws what is left to chance.
+            still_accepting_s: How long connections are taken once the end began.
+            debug_log: Takes each attempt; None in service.
+        """
         self._still_accepting_s = still_accepting_s
         self._settings, self._log, self._rng = settings, log, rng
         self._loop = asyncio.get_running_loop()
@@ -126,6 +136,7 @@
             retries=retries,
             budget=self.budget,
             log=Sparing(log, self._now_ms),
+            attempt_log=AttemptLog(debug_log),
             counters=self.counters,
         )
         self._listener = Listener(
@@ -264,10 +275,10 @@
         return self._loop.time() * MS_PER_S
 
 
-async def serve(settings: NodeSettings, path: Path, log: EventLog) -> None:
+async def serve(settings: NodeSettings, path: Path, log: EventLog, debug_log: EventLog | None = None) -> None:
     """Run a data plane until SIGTERM or SIGINT has ended it."""
     loop = asyncio.get_running_loop()
-    plane = DataPlane(settings, log, random.Random(secrets.randbits(64)))
+    plane = DataPlane(settings, log, random.Random(secrets.randbits(64)), debug_log=debug_log)
     await plane.start()
     ending: list[asyncio.Task[None]] = []
 
--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from madderwind.messages.distribution import DispatchedPrompt
+from madderwind.placement.attempt_record import AttemptRecord, PlacementReason
 from madderwind.placement.costs import PlacementCosts
 from madderwind.placement.first_event_model import FirstEventModel
 from madderwind.placement.popularity import PrefixRates
@@ -38,8 +39,8 @@
 SLOWEST_STEP_MS = 30.0
 # Upstreams that cost the same are picked by chance.
 TIE_BREAK = 0.005
-# A home is charged this part of the price of a prefix that it is known not to keep, so that balancers agree on
-# the next holder where nobody keeps it.
+# A home is charged this part of the price of a prefix that it is known not to keep, so that balancers agree
+# on the next holder where nobody keeps it.
 HOME_REREAD_PART = 0.9
 # Prefills up to the first bound are short, those beyond the last are long.
 PREFILL_BOUNDS_MS = (120.0, 480.0)
@@ -184,10 +185,11 @@
         upstream = self._upstream(instance)
         is_home = prefix is not None and service.ranking.ranking(prefix)[:1] == (instance,)
         uncached = self._uncached(generation, upstream, is_home)
-        model = service.model
-        ahead = upstream.waiting_tokens(now_ms, self._unheard, 1.0 / model.ms_per_token)
+        ahead = upstream.waiting_tokens(now_ms, self._unheard, 1.0 / service.model.ms_per_token)
         copies = 1 + self._unheard
-        upstream.sent(now_ms, key, Sent(generation, now_ms, uncached, ahead))
+        reason = _reason(generation, upstream, is_home)
+        age_ms = upstream.peer_load_age_ms(now_ms)
+        upstream.sent(now_ms, key, Sent(generation, now_ms, uncached, ahead, age_ms, reason))
         upstream.kv_tokens = service.kv_tokens
         upstream.kept.used(generation.parts, service.kv_tokens, copies)
         if len(self._outbox) < MOST_UNTOLD:
@@ -211,6 +213,32 @@
         length = sum(prefill_ms > bound_ms for bound_ms in PREFILL_BOUNDS_MS)
         return length * RANKS + min(max(rank, 0), RANKS - 1)
 
+    def attempt_record(self, key: str) -> AttemptRecord | None:
+        """How an attempt that has not ended was placed, and when its first event came."""
+        instance = self._requests.get(key, "")
+        upstream = self._upstreams.get(instance)
+        request = upstream.request(key) if upstream is not None else None
+        if upstream is None or request is None:
+            return None
+        generation = request.generation
+        model = self._service(generation.service).model
+        alone_ms = model.predicted_ms(request.uncached) * upstream.slowness
+        predicted_ms = model.predicted_ms(request.uncached + request.ahead) * upstream.slowness
+        first_at_ms = request.first_at_ms
+        return AttemptRecord(
+            instance=instance,
+            prompt_tokens=generation.prompt_tokens,
+            shared_tokens=_tokens(generation.shared_parts),
+            cached_tokens=round(generation.prompt_tokens - request.uncached),
+            tokens_ahead=request.ahead,
+            peer_load_age_ms=request.peer_load_age_ms,
+            alone_first_ms=alone_ms,
+            predicted_first_ms=predicted_ms,
+            first_ms=None if first_at_ms is None else first_at_ms - request.sent_at_ms,
+            aim_ms=generation.aim_ms,
+            reason=request.reason,
+        )
+
     def event(self, now_ms: float, key: str, first: bool) -> None:
         """An event of the answer came."""
         if not first:
@@ -305,6 +333,13 @@
         return wait_ms
 
 
+def _reason(generation: Generation, upstream: UpstreamLoad, is_home: bool) -> PlacementReason:
+    if is_home:
+        return PlacementReason.HOME
+    is_holder = upstream.kept.cached_tokens(generation.parts) > 0
+    return PlacementReason.HOLDER if is_holder else PlacementReason.SPILL
+
+
 def _prefix_key(generation: Generation) -> str | None:
     shared = generation.shared_parts
     if not shared:
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from madderwind.placement.attempt_record import PlacementReason
 from madderwind.placement.prefix_cache_view import PrefixCacheView
 from madderwind.placement.prompts import Generation, PromptPart
 
@@ -27,13 +28,23 @@
 class Sent:
     """One own request at an upstream."""
 
-    __slots__ = ("ahead", "first_at_ms", "generation", "sent_at_ms", "uncached")
-
-    def __init__(self, generation: Generation, sent_at_ms: float, uncached: float, ahead: float) -> None:
+    __slots__ = ("ahead", "first_at_ms", "generation", "peer_load_age_ms", "reason", "sent_at_ms", "uncached")
+
+    def __init__(
+        self,
+        generation: Generation,
+        sent_at_ms: float,
+        uncached: float,
+        ahead: float,
+        peer_load_age_ms: float = 0.0,
+        reason: PlacementReason = PlacementReason.HOME,
+    ) -> None:
         self.generation = generation
         self.sent_at_ms = sent_at_ms
         self.uncached = uncached
         self.ahead = ahead
+        self.peer_load_age_ms = peer_load_age_ms
+        self.reason = reason
         self.first_at_ms: float | None = None
 
 
@@ -72,6 +83,10 @@
         )
         self.kept.used(parts, self.kv_tokens)
 
+    def peer_load_age_ms(self, now_ms: float) -> float:
+        """How long ago the others' load was told."""
+        return now_ms - self._peers_at_ms
+
     def waiting_tokens(self, now_ms: float, unheard: int, tokens_per_ms: float = 0.0) -> float:
         """Prompt tokens ahead of a new request's; a prompt counts whole until its first event.
 
--- a/madderwind/structured_log.py
+++ b/madderwind/structured_log.py
@@ -97,8 +97,8 @@
     return msgspec.json.encode(event, enc_hook=repr)
 
 
-def open_log(node: str, output: BatchedOutput) -> Log:
-    """The log of a process on the machine of that name."""
+def open_log(node: str, output: BatchedOutput, level: str = "info") -> Log:
+    """The log of a process on the machine of that name; `level` is the lowest that is written."""
     log: Log = structlog.wrap_logger(
         _LineLogger(output),
         processors=[
@@ -107,7 +107,7 @@
             structlog.processors.format_exc_info,
             _render,
         ],
-        wrapper_class=structlog.make_filtering_bound_logger("info"),
+        wrapper_class=structlog.make_filtering_bound_logger(level),
         cache_logger_on_first_use=True,
         node=node,
     )
--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -14,6 +14,7 @@
 from madderwind.balancing.retry_quota import RetryQuota
 from madderwind.configuration.reading import read_document
 from madderwind.dataplane.admission import Admission
+from madderwind.dataplane.attempt_log import AttemptLog
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.forwarder import Forwarder
 from madderwind.dataplane.request_parts import RequestParts
@@ -151,6 +152,7 @@
         admission.configure(read_document(json.dumps(raw).encode()))
         budget = FleetRetryBudget(ratio=1.0, slack=1000.0, window_ms=10_000.0)
         shared = RequestParts(
+            attempt_log=AttemptLog(None),
             admission=admission,
             upstreams=known,
             chooser=UpstreamChooser(
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 
+from madderwind.placement.attempt_record import PlacementReason
 from madderwind.placement.placement import Placement
 from madderwind.placement.prefix_cache_view import PrefixCacheView
 from madderwind.placement.prompts import Generation, PromptPart
@@ -245,3 +246,36 @@
         placement.event(0.0, "unknown", first=True)
         placement.ended(0.0, "unknown", served=False)
         self.assertEqual(placement.load(), {})
+
+
+class RecordsOfAttempts(unittest.TestCase):
+    def test_tell_what_was_known_and_what_came_of_it(self) -> None:
+        placement = balancer(fleet=2)
+        home = home_of(placement, "p")
+        placement.handle_peer_dispatches(0.0, ())
+        placement.handle_peer_load(0.0, {home: (10_000.0, 1.0, 10_000.0)})
+        placement.sent(0.0, "first", generation("p", "x"), home)
+        placement.sent(10.0, "second", generation("p", "y"), home)
+        placement.event(400.0, "second", first=True)
+        record = placement.attempt_record("second")
+        assert record is not None
+        self.assertEqual((record.instance, record.reason), (home, PlacementReason.HOME))
+        self.assertEqual((record.shared_tokens, record.cached_tokens), (12_000, 12_000))
+        self.assertEqual((record.first_ms, record.peer_load_age_ms), (390.0, 10.0))
+        self.assertGreater(record.predicted_first_ms, record.alone_first_ms)
+
+    def test_tell_holders_from_spills(self) -> None:
+        placement = balancer(fleet=2)
+        home = home_of(placement, "p")
+        away = next(instance for instance in UPSTREAMS if instance != home)
+        for key in ("spill", "holder"):
+            placement.sent(0.0, key, generation("p", key), away)
+        records = [placement.attempt_record(key) for key in ("spill", "holder")]
+        reasons = [record.reason for record in records if record is not None]
+        self.assertEqual(reasons, [PlacementReason.SPILL, PlacementReason.HOLDER])
+
+    def test_are_none_of_attempts_that_ended(self) -> None:
+        placement = balancer()
+        placement.sent(0.0, "k", generation("p", "x"), "i-0")
+        placement.ended(1.0, "k", served=True)
+        self.assertIsNone(placement.attempt_record("k"))
