A home is charged only where its memory was followed; switches for measuring each mechanism of the placement

Change: a home is charged for a prefix only where the upstream came later than this process, or has taken in a memory's worth since. `Ablation` turns one mechanism off, for tests and the engine emulator alone (policies without-...).

--- a/madderwind/dataplane/attempt_exchange.py
+++ b/madderwind/dataplane/attempt_exchange.py
@@ -142,7 +142,7 @@
         if head is Head.MISDIRECTED:
             is_another = response.headers.get(INSTANCE) != instance
             if is_another and parts.upstreams.mark_deregistered(self._now_ms(), instance):
-                parts.chooser.changed((instance,))
+                parts.chooser.changed(self._now_ms(), (instance,))
                 parts.pool.forget(instance)
                 parts.log("upstream_replaced", instance=instance)
             response.close()
--- a/madderwind/dataplane/choosing.py
+++ b/madderwind/dataplane/choosing.py
@@ -44,7 +44,7 @@
                 engine = service.engine
                 self.placement.configure(service.name, engine.slots, int(engine.kv_tokens), engine.stride)
 
-    def changed(self, instances: Iterable[str]) -> None:
+    def changed(self, now_ms: float, instances: Iterable[str]) -> None:
         """Upstreams came, drain, or are gone."""
         for instance in instances:
             known = self._upstreams.get(instance)
@@ -53,7 +53,7 @@
                 self._idle_first.forget(instance)
                 self.health.forget(instance)
             else:
-                self.placement.locate(instance, known.zone)
+                self.placement.locate(now_ms, instance, known.zone)
 
     def choose(
         self, now_ms: float, service: str, generation: Generation | None, tried: frozenset[str]
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -240,7 +240,7 @@
         match action.message:
             case RegistrySnapshot(upstreams) | RegistryDelta(upstreams):
                 changed = self.upstreams.merge(now_ms, upstreams)
-                self.chooser.changed(changed)
+                self.chooser.changed(now_ms, changed)
                 for instance in changed:
                     if not self.upstreams.takes_new(instance):
                         self.pool.forget(instance)
--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from madderwind.messages.distribution import DispatchedPrompt
+from madderwind.placement.ablation import ALL_WORK, Ablation
 from madderwind.placement.attempt_record import AttemptRecord, PlacementReason
 from madderwind.placement.costs import PlacementCosts
 from madderwind.placement.first_event_model import FirstEventModel
@@ -29,9 +30,12 @@
 # What is reported others' sends is complete for this long; beyond, a home is presumed to keep its prefixes.
 PEER_DISPATCH_FRESH_MS = 1500.0
 MOST_UNTOLD = 1000
+# An upstream that is located so long after the first has come since, with an empty memory.
+FIRST_LOCATED_MS = 5000.0
 # With more upstreams than this, only the first by rank and a few drawn ones are weighed: a choice among all
 # takes about 10 us an upstream.
 WEIGH_ALL_UP_TO = 64
+WEIGH_FEW_UP_TO = 10
 RANKED_WEIGHED = 3
 DRAWN_WEIGHED = 4
 # The part of an upstream's prefill rate that one prefix may take before it gets another home.
@@ -73,8 +77,23 @@
 class Placement:
     """Chooses upstreams for one balancer, from its own sends and what the others report."""
 
-    def __init__(self, rng: random.Random, zone: str = "", costs: PlacementCosts | None = None) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        zone: str = "",
+        costs: PlacementCosts | None = None,
+        ablation: Ablation = ALL_WORK,
+    ) -> None:
+        """Know nothing.
+
+        Args:
+            rng: Draws among upstreams that cost the same.
+            zone: Where this balancer is.
+            costs: The weighing, where it isn't the usual one.
+            ablation: Which mechanisms work, for measurements.
+        """
         self._rng = rng
+        self._ablation = ablation
         self._zone = zone
         self._costs = costs or PlacementCosts()
         self._services: dict[str, _Service] = {}
@@ -84,6 +103,7 @@
         self._requests: dict[str, str] = {}
         self._fleet = 1
         self._now_ms = 0.0
+        self._following_since_ms: float | None = None
         self._outbox: list[DispatchedPrompt] = []
         self._heard_at_ms = -math.inf
 
@@ -94,8 +114,13 @@
         known = self._service(service)
         known.slots, known.kv_tokens, known.stride = max(slots, 1), max(kv_tokens, 1), max(stride, 1)
 
-    def locate(self, instance: str, zone: str, identity: str = "") -> None:
+    def locate(self, now_ms: float, instance: str, zone: str, identity: str = "") -> None:
         """Where an upstream is, and what it is hashed by where that is not its id."""
+        self._now_ms = max(self._now_ms, now_ms)
+        if self._following_since_ms is None:
+            self._following_since_ms = now_ms
+        if instance not in self._zones and now_ms - self._following_since_ms > FIRST_LOCATED_MS:
+            self._upstream(instance).kept.begin_empty()
         self._zones[instance] = zone
         if identity:
             self._identities[instance] = identity
@@ -112,6 +137,8 @@
 
     def load(self) -> dict[str, tuple[float, float, float]]:
         """What this balancer has at upstreams now, those with nothing left out."""
+        if not self._ablation.load_reports:
+            return {}
         own = {instance: estimate.own() for instance, estimate in self._upstreams.items()}
         return {
             instance: (load.prompt_waiting, load.sequences, load.tokens_reserved)
@@ -121,19 +148,21 @@
 
     def take_dispatched(self) -> tuple[DispatchedPrompt, ...]:
         """Own sends since the last call, as many as are kept for it."""
-        prompts = tuple(self._outbox)
+        prompts = tuple(self._outbox) if self._ablation.dispatch_reports else ()
         self._outbox.clear()
         return prompts
 
     def handle_peer_dispatches(self, now_ms: float, prompts: Sequence[DispatchedPrompt]) -> None:
         """Sends of the other balancers to upstreams that were located; an empty call says there were none."""
         self._now_ms = max(self._now_ms, now_ms)
+        if not self._ablation.dispatch_reports:
+            return
         self._heard_at_ms = now_ms
         for prompt in prompts:
             if prompt.instance in self._zones:
                 upstream = self._upstream(prompt.instance)
                 parts = tuple(map(PromptPart, prompt.chunk_ids, prompt.chunk_tokens))
-                upstream.handle_peer_dispatch(parts)
+                upstream.handle_peer_dispatch(parts, counts_as_load=self._ablation.dispatches_as_load)
 
     @property
     def _unheard(self) -> int:
@@ -156,7 +185,7 @@
         service = self._service(generation.service)
         if service.ranking.members != tuple(candidates):
             service.ranking.set_members(candidates, self._identities, {})
-        prefix = _prefix_key(generation)
+        prefix = _prefix_key(generation) if self._ablation.prefix_homes else None
         ranking = service.ranking.ranking(prefix or _own_part_id(generation))
         if avoid:
             ranking = tuple(instance for instance in ranking if instance not in avoid)
@@ -185,7 +214,7 @@
         upstream = self._upstream(instance)
         is_home = prefix is not None and service.ranking.ranking(prefix)[:1] == (instance,)
         uncached = self._uncached(generation, upstream, is_home)
-        ahead = upstream.waiting_tokens(now_ms, self._unheard, 1.0 / service.model.ms_per_token)
+        ahead = self._waiting_tokens(now_ms, service, upstream)
         copies = 1 + self._unheard
         reason = _reason(generation, upstream, is_home)
         age_ms = upstream.peer_load_age_ms(now_ms)
@@ -210,7 +239,8 @@
         prefill_ms = 0.0
         if request is not None:
             prefill_ms = request.uncached * self._service(request.generation.service).model.ms_per_token
-        length = sum(prefill_ms > bound_ms for bound_ms in PREFILL_BOUNDS_MS)
+        bounds_ms = PREFILL_BOUNDS_MS if self._ablation.prefill_priority else ()
+        length = sum(prefill_ms > bound_ms for bound_ms in bounds_ms)
         return length * RANKS + min(max(rank, 0), RANKS - 1)
 
     def attempt_record(self, key: str) -> AttemptRecord | None:
@@ -251,8 +281,10 @@
         model = self._service(request.generation.service).model
         tokens = request.uncached + request.ahead
         took_ms = now_ms - request.sent_at_ms
-        upstream.observe_slowness(took_ms / model.predicted_ms(tokens))
-        model.observe(tokens, took_ms / upstream.slowness)
+        if self._ablation.learned_slowness:
+            upstream.observe_slowness(took_ms / model.predicted_ms(tokens))
+        if self._ablation.learned_first_event:
+            model.observe(tokens, took_ms / upstream.slowness)
 
     def ended(self, now_ms: float, key: str, served: bool) -> None:
         """The request is over at its upstream."""
@@ -281,13 +313,15 @@
         """How many upstreams share the prefix, by the prefill time that the fleet asks of them."""
         if prefix is None:
             return 0
+        if not self._ablation.popular_prefix_homes:
+            return 1
         arrivals_per_s = service.rates.count(now_ms, prefix) * self._fleet / (POPULARITY_WINDOW_MS / MS_PER_S)
         own_tokens = generation.parts[-1].tokens if generation.parts else generation.prompt_tokens
         busy = arrivals_per_s * own_tokens * service.model.ms_per_token / MS_PER_S
         return min(1 + int(busy / HOME_UTILIZATION), upstreams)
 
     def _weighed_ranks(self, upstreams: int, homes: int) -> Sequence[int]:
-        if upstreams <= WEIGH_ALL_UP_TO:
+        if upstreams <= (WEIGH_ALL_UP_TO if self._ablation.weighs_all else WEIGH_FEW_UP_TO):
             return range(upstreams)
         ranked = min(homes + RANKED_WEIGHED, upstreams)
         drawn = [self._rng.randrange(upstreams) for _ in range(DRAWN_WEIGHED)]
@@ -306,21 +340,30 @@
         costs, model = self._costs, service.model
         upstream = self._upstream(instance)
         uncached = self._uncached(generation, upstream, presumed)
-        waiting = upstream.waiting_tokens(now_ms, self._unheard, 1.0 / model.ms_per_token)
+        waiting = self._waiting_tokens(now_ms, service, upstream)
         first_ms = model.predicted_ms(uncached + waiting) * upstream.slowness
         first_ms += self._admission_ms(service, generation, upstream)
         cost = costs.lateness(first_ms, generation.aim_ms)
-        cost += costs.failed * upstream.failure_chance(now_ms)
+        if self._ablation.failure_memory:
+            cost += costs.failed * upstream.failure_chance(now_ms)
         cached = upstream.kept.cached_tokens(generation.parts)
         missing = _tokens(generation.shared_parts) - cached
         if not presumed:
             cost += costs.reread_per_token * missing
-        elif not self._unheard:
+        elif self._knows_absence(upstream):
             cost += costs.reread_per_token * missing * HOME_REREAD_PART
         if self._zone and self._zones.get(instance, self._zone) != self._zone:
             cost += costs.cross_zone_per_byte * _bytes(generation)
         return first_ms, cost
 
+    def _knows_absence(self, upstream: UpstreamLoad) -> bool:
+        """Whether what is not believed to be kept there is known not to be."""
+        return self._ablation.charged_homes and not self._unheard and upstream.kept.is_complete
+
+    def _waiting_tokens(self, now_ms: float, service: _Service, upstream: UpstreamLoad) -> float:
+        tokens_per_ms = 1.0 / service.model.ms_per_token if self._ablation.peer_load_drains else 0.0
+        return upstream.waiting_tokens(now_ms, self._unheard, tokens_per_ms)
+
     def _admission_ms(self, service: _Service, generation: Generation, upstream: UpstreamLoad) -> float:
         """The wait for a place in the batch or for memory."""
         waiting_sequences = upstream.sequences(self._unheard) + 1.0 - service.slots
--- a/madderwind/placement/prefix_cache_view.py
+++ b/madderwind/placement/prefix_cache_view.py
@@ -24,6 +24,19 @@
         self._weights: OrderedDict[str | int, float] = OrderedDict()
         self._total = 0.0
         self._block = 0
+        self._is_complete = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all that the upstream keeps is here: it began empty, or took in a memory's worth since.
+
+        Guards against a balancer that has just started and takes all memories for empty.
+        """
+        return self._is_complete
+
+    def begin_empty(self) -> None:
+        """The upstream began, with an empty memory, while its prompts are followed."""
+        self._is_complete = True
 
     def __len__(self) -> int:
         """How many parts and blocks are remembered."""
@@ -61,5 +74,6 @@
 
     def _evict(self, kv_tokens: int) -> None:
         while self._total > kv_tokens and self._weights:
+            self._is_complete = True
             _, weight = self._weights.popitem(last=False)
             self._total -= weight
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -73,15 +73,19 @@
         """What all other balancers have there, dispatches that were told before included."""
         self._peers, self._peers_at_ms = load, now_ms
 
-    def handle_peer_dispatch(self, parts: Sequence[PromptPart]) -> None:
+    def handle_peer_dispatch(self, parts: Sequence[PromptPart], counts_as_load: bool = True) -> None:
         """Another balancer sent a prompt there; it counts until the peers' load is told the next time."""
+        if counts_as_load:
+            self._add_peer_load(parts)
+        self.kept.used(parts, self.kv_tokens)
+
+    def _add_peer_load(self, parts: Sequence[PromptPart]) -> None:
         tokens = sum(part.tokens for part in parts)
         uncached = tokens - self.kept.cached_tokens(parts)
         peers = self._peers
         self._peers = Load(
             peers.prompt_waiting + uncached, peers.sequences + 1.0, peers.tokens_reserved + tokens
         )
-        self.kept.used(parts, self.kv_tokens)
 
     def peer_load_age_ms(self, now_ms: float) -> float:
         """How long ago the others' load was told."""
--- a/madderwind/testing/engine_emulator/experiment.py
+++ b/madderwind/testing/engine_emulator/experiment.py
@@ -32,6 +32,14 @@
     count: int
 
 
+@attrs.frozen
+class Restart:
+    """At `at_s`, `count` data planes restart and know nothing of the others or of the upstreams."""
+
+    at_s: float
+    count: int
+
+
 @attrs.frozen
 class Experiment:
     """One experiment.
@@ -50,6 +58,7 @@
     bursts: list[Burst] = attrs.field(factory=list)
     crashes: list[Crash] = attrs.field(factory=list)
     releases: list[Release] = attrs.field(factory=list)
+    restarts: list[Restart] = attrs.field(factory=list)
     policies: list[str] = attrs.field(factory=lambda: ["placement", "random"])
     for_s: float = 34.0
     seeds: int = 3
--- a/madderwind/testing/engine_emulator/fleet.py
+++ b/madderwind/testing/engine_emulator/fleet.py
@@ -13,7 +13,7 @@
 from madderwind.placement.placement import Placement
 from madderwind.placement.prompts import PromptPart
 from madderwind.testing.engine_emulator.engine import Admission, Engine, EngineEvent, EngineRequest
-from madderwind.testing.engine_emulator.experiment import Crash, Experiment, Release
+from madderwind.testing.engine_emulator.experiment import Crash, Experiment, Release, Restart
 from madderwind.testing.engine_emulator.policies import Policy
 from madderwind.testing.engine_emulator.policy_names import POLICIES
 from madderwind.testing.engine_emulator.whole_knowledge import WholeKnowledge
@@ -86,6 +86,7 @@
 
     def __init__(self, experiment: Experiment, policy: str, seed: int) -> None:
         self._experiment = experiment
+        self._policy = policy
         self._rng = random.Random(seed)
         self._now_ms = 0.0
         self._agenda: list[tuple[float, int, Callable[[], None]]] = []
@@ -119,6 +120,8 @@
             self._at(crash.at_s * MS_PER_S, partial(self._crash, crash))
         for release in experiment.releases:
             self._release(release)
+        for restart in experiment.restarts:
+            self._at(restart.at_s * MS_PER_S, partial(self._restart, restart))
         if experiment.report_ms:
             self._at(experiment.report_ms, self._report)
         if experiment.dispatch_ms:
@@ -265,7 +268,7 @@
         for plane in self._planes:
             if isinstance(plane.policy, Placement):
                 for upstream in self._upstreams:
-                    plane.policy.locate(upstream.instance, upstream.zone)
+                    plane.policy.locate(self._now_ms, upstream.instance, upstream.zone)
 
     def _crash(self, crash: Crash) -> None:
         running = [upstream for upstream in self._upstreams if upstream.running]
@@ -287,6 +290,12 @@
             at_ms = (release.at_s + number * release.gap_s) * MS_PER_S
             self._at(at_ms, partial(self._replace, place))
 
+    def _restart(self, restart: Restart) -> None:
+        """Data planes that know nothing any more; what they had under way goes on unseen."""
+        for plane in self._rng.sample(self._planes, min(restart.count, len(self._planes))):
+            plane.policy = self._plane(plane.number, self._policy, self._rng.getrandbits(32)).policy
+        self._publish()
+
     # --- what data planes tell each other ---
 
     def _report(self) -> None:
--- a/tests/dataplane/test_choosing.py
+++ b/tests/dataplane/test_choosing.py
@@ -34,7 +34,7 @@
     def tell(self, instance: str, zone: str, state: str = "ready", sequence: int = 1) -> None:
         address = f"10.0.0.{instance[2:]}:80"
         record = UpstreamRecord(instance, "app", address, zone, "v1", 8, state, sequence, 0.0, 0.0)
-        self.chooser.changed(self.upstreams.merge(0.0, [record]))
+        self.chooser.changed(0.0, self.upstreams.merge(0.0, [record]))
 
     def chosen(
         self, generation: Generation | None = None, tried: frozenset[str] = frozenset(), now_ms: float = 0.0
@@ -50,7 +50,7 @@
 
     def test_leaves_out_one_whose_address_another_has_called_from_since(self) -> None:
         successor = UpstreamRecord("i-9", "app", "10.0.0.0:80", "z1", "v1", 8, "ready", 1, 0.0, 0.0)
-        self.chooser.changed(self.upstreams.merge(5_000.0, [successor]))
+        self.chooser.changed(5_000.0, self.upstreams.merge(5_000.0, [successor]))
         for generation in (None, GENERATION):
             self.assertNotIn("i-0", self.chosen(generation))
         self.assertEqual(
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -25,7 +25,7 @@
     placement.configure(SERVICE, 64, 500_000, 4)
     placement.set_data_planes(fleet)
     for instance in UPSTREAMS:
-        placement.locate(instance, "zone")
+        placement.locate(0.0, instance, "zone")
     return placement
 
 
@@ -132,12 +132,45 @@
         self.assertEqual(home_of(self.other, "p", 1_801.0), self.home)
 
 
+class WhatABalancerThatStartedCannotKnow(unittest.TestCase):
+    def test_a_home_is_presumed_to_keep_its_prefix_until_its_memory_was_seen_to_turn_over(self) -> None:
+        placement = balancer(fleet=2)
+        home = home_of(placement, "p", shared=2_000)
+        away = next(instance for instance in UPSTREAMS if instance != home)
+        placement.sent(0.0, "k", generation("p", "x", 2_000), away)
+        placement.ended(1.0, "k", served=True)
+        placement.handle_peer_dispatches(0.0, ())
+        self.assertEqual(home_of(placement, "p", 1.0, 2_000), home)
+        for number in range(60):
+            placement.sent(2.0, f"{number}", generation(f"q{number}", f"y{number}"), home)
+            placement.ended(3.0, f"{number}", served=True)
+        placement.handle_peer_dispatches(4.0, ())
+        self.assertEqual(home_of(placement, "p", 4.0, 2_000), away)
+
+    def test_an_upstream_that_came_later_is_known_to_be_empty(self) -> None:
+        placement = balancer(fleet=2)
+        newcomers = [f"n-{number}" for number in range(6)]
+        for instance in newcomers:
+            placement.locate(60_000.0, instance, "zone")
+        placement.handle_peer_dispatches(60_000.0, ())
+        choice = placement.choose(60_000.0, generation("p", "own"), newcomers, NOBODY)
+        assert choice is not None
+        away = next(instance for instance in newcomers if instance != choice.instance)
+        placement.sent(60_000.0, "k", generation("p", "x"), away)
+        placement.event(60_300.0, "k", first=True)
+        placement.ended(60_400.0, "k", served=True)
+        placement.handle_peer_dispatches(60_401.0, ())
+        choice = placement.choose(60_401.0, generation("p", "own"), newcomers, NOBODY)
+        assert choice is not None
+        self.assertEqual(choice.instance, away)
+
+
 class ManyUpstreams(unittest.TestCase):
     def test_the_only_idle_one_of_thirty_is_found(self) -> None:
         upstreams = [f"i-{number}" for number in range(30)]
         placement = balancer(fleet=2)
         for instance in upstreams:
-            placement.locate(instance, "zone")
+            placement.locate(0.0, instance, "zone")
         for idle in upstreams[::7]:
             placement.handle_peer_dispatches(0.0, ())
             load = {instance: (80_000.0, 2.0, 80_000.0) for instance in upstreams if instance != idle}
