--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -139,7 +139,8 @@
         away = next(instance for instance in UPSTREAMS if instance != home)
         placement.sent(0.0, "k", generation("p", "x", 2_000), away)
         placement.ended(1.0, "k", served=True)
-        placement.handle_peer_dispatches(0.0, ())
+        placement.sent(1.0, "a little work", generation("none", "z", 0, 3_000), away)
+        placement.handle_peer_dispatches(1.0, ())
         self.assertEqual(home_of(placement, "p", 1.0, 2_000), home)
         for number in range(60):
             placement.sent(2.0, f"{number}", generation(f"q{number}", f"y{number}"), home)
