Beyond a tenant's limit, requests that can still be in time go before those that can't

Change: a request whose client has less time left than is usual on its route (three quarters of the last 16), by more than the objective, is late already. While there is not room for all it has a fifth of the chance and counts for a fifth of its size in the demand; the sum that is admitted, and the proof that it stays under the rule, are as before. Measured, simulated fleets of 6 and 89 data planes: rule held with late returns, also through a failover; at least 3 in 100 fewer first tries refused.

--- a/madderwind/dataplane/admission.py
+++ b/madderwind/dataplane/admission.py
@@ -12,6 +12,7 @@
 from madderwind.configuration.documents import ClientLimits, Route, Service, Tenant
 from madderwind.configuration.lookup import RoutingTable, choose_backend
 from madderwind.configuration.reading import Document
+from madderwind.dataplane.client_waits import ClientWaits
 from madderwind.dataplane.headers import DEADLINE, KEY, PROMPT_PREFIX, milliseconds, token_usage
 from madderwind.errors import MessageError
 from madderwind.placement.prompts import Generation, PromptPart, parse_prefix
@@ -32,7 +33,7 @@
 class TenantQuota(Protocol):
     """The tenants' quotas over all data planes, as limits.quota implements them."""
 
-    def admit(self, now_ms: float, tenant_name: str, amount: float) -> bool:
+    def admit(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> bool:
         """Whether so much more is within the tenant's quota; it is drawn then."""
 
     def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
@@ -86,6 +87,7 @@
         self._limits = ClientLimits()
         self._services: tuple[Service, ...] = ()
         self._max_connections: dict[str, int | None] = {}
+        self._client_waits = ClientWaits()
 
     def configure(self, document: Document) -> None:
         """Decide by this configuration from now on."""
@@ -136,7 +138,8 @@
             return Rejected(401, "no such key") if self._is_current() else self._come_back("no such key yet")
         usage = token_usage(headers)
         amount = 0.0 if tenant is None else _quota_amount(tenant, usage)
-        if tenant is not None and amount and not self._quota.admit(now_ms, tenant.name, amount):
+        is_late = self._is_late(route, headers)
+        if tenant is not None and amount and not self._draw(now_ms, tenant, amount, is_late):
             return Rejected(429, "beyond the quota", self._quota_retry_after_ms(now_ms, tenant))
         return self._admitted(table, arrived_ms, route, tenant, amount, usage, headers)
 
@@ -152,6 +155,16 @@
         part = self._rng.uniform(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
         return max(MIN_RETRY_AFTER_MS, part * route.target_latency_ms)
 
+    def _draw(self, now_ms: float, tenant: Tenant, amount: float, is_late: bool) -> bool:
+        return self._quota.admit(now_ms, tenant.name, amount, is_late=is_late)
+
+    def _is_late(self, route: Route, headers: Mapping[str, str]) -> bool:
+        """Whether the client has waited beyond the objective already, as far as its deadline tells."""
+        deadline_ms = milliseconds(headers, DEADLINE)
+        if not deadline_ms or not route.target_latency_ms:
+            return False
+        return self._client_waits.waited_ms(route.name, deadline_ms) > route.target_latency_ms
+
     def _quota_retry_after_ms(self, now_ms: float, tenant: Tenant) -> float:
         expected_ms = self._quota.retry_after_ms(now_ms, tenant.name)
         return max(MIN_QUOTA_RETRY_AFTER_MS, expected_ms) * self._rng.uniform(0.5, 1.0)
--- a/madderwind/limits/quota.py
+++ b/madderwind/limits/quota.py
@@ -16,6 +16,8 @@
 # After the connection was regained, what was used meanwhile is reported so much later, when the others are
 # back, too.
 DEFERRAL_MS = 500.0
+# The chance of a request that is late already, as a part of that of one which can still be in time.
+LATE_WEIGHT = 0.2
 # Demand below this is reported to nobody, units a second.
 MIN_REPORTED_DEMAND = 1e-3
 
@@ -122,13 +124,18 @@
                 self._configure(now_ms, tenant.name, terms)
         self._starts_full = True
 
-    def admit(self, now_ms: float, tenant_name: str, amount: float) -> bool:
-        """Whether a request of that size may go on now; if so it is drawn."""
+    def admit(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> bool:
+        """Whether a request of that size may go on now; if so it is drawn.
+
+        `is_late`: its answer can't be in time any more. While there is not room for all, it has a lower
+        chance, and counts for as much less in the demand: what is admitted in all stays the same.
+        """
         state = self._tenants.get(tenant_name)
         if state is None or not state.is_configured:
             return True
-        state.record_demand(now_ms, amount)
-        chance = state.chance(now_ms)
+        weight = LATE_WEIGHT if is_late else 1.0
+        state.record_demand(now_ms, amount * weight)
+        chance = state.chance(now_ms) * weight
         if chance < 1.0 and self._rng.random() >= chance:
             return False
         state.spend(now_ms, amount)
--- a/tests/configuration/cost_of_change.py
+++ b/tests/configuration/cost_of_change.py
@@ -29,7 +29,7 @@
 class EndlessQuota:
     """No tenant has a limit."""
 
-    def admit(self, now_ms: float, tenant_name: str, amount: float) -> bool:
+    def admit(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> bool:
         return True
 
     def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -49,7 +49,7 @@
 class UnlimitedQuota:
     """Admits every request."""
 
-    def admit(self, now_ms: float, tenant_name: str, amount: float) -> bool:
+    def admit(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> bool:
         return True
 
     def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -333,8 +333,10 @@
         self.admits = True
         self.drawn: list[tuple[str, float]] = []
         self.room_in_ms = 0.0
+        self.late: list[bool] = []
 
-    def admit(self, now_ms: float, tenant_name: str, amount: float) -> bool:
+    def admit(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> bool:
+        self.late.append(is_late)
         if self.admits:
             self.drawn.append((tenant_name, amount))
         return self.admits
@@ -417,6 +419,12 @@
         self.assertTrue(all(3_000.0 <= each <= 6_000.0 for each in told_ms))
         self.assertGreater(len(set(told_ms)), 10)
 
+    def test_tells_the_quota_who_is_late_already(self) -> None:
+        for left_ms in (9000, 9000, 9000, 9100, 8700, 5000):
+            self.admitted(X_Key="k-thrifty", X_Deadline_Ms=str(left_ms))
+        self.admitted(X_Key="k-thrifty")
+        self.assertEqual(self.quota.late, [False] * 5 + [True, False])
+
     def test_counts_tokens_where_the_tenant_is_counted_by_them(self) -> None:
         tenant = {"name": "t", "api_keys": ["k"], "unit": "tokens", "prompt_tokens": 200, "rate_per_s": 9}
         self.configure(tenants=[tenant])
--- a/tests/limits/quota_fleet.py
+++ b/tests/limits/quota_fleet.py
@@ -78,6 +78,8 @@
         self._command = itertools.count()
         self._exchange = UsageExchange()
         self._multiple = 1.0
+        # Where given, clients come back so late that their answer can't be in time, and say so.
+        self.late_return_ms: float | None = None
         self._count = data_planes
         self._data_planes = [
             DataPlane(number, self._new_quota(is_founding), self._rng.uniform(0.4, 1.6))
@@ -185,13 +187,19 @@
         amount = self._rng.choices(SIZES, WEIGHTS)[0]
         self.arrivals.append(Arrival(self._now_ms, amount, self._try(amount)))
         if not self.arrivals[-1].is_admitted:
-            self._after(CLIENT_RETRY_MS, partial(self._try, amount))
+            self._come_back(amount)
         self._after(self._rng.expovariate(per_s) * 1000, self._next_arrival)
 
-    def _try(self, amount: float) -> bool:
+    def _come_back(self, amount: float) -> None:
+        if self.late_return_ms is None:
+            self._after(CLIENT_RETRY_MS, partial(self._try, amount))
+        else:
+            self._after(self.late_return_ms, partial(self._try, amount, is_late=True))
+
+    def _try(self, amount: float, *, is_late: bool = False) -> bool:
         running = [data_plane for data_plane in self._data_planes if data_plane.is_running]
         chosen = self._rng.choices(running, [data_plane.weight for data_plane in running])[0]
-        is_admitted = chosen.quota.admit(self._now_ms, self.tenant.name, amount)
+        is_admitted = chosen.quota.admit(self._now_ms, self.tenant.name, amount, is_late=is_late)
         if is_admitted:
             self.admitted.append((self._now_ms, amount))
         return is_admitted
--- a/tests/limits/test_quota.py
+++ b/tests/limits/test_quota.py
@@ -46,6 +46,21 @@
         self.assertEqual(admitted(limited, 0.0, 20), 0)
         self.assertGreater(admitted(limited, 8000.0, 1), 0)
 
+    def test_who_is_late_already_gives_way_while_there_is_not_room_for_all(self) -> None:
+        limited, fresh, late = quota(), 0, 0
+        limited.handle_peer_usage(0.0, {"blue": 20.0}, {})  # the burst
+        for step in range(2_000):
+            now_ms = step * 100.0
+            limited.handle_peer_usage(now_ms, {"blue": 0.8}, {"blue": 40.0})
+            fresh += limited.admit(now_ms, "blue", 0.1)
+            late += limited.admit(now_ms, "blue", 0.1, is_late=True)
+        self.assertGreater(fresh, 3 * late)
+        self.assertGreater(late, 0)
+
+    def test_who_is_late_already_is_admitted_where_there_is_room(self) -> None:
+        limited = quota()
+        self.assertTrue(all(limited.admit(step * 1000.0, "blue", 1.0, is_late=True) for step in range(50)))
+
     def test_what_is_refused_is_told_when_the_rate_has_worked_off_what_was_refused_before(self) -> None:
         limited = quota()
         self.assertEqual(limited.retry_after_ms(0.0, "blue"), 0.0)
--- a/tests/limits/test_quota_fleet.py
+++ b/tests/limits/test_quota_fleet.py
@@ -81,6 +81,37 @@
     def test_a_hot_tenant(self) -> None:
         self.holds(hot, fleets=(6, 9, 89))
 
+    def test_a_hot_tenant_whose_clients_come_back_late(self) -> None:
+        def story(fleet: QuotaFleet) -> None:
+            fleet.late_return_ms = 2_500.0
+            hot(fleet)
+
+        self.holds(story, fleets=(6, 9, 89))
+
+    def test_such_a_tenant_while_the_primary_fails_over(self) -> None:
+        for data_planes in FLEETS:
+
+            def story(fleet: QuotaFleet, count: int = data_planes) -> None:
+                fleet.late_return_ms = 2_500.0
+                hot(fleet)
+                fleet.lose_touch(12.0, range(count), 2.5, new_primary=True)
+
+            self.holds(story, fleets=(data_planes,))
+
+    def test_fewer_first_tries_are_refused_where_late_ones_give_way(self) -> None:
+        for data_planes in FLEETS:
+            refused = []
+            for returns_ms in (None, 2_500.0):
+
+                def story(fleet: QuotaFleet, returns_ms: float | None = returns_ms) -> None:
+                    fleet.late_return_ms = returns_ms
+                    hot(fleet)
+
+                fleets = self.played(data_planes, story, 21.0)
+                refused.append(sum(fleet.refused_part(11.0, 21.0) for fleet in fleets) / len(fleets))
+            with self.subTest(data_planes=data_planes):
+                self.assertLess(refused[1], refused[0] - 0.03)
+
     def test_a_hot_tenant_gets_its_rate(self) -> None:
         # From the onset on, the burst included, so that what was overdrawn and paid back is in it.
         def story(fleet: QuotaFleet) -> None:
