--- /dev/null
+++ b/experiments/account.py
@@ -0,0 +1,65 @@
+"""Markdown tables of a day from the bench's report: `account.py REPORT.json`.
+
+Requests by kind and by moment, as parts that add up to what was asked for; how what was not served ended; the
+parts of the worth and the prices, down to what is left.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+SMALLEST_PRICE = 0.0005
+COLUMNS = ("asked", "in time", "late", "refused", "failed", "not owed", "worth", "p50 ms", "p99 ms")
+
+
+def table(head: tuple[str, ...], rows: list[list[str]]) -> str:
+    """A markdown table."""
+    lines = [head, ("---",) * len(head), *rows]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def counted(name: str, part: dict[str, Any]) -> list[str]:
+    """A row of requests; the five counts add up to what was asked."""
+    parts = [part[key] for key in ("in_aim", "late", "refused", "failed", "not_owed")]
+    figures = [f"{part['worth']:.3f}", f"{part['p50_ms']:.0f}", f"{part['p99_ms']:.0f}"]
+    return [name, str(sum(parts)), *map(str, parts), *figures]
+
+
+def moments(report: dict[str, Any]) -> list[list[str]]:
+    """Windows, each with the faults that were at work in it."""
+    rows = []
+    width_s = float(report["windows"][1]["name"]) - float(report["windows"][0]["name"])
+    for window in report["windows"]:
+        begin_s = float(window["name"])
+        kinds = [
+            event["kind"]
+            for event in report["events"]
+            if event["at_s"] < begin_s + width_s and event["to_s"] > begin_s
+        ]
+        rows.append([*counted(window["name"], window), ", ".join(dict.fromkeys(kinds))])
+    return rows
+
+
+def main(path: str) -> None:
+    """Print the tables of one day."""
+    report = json.loads(Path(path).read_text())
+    print(table(("kind", *COLUMNS), [counted(part["name"], part) for part in report["classes"]]), "\n")
+    print(table(("from s", *COLUMNS, "at work"), moments(report)), "\n")
+    ends = [[end, str(count)] for end, count, _ in report["unserved_by"]]
+    print(table(("not served, last try", "requests"), ends), "\n")
+    parts = [
+        [name, f"{weight:.2f}", f"{value:.3f}", f"{weight * value:.4f}"]
+        for name, weight, value in report["parts"]
+    ]
+    prices = [
+        [name, "", "", f"-{price:.4f}"] for name, _, price in report["prices"] if price >= SMALLEST_PRICE
+    ]
+    total = [["left", "", "", f"{report['G']:.4f}"]]
+    print(table(("part", "weight", "value", "worth"), parts + prices + total))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
