Names of the field in placement and limits; late requests are admitted where there is half as much room again

Those refused came back after the tenant's excess was over and found room that was not given to them. Now their chance rises to all of it where the room is 1.5 times what requests in time need.

--- a/madderwind/cli/attempt_report.py
+++ b/madderwind/cli/attempt_report.py
@@ -67,7 +67,7 @@
 
 _HEAD = (
     f"{'route':16}{'attempts':>9}{'no event':>9}{'late':>7}{'own':>6}{'queue':>7}{'unseen':>7}"
-    f"{'alone':>7}{'told':>7}{'took':>7}{'error':>7}{'age':>6}{'kept':>7}{'home':>6}{'holder':>7}{'spill':>6}"
+    f"{'alone':>7}{'told':>7}{'took':>7}{'error':>7}{'age':>6}{'kept':>7}{'home':>6}{'cached':>7}{'spill':>6}"
 )
 
 
@@ -93,7 +93,7 @@
         f"{_median(took_ms):7.0f}{_median(errors_ms):7.0f}"
         f"{_median([attempt.peer_load_age_ms for attempt in attempts]):6.0f}"
         f"{cached / max(shared, 1):7.2f}"
-        f"{_share(reasons, 'home'):6.2f}{_share(reasons, 'holder'):7.2f}{_share(reasons, 'spill'):6.2f}"
+        f"{_share(reasons, 'home'):6.2f}{_share(reasons, 'cached'):7.2f}{_share(reasons, 'spill'):6.2f}"
     )
 
 
--- a/madderwind/dataplane/choosing.py
+++ b/madderwind/dataplane/choosing.py
@@ -92,8 +92,8 @@
     ) -> str | None:
         if generation is None:
             return self._idle_first.pick(self._cheapest_idle(candidates, avoid), avoid)
-        choice = self.placement.choose(now_ms, generation, candidates, avoid)
-        return None if choice is None else choice.instance
+        selection = self.placement.choose(now_ms, generation, candidates, avoid)
+        return None if selection is None else selection.instance
 
     def _cheapest_idle(self, candidates: tuple[str, ...], avoid: frozenset[str]) -> tuple[str, ...]:
         """The tie-break among those with nothing in flight: the own zone, then a connection that stands."""
--- a/madderwind/dataplane/reports.py
+++ b/madderwind/dataplane/reports.py
@@ -38,14 +38,14 @@
 
     def share_limits(self, now_ms: float) -> bool:
         """Tell all limits how many share them; whether the primary hears of what is used here."""
-        fleet, in_touch = self._subscriber.data_planes, self._subscriber.is_connected(now_ms)
-        if in_touch != self._was_connected:
-            self._was_connected = in_touch
-            self._log("in_touch_with_primary" if in_touch else "out_of_touch_with_primary")
-        self._quota.set_data_planes(now_ms, fleet, in_touch)
-        self._budget.set_data_planes(fleet)
-        self._placement.set_data_planes(fleet)
-        return in_touch
+        data_planes, is_connected = self._subscriber.data_planes, self._subscriber.is_connected(now_ms)
+        if is_connected != self._was_connected:
+            self._was_connected = is_connected
+            self._log("in_touch_with_primary" if is_connected else "out_of_touch_with_primary")
+        self._quota.set_data_planes(now_ms, data_planes, is_connected)
+        self._budget.set_data_planes(data_planes)
+        self._placement.set_data_planes(data_planes)
+        return is_connected
 
     async def report_usage(self) -> None:
         """Tell the primary what was admitted."""
@@ -62,21 +62,21 @@
 
     async def report_load(self) -> None:
         """Tell the primary what was sent to upstreams, and what is there where that changed."""
-        told, told_to = LoadReport({}), ""
+        reported, reported_to = LoadReport({}), ""
         while True:
             await asyncio.sleep(
                 max(MIN_LOAD_REPORT_S, LOAD_REPORT_S_PER_DATA_PLANE * self._subscriber.data_planes)
             )
-            prompts, load = self._placement.take_dispatched(), LoadReport(self._placement.load())
+            prompts, load = self._placement.drain_dispatches(), LoadReport(self._placement.load())
             primary = self._subscriber.primary
             if not self._subscriber.is_connected(self._now_ms()):
-                told_to = ""
+                reported_to = ""
                 continue
             if prompts:
                 self._links.send(primary, DispatchReport(prompts))
-            if load != told or primary != told_to:
+            if load != reported or primary != reported_to:
                 self._links.send(primary, load)
-                told, told_to = load, primary
+                reported, reported_to = load, primary
 
     def _now_ms(self) -> float:
         return asyncio.get_running_loop().time() * MS_PER_S
--- a/madderwind/limits/quota.py
+++ b/madderwind/limits/quota.py
@@ -18,6 +18,8 @@
 DEFERRAL_MS = 500.0
 # The chance of a request that is late already, as a part of that of one which can still be in time.
 LATE_WEIGHT = 0.2
+# With so many times the room for those that can be in time, all are admitted.
+LATE_ADMITTED_CHANCE = 1.5
 # Demand below this is reported to nobody, units a second.
 MIN_REPORTED_DEMAND = 1e-3
 
@@ -133,9 +135,10 @@
         state = self._tenants.get(tenant_name)
         if state is None or not state.is_configured:
             return True
-        weight = LATE_WEIGHT if is_late else 1.0
-        state.record_demand(now_ms, amount * weight)
-        chance = state.chance(now_ms) * weight
+        state.record_demand(now_ms, amount * LATE_WEIGHT if is_late else amount)
+        chance = state.chance(now_ms)
+        if is_late:
+            chance = _late_chance(chance)
         if chance < 1.0 and self._rng.random() >= chance:
             return False
         state.spend(now_ms, amount)
@@ -160,23 +163,25 @@
         drained = {name: state.drain(now_ms) for name, state in self._tenants.items()}
         used = {name: amount for name, amount in drained.items() if amount}
         demands = {name: state.shared.own_demand(now_ms) for name, state in self._tenants.items()}
-        asked = {name: per_s for name, per_s in demands.items() if per_s >= MIN_REPORTED_DEMAND}
-        return Usage(used, asked)
+        demanded = {name: per_s for name, per_s in demands.items() if per_s >= MIN_REPORTED_DEMAND}
+        return Usage(used, demanded)
 
-    def handle_peer_usage(self, now_ms: float, used: Mapping[str, float], asked: Mapping[str, float]) -> None:
+    def handle_peer_usage(
+        self, now_ms: float, used: Mapping[str, float], demand_per_s: Mapping[str, float]
+    ) -> None:
         """What the other data planes used since they were last heard of, and are asked for a second."""
         for name, amount in used.items():
             if (state := self._tenants.get(name)) is not None:
                 state.shared.record_peer_use(now_ms, amount)
         for name, state in self._tenants.items():
-            state.shared.set_peer_demand(now_ms, asked.get(name, 0.0))
+            state.shared.set_peer_demand(now_ms, demand_per_s.get(name, 0.0))
 
-    def set_data_planes(self, now_ms: float, data_planes: int, in_touch: bool) -> None:
+    def set_data_planes(self, now_ms: float, data_planes: int, is_connected: bool) -> None:
         """How many data planes there are, and whether this one hears of the others' use."""
         self._data_planes = max(1, data_planes)
-        self._is_connected = in_touch
+        self._is_connected = is_connected
         for state in self._tenants.values():
-            state.set_connected(now_ms, in_touch, self._data_planes)
+            state.set_connected(now_ms, is_connected, self._data_planes)
 
     def _configure(self, now_ms: float, name: str, terms: QuotaTerms) -> None:
         state = self._tenants.get(name)
@@ -186,3 +191,14 @@
             self._tenants[name] = state
         state.shared.change_terms(now_ms, terms)
         state.is_configured = True
+
+
+def _late_chance(chance: float) -> float:
+    """The chance of a request that is late already, by that of one which can still be in time.
+
+    A part of it while there is not room for those; more where there is more room, up to all of it.
+    """
+    if chance < 1.0:
+        return LATE_WEIGHT * chance
+    beyond_all = (chance - 1.0) / (LATE_ADMITTED_CHANCE - 1.0)
+    return LATE_WEIGHT + (1.0 - LATE_WEIGHT) * beyond_all
--- a/madderwind/placement/attempt_record.py
+++ b/madderwind/placement/attempt_record.py
@@ -11,7 +11,7 @@
     """Why an upstream was chosen for a generation."""
 
     HOME = "home"  # first by rank of its prefix
-    HOLDER = "holder"  # away from home, where the prefix is believed to be kept
+    CACHED = "cached"  # away from home, where the prefix is believed to be kept
     SPILL = "spill"  # away from home, where nothing of the prefix is kept
 
 
--- a/madderwind/placement/costs.py
+++ b/madderwind/placement/costs.py
@@ -23,7 +23,7 @@
     # Prefer the quicker even where none is late.
     slower: float = 0.2
 
-    def lateness(self, first_ms: float, aim_ms: float) -> float:
+    def late_cost(self, first_ms: float, aim_ms: float) -> float:
         """The cost of a first event predicted at `first_ms`."""
         share = first_ms / aim_ms if aim_ms > 0.0 else 1.0
         steepness = (share - self.late_midpoint) / self.late_width
--- a/madderwind/placement/placement.py
+++ b/madderwind/placement/placement.py
@@ -33,7 +33,7 @@
 RANKS = 3
 
 
-class Choice(msgspec.Struct, frozen=True):
+class Selection(msgspec.Struct, frozen=True):
     """The upstream to send to, and when its first event is expected, in ms from now."""
 
     instance: str
@@ -103,7 +103,7 @@
             for instance, load in own.items()
         }
 
-    def take_dispatched(self) -> tuple[DispatchedPrompt, ...]:
+    def drain_dispatches(self) -> tuple[DispatchedPrompt, ...]:
         """Own dispatches since the last call, as many as are kept for it."""
         prompts = tuple(self._unreported) if self._ablation.dispatch_reports else ()
         self._unreported.clear()
@@ -113,7 +113,7 @@
 
     def choose(
         self, now_ms: float, generation: Generation, candidates: Sequence[str], avoid: frozenset[str]
-    ) -> Choice | None:
+    ) -> Selection | None:
         """The upstream that costs least among the candidates outside `avoid`; None where there is none."""
         self._table.advance(now_ms)
         service = self._table.service(generation.service)
@@ -126,7 +126,7 @@
         if not ranking:
             return None
         homes = self._weighing.homes(now_ms, service, generation, prefix, len(ranking))
-        best: Choice | None = None
+        best: Selection | None = None
         lowest = 0.0
         for rank in self._weighing.weighed_ranks(len(ranking), homes):
             instance, is_home = ranking[rank], rank < homes
@@ -134,7 +134,7 @@
             if not is_home:
                 cost += TIE_BREAK * self._rng.random()
             if best is None or cost < lowest:
-                best, lowest = Choice(instance, first_ms), cost
+                best, lowest = Selection(instance, first_ms), cost
         return best
 
     def sent(self, now_ms: float, key: str, generation: Generation, instance: str) -> None:
@@ -156,7 +156,7 @@
         )
         upstream.sent(now_ms, key, request)
         upstream.kv_tokens = service.kv_tokens
-        upstream.kept.used(generation.parts, service.kv_tokens, 1 + self._table.unheard_peers)
+        upstream.prefix_cache.used(generation.parts, service.kv_tokens, 1 + self._table.unreported_peers)
         self._report_dispatch(instance, generation)
         self._requests[key] = instance
 
@@ -238,8 +238,8 @@
 def _reason(generation: Generation, upstream: UpstreamLoad, is_home: bool) -> PlacementReason:
     if is_home:
         return PlacementReason.HOME
-    is_holder = upstream.kept.cached_tokens(generation.parts) > 0
-    return PlacementReason.HOLDER if is_holder else PlacementReason.SPILL
+    is_cached = upstream.prefix_cache.cached_tokens(generation.parts) > 0
+    return PlacementReason.CACHED if is_cached else PlacementReason.SPILL
 
 
 def _prefix_key(generation: Generation) -> str | None:
--- a/madderwind/placement/prefix_cache_view.py
+++ b/madderwind/placement/prefix_cache_view.py
@@ -15,7 +15,7 @@
 class PrefixCacheView:
     """Shared parts by last use, those unused longest dropped once all would not fit the memory.
 
-    A balancer that hears nothing of the others' sends counts a prompt's last part `copies` times, once for
+    A balancer that hears nothing of the others' sends counts a prompt's last part `multiple` times, once for
     each balancer that sends as much.
     """
 
@@ -52,15 +52,15 @@
             tokens += part.tokens
         return tokens
 
-    def used(self, parts: Sequence[PromptPart], kv_tokens: int, copies: int = 1) -> None:
+    def used(self, parts: Sequence[PromptPart], kv_tokens: int, multiple: int = 1) -> None:
         """A prompt of these parts was sent to the upstream, whose memory holds `kv_tokens`."""
         for part in parts[:-1]:
-            self._touch(part.id, float(part.tokens))
+            self._refresh(part.id, float(part.tokens))
         if parts:
-            self._add_own(float(parts[-1].tokens * copies), kv_tokens)
+            self._add_own(float(parts[-1].tokens * multiple), kv_tokens)
         self._evict(kv_tokens)
 
-    def _touch(self, part_id: str, weight: float) -> None:
+    def _refresh(self, part_id: str, weight: float) -> None:
         known = self._weights.pop(part_id, 0.0)
         self._weights[part_id] = weight
         self._total += weight - known
--- a/madderwind/placement/upstream_load.py
+++ b/madderwind/placement/upstream_load.py
@@ -53,11 +53,11 @@
 
     def __init__(self, now_ms: float, kv_tokens: int) -> None:
         self.kv_tokens = kv_tokens
-        self.kept = PrefixCacheView()
+        self.prefix_cache = PrefixCacheView()
         self.slowness = 1.0
         self._sent: OrderedDict[str, Sent] = OrderedDict()
         self._own_waiting = 0.0
-        self._own_held = 0.0
+        self._own_reserved = 0.0
         self._mean_waiting = 0.0
         self._mean_at_ms = now_ms
         self._peers = Load()
@@ -67,7 +67,7 @@
 
     def own(self) -> Load:
         """What this balancer has there."""
-        return Load(self._own_waiting, float(len(self._sent)), self._own_held)
+        return Load(self._own_waiting, float(len(self._sent)), self._own_reserved)
 
     def set_peer_load(self, now_ms: float, load: Load) -> None:
         """What all other balancers have there, dispatches that were told before included."""
@@ -77,11 +77,11 @@
         """Another balancer sent a prompt there; it counts until the peers' load is told the next time."""
         if counts_as_load:
             self._add_peer_load(parts)
-        self.kept.used(parts, self.kv_tokens)
+        self.prefix_cache.used(parts, self.kv_tokens)
 
     def _add_peer_load(self, parts: Sequence[PromptPart]) -> None:
         tokens = sum(part.tokens for part in parts)
-        uncached = tokens - self.kept.cached_tokens(parts)
+        uncached = tokens - self.prefix_cache.cached_tokens(parts)
         peers = self._peers
         self._peers = Load(
             peers.prompt_waiting + uncached, peers.sequences + 1.0, peers.tokens_reserved + tokens
@@ -91,37 +91,37 @@
         """How long ago the others' load was told."""
         return now_ms - self._peers_at_ms
 
-    def waiting_tokens(self, now_ms: float, unheard: int, tokens_per_ms: float = 0.0) -> float:
+    def waiting_tokens(self, now_ms: float, unreported: int, tokens_per_ms: float = 0.0) -> float:
         """Prompt tokens ahead of a new request's; a prompt counts whole until its first event.
 
-        `unheard`: other balancers of which nothing is heard; the own mean stands for each of them.
+        `unreported`: other balancers of which nothing is heard; the own mean stands for each of them.
         `tokens_per_ms`: the upstream's speed, by which it has worked on since the peers' load was told.
         """
-        if not unheard:
+        if not unreported:
             return self._own_waiting + self._peer_waiting(now_ms, tokens_per_ms)
         self._average(now_ms)
-        return self._own_waiting + self._mean_waiting * unheard
+        return self._own_waiting + self._mean_waiting * unreported
 
     def _peer_waiting(self, now_ms: float, tokens_per_ms: float) -> float:
         """What is left of the peers' waiting tokens: the upstream works on theirs and own ones alike."""
-        told = self._peers.prompt_waiting
-        if told <= 0.0:
+        reported = self._peers.prompt_waiting
+        if reported <= 0.0:
             return 0.0
         prefilled = max(0.0, now_ms - self._peers_at_ms) * tokens_per_ms
-        left_part = max(0.0, 1.0 - prefilled / (told + self._own_waiting))
-        return told * left_part
+        left_part = max(0.0, 1.0 - prefilled / (reported + self._own_waiting))
+        return reported * left_part
 
-    def sequences(self, unheard: int) -> float:
+    def sequences(self, unreported: int) -> float:
         """Requests there, running or waiting."""
-        if not unheard:
+        if not unreported:
             return len(self._sent) + self._peers.sequences
-        return float(len(self._sent) * (1 + unheard))
+        return float(len(self._sent) * (1 + unreported))
 
-    def tokens_reserved(self, unheard: int) -> float:
+    def tokens_reserved(self, unreported: int) -> float:
         """Tokens of memory that running requests hold."""
-        if not unheard:
-            return self._own_held + self._peers.tokens_reserved
-        return self._own_held * (1 + unheard)
+        if not unreported:
+            return self._own_reserved + self._peers.tokens_reserved
+        return self._own_reserved * (1 + unreported)
 
     def failure_chance(self, now_ms: float) -> float:
         """The chance, as of late, that a request sent there fails without an event."""
@@ -133,7 +133,7 @@
         self._average(now_ms)
         self._sent[key] = request
         self._own_waiting += request.uncached
-        self._own_held += request.generation.prompt_tokens + request.generation.output_tokens
+        self._own_reserved += request.generation.prompt_tokens + request.generation.output_tokens
 
     def request(self, key: str) -> Sent | None:
         """An own request that is there."""
@@ -158,9 +158,9 @@
         self._average(now_ms)
         if request.first_at_ms is None:
             self._own_waiting = max(self._own_waiting - request.uncached, 0.0)
-        self._own_held -= request.generation.prompt_tokens + request.generation.output_tokens
+        self._own_reserved -= request.generation.prompt_tokens + request.generation.output_tokens
         if not self._sent:
-            self._own_waiting = self._own_held = 0.0
+            self._own_waiting = self._own_reserved = 0.0
         if not served:
             self._failed(now_ms)
 
--- a/madderwind/placement/upstream_table.py
+++ b/madderwind/placement/upstream_table.py
@@ -39,7 +39,7 @@
         self._now_ms = max(self._now_ms, now_ms)
 
     @property
-    def unheard_peers(self) -> int:
+    def unreported_peers(self) -> int:
         """How many other balancers there are whose dispatches are not told."""
         is_fresh = self._now_ms - self._dispatches_at_ms < PEER_DISPATCH_FRESH_MS
         return 0 if is_fresh else self.data_planes - 1
@@ -79,7 +79,7 @@
         if self._following_since_ms is None:
             self._following_since_ms = now_ms
         if instance not in self._zones and now_ms - self._following_since_ms > FIRST_LOCATED_MS:
-            self.upstream(instance).kept.begin_empty()
+            self.upstream(instance).prefix_cache.begin_empty()
         self._zones[instance] = zone
         if identity:
             self.identities[instance] = identity
@@ -93,8 +93,8 @@
     def handle_peer_load(self, now_ms: float, load: Mapping[str, tuple[float, float, float]]) -> None:
         """What all other balancers together have at upstreams."""
         for instance in self._zones:
-            told = load.get(instance)
-            self.upstream(instance).set_peer_load(now_ms, Load(*told) if told else Load())
+            reported = load.get(instance)
+            self.upstream(instance).set_peer_load(now_ms, Load(*reported) if reported else Load())
 
     def handle_peer_dispatches(self, now_ms: float, prompts: Sequence[DispatchedPrompt]) -> None:
         """What the others sent to upstreams that were located; an empty call says there was nothing."""
--- a/madderwind/placement/weighing.py
+++ b/madderwind/placement/weighing.py
@@ -83,7 +83,7 @@
         tokens += self.waiting_tokens(now_ms, service, upstream)
         first_ms = service.model.predicted_ms(tokens) * upstream.slowness
         first_ms += self._admission_ms(service, generation, upstream)
-        cost = costs.lateness(first_ms, generation.aim_ms)
+        cost = costs.late_cost(first_ms, generation.aim_ms)
         if self._ablation.failure_memory:
             cost += costs.failed * upstream.failure_chance(now_ms)
         cost += self._reread_cost(generation, upstream, is_home)
@@ -92,40 +92,40 @@
         return first_ms, cost
 
     def uncached_tokens(self, generation: Generation, upstream: UpstreamLoad, is_home: bool) -> float:
-        """Prompt tokens to be prefilled there; while peers are unheard a home is presumed to keep its own."""
-        cached = upstream.kept.cached_tokens(generation.parts)
-        if is_home and self._table.unheard_peers:
+        """Prompt tokens to be prefilled there; without peers' reports a home is presumed to keep its own."""
+        cached = upstream.prefix_cache.cached_tokens(generation.parts)
+        if is_home and self._table.unreported_peers:
             cached = max(cached, tokens_of(generation.shared_parts))
         return max(float(generation.prompt_tokens - cached), 0.0)
 
     def waiting_tokens(self, now_ms: float, service: ServiceKnowledge, upstream: UpstreamLoad) -> float:
         """Prompt tokens that wait there."""
         tokens_per_ms = 1.0 / service.model.ms_per_token if self._ablation.peer_load_drains else 0.0
-        return upstream.waiting_tokens(now_ms, self._table.unheard_peers, tokens_per_ms)
+        return upstream.waiting_tokens(now_ms, self._table.unreported_peers, tokens_per_ms)
 
     def _reread_cost(self, generation: Generation, upstream: UpstreamLoad, is_home: bool) -> float:
         if is_home and not self._knows_absence(upstream):
             return 0.0
-        missing = tokens_of(generation.shared_parts) - upstream.kept.cached_tokens(generation.parts)
+        missing = tokens_of(generation.shared_parts) - upstream.prefix_cache.cached_tokens(generation.parts)
         return self._costs.reread_per_token * missing * (HOME_REREAD_PART if is_home else 1.0)
 
     def _knows_absence(self, upstream: UpstreamLoad) -> bool:
         """Whether what is not believed to be kept there is known not to be."""
-        hears_all = not self._table.unheard_peers
-        return self._ablation.charged_homes and hears_all and upstream.kept.is_complete
+        is_informed = not self._table.unreported_peers
+        return self._ablation.charged_homes and is_informed and upstream.prefix_cache.is_complete
 
     def _admission_ms(
         self, service: ServiceKnowledge, generation: Generation, upstream: UpstreamLoad
     ) -> float:
         """The wait for a place in the batch or for memory."""
-        unheard = self._table.unheard_peers
-        waiting_sequences = upstream.sequences(unheard) + 1.0 - service.slots
-        held = upstream.tokens_reserved(unheard) + generation.prompt_tokens + generation.output_tokens
+        unreported = self._table.unreported_peers
+        waiting_sequences = upstream.sequences(unreported) + 1.0 - service.slots
+        reserved = upstream.tokens_reserved(unreported) + generation.prompt_tokens + generation.output_tokens
         wait_ms = 0.0
         if waiting_sequences > 0.0:
             wait_ms += waiting_sequences * SLOWEST_STEP_MS
-        if held > service.kv_tokens:
-            wait_ms += (held / service.kv_tokens - 1.0) * MS_PER_S
+        if reserved > service.kv_tokens:
+            wait_ms += (reserved / service.kv_tokens - 1.0) * MS_PER_S
         return wait_ms
 
 
--- a/madderwind/testing/engine_emulator/fleet.py
+++ b/madderwind/testing/engine_emulator/fleet.py
@@ -334,7 +334,7 @@
 
 
 def _sent_prompts(policy: Policy) -> tuple[DispatchedPrompt, ...]:
-    return policy.take_dispatched() if isinstance(policy, Placement) else ()
+    return policy.drain_dispatches() if isinstance(policy, Placement) else ()
 
 
 def _less(total: tuple[float, float, float], own: tuple[float, float, float]) -> tuple[float, float, float]:
--- a/madderwind/testing/engine_emulator/policies.py
+++ b/madderwind/testing/engine_emulator/policies.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
-from madderwind.placement.placement import Choice
+from madderwind.placement.placement import Selection
 from madderwind.placement.prompts import Generation
 
 
@@ -16,7 +16,7 @@
 
     def choose(
         self, now_ms: float, generation: Generation, candidates: Sequence[str], avoid: frozenset[str]
-    ) -> Choice | None:
+    ) -> Selection | None:
         """The upstream for a request; None where there is none."""
 
     def sent(self, now_ms: float, key: str, generation: Generation, instance: str) -> None:
@@ -51,10 +51,10 @@
 
     def choose(
         self, now_ms: float, generation: Generation, candidates: Sequence[str], avoid: frozenset[str]
-    ) -> Choice | None:
+    ) -> Selection | None:
         """Pick among those that are left."""
         left = [instance for instance in candidates if instance not in avoid]
-        return Choice(self._pick(left), 0.0) if left else None
+        return Selection(self._pick(left), 0.0) if left else None
 
     def _pick(self, left: list[str]) -> str:
         raise NotImplementedError
--- a/madderwind/testing/engine_emulator/whole_knowledge.py
+++ b/madderwind/testing/engine_emulator/whole_knowledge.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping, Sequence
 
 from madderwind.placement.costs import PlacementCosts
-from madderwind.placement.placement import Choice
+from madderwind.placement.placement import Selection
 from madderwind.placement.prompts import Generation
 from madderwind.testing.engine_emulator.engine import Engine
 from madderwind.testing.engine_emulator.policies import OwnCounts
@@ -34,7 +34,7 @@
 
     def choose(
         self, now_ms: float, generation: Generation, candidates: Sequence[str], avoid: frozenset[str]
-    ) -> Choice | None:
+    ) -> Selection | None:
         """The upstream whose true state costs least."""
         best: tuple[float, float, str] | None = None
         for instance in candidates:
@@ -42,7 +42,7 @@
                 first_ms, cost = self._cost(generation, self._engines[instance])
                 if best is None or cost < best[0]:
                     best = cost, first_ms, instance
-        return None if best is None else Choice(best[2], best[1])
+        return None if best is None else Selection(best[2], best[1])
 
     def sent(self, now_ms: float, key: str, generation: Generation, instance: str) -> None:
         """Remember how urgent the request is at the upstream that was chosen."""
@@ -63,7 +63,7 @@
         first_ms = engine.settings.first_ms + (ahead + uncached) * self._ms_per_token(engine, generation)
         shared = generation.shared_parts
         missing = sum(part.tokens for part in shared[min(kept, len(shared)) :])
-        cost = self._costs.lateness(first_ms, generation.aim_ms)
+        cost = self._costs.late_cost(first_ms, generation.aim_ms)
         return first_ms, cost + self._costs.reread_per_token * missing
 
     def _urgency(self, generation: Generation, engine: Engine) -> int:
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -113,7 +113,7 @@
     def dispatch_to_home(self, tokens: int) -> None:
         """One balancer sends a long prompt to the home, and the other is told of it."""
         self.one.sent(0.0, "long", generation("q", "x", 0, tokens), self.home)
-        self.other.handle_peer_dispatches(1.0, self.one.take_dispatched())
+        self.other.handle_peer_dispatches(1.0, self.one.drain_dispatches())
 
     def test_a_dispatch_counts_before_any_load_tells_of_it(self) -> None:
         self.assertEqual(home_of(self.other, "p", 1.0), self.home)
@@ -212,7 +212,7 @@
         other.handle_peer_dispatches(0.0, ())
         cold = other.choose(0.0, generation("p", "own"), UPSTREAMS, NOBODY)
         one.sent(0.0, "k", generation("p", "x"), home)
-        other.handle_peer_dispatches(100.0, one.take_dispatched())
+        other.handle_peer_dispatches(100.0, one.drain_dispatches())
         warm = other.choose(100.0, generation("p", "own"), UPSTREAMS, NOBODY)
         assert cold is not None and warm is not None
         self.assertEqual(warm.instance, home)
@@ -223,7 +223,7 @@
         home = home_of(one, "p", shared=12_000)
         copy = next(instance for instance in UPSTREAMS if instance != home)
         one.sent(0.0, "k", generation("p", "x"), copy)
-        other.handle_peer_dispatches(100.0, one.take_dispatched())
+        other.handle_peer_dispatches(100.0, one.drain_dispatches())
         other.handle_peer_load(0.0, {home: (40_000.0, 2.0, 50_000.0)})
         self.assertEqual(home_of(other, "p", 100.0, shared=12_000), copy)
 
@@ -231,8 +231,8 @@
         placement = balancer()
         for number in range(5_000):
             placement.sent(0.0, f"k{number}", generation("p", "x"), "i-0")
-        self.assertLessEqual(len(placement.take_dispatched()), 1_000)
-        self.assertEqual(placement.take_dispatched(), ())
+        self.assertLessEqual(len(placement.drain_dispatches()), 1_000)
+        self.assertEqual(placement.drain_dispatches(), ())
 
     def test_without_notices_a_home_is_presumed_to_keep_its_prefixes(self) -> None:
         placement = balancer(fleet=2)
@@ -306,7 +306,7 @@
             placement.sent(0.0, key, generation("p", key), away)
         records = [placement.attempt_record(key) for key in ("spill", "holder")]
         reasons = [record.reason for record in records if record is not None]
-        self.assertEqual(reasons, [PlacementReason.SPILL, PlacementReason.HOLDER])
+        self.assertEqual(reasons, [PlacementReason.SPILL, PlacementReason.CACHED])
 
     def test_are_none_of_attempts_that_ended(self) -> None:
         placement = balancer()
