--- a/deploy/sites/lay_system.py
+++ b/deploy/sites/lay_system.py
@@ -2,7 +2,7 @@
 
     python3 deploy/sites/lay_system.py [KIT]
 
-KIT is the users' folder of the system (its `sites/` is read). Each of their sites gives one file a variant in
+KIT is the users' folder of the system (its `sites/` and `further/` are read). Each of their sites gives one file a variant in
 `deploy/sites/system/`, beside a copy of the wire's words. Git ignores that folder: none of it is committed.
 The marks and floors of the users' days were set for their own deployment, so variants carry none.
 """
@@ -22,6 +22,8 @@
 KIT = HERE.parents[2] / "given" / "kit" / "more" / "system"
 LAID = HERE / "system"
 WIRE = "wire.json"
+# Where the users' sites lie in their folder of the system.
+SITE_FOLDERS = ("sites", "further")
 
 Site = dict[str, Any]
 Table = dict[str, Any]
@@ -211,6 +213,44 @@
         service["llm"]["kv_tokens"] //= 3
 
 
+def quick_prefill(site: Site) -> None:
+    """Prompts are read twice as fast."""
+    for service in model_services(site):
+        service["llm"]["prefill_tokens_per_ms"] *= 2.0
+
+
+def slow_prefill(site: Site) -> None:
+    """Prompts are read at two thirds of the speed."""
+    for service in model_services(site):
+        service["llm"]["prefill_tokens_per_ms"] /= 1.5
+
+
+def fewer_larger_upstreams(site: Site) -> None:
+    """A third of the model upstreams, each three times as fast and as large."""
+    for service in model_services(site):
+        for entry in service["servers"]:
+            entry["count"] = max(1, entry["count"] // 3)
+        engine = service["llm"]
+        engine["step_ms"] /= 3.0
+        engine["prefill_tokens_per_ms"] *= 3.0
+        engine["kv_tokens"] *= 3
+
+
+def dear_bytes(site: Site) -> None:
+    """Memory is cheap, bytes between zones are dear."""
+    site["prices"]["memory_gb_s"] = 0.1
+    site["prices"]["cross_zone_gb"] = 6000.0
+
+
+def other_kinds(site: Site) -> None:
+    """Of the kinds of request, the rarest is the most frequent."""
+    for traffic in traffics(site):
+        for entry in traffic:
+            names = sorted(entry["mix"], key=entry["mix"].__getitem__)
+            shares = sorted(entry["mix"].values(), reverse=True)
+            entry["mix"] = dict(zip(names, shares, strict=True))
+
+
 def few_connections(site: Site) -> None:
     """A quarter of the connections an upstream takes."""
     for service in site["services"]:
@@ -301,6 +341,11 @@
     small_prefixes,
     giant_prefixes,
     small_memory_upstreams,
+    quick_prefill,
+    slow_prefill,
+    fewer_larger_upstreams,
+    dear_bytes,
+    other_kinds,
     few_connections,
     no_quota,
     no_tenants,
@@ -354,25 +399,33 @@
 
 def lay(kit: Path, laid: Path) -> list[Path]:
     """Writes all variants of the kit's sites; LayError where that can't be done."""
-    sources = sorted((kit / "sites").glob("*.toml"))
-    if not sources:
+    folders = [kit / name for name in SITE_FOLDERS if list((kit / name).glob("*.toml"))]
+    if not folders:
         raise LayError(f"{kit}: no sites there")
     written = []
     try:
-        laid.mkdir(parents=True, exist_ok=True)
-        (laid / WIRE).unlink(missing_ok=True)  # an earlier copy may be read-only, as the kit's is
-        shutil.copyfile(kit / "sites" / WIRE, laid / WIRE)
-        for source in sources:
-            site = tomllib.loads(source.read_text())
-            for change in VARIANTS:
-                path = laid / f"{source.stem}-{variant_name(change)}.toml"
-                path.write_text(f"# {change.__doc__}\n{toml_text(varied(site, change))}")
-                written.append(path)
+        for folder in folders:
+            written += lay_folder(folder, laid if folder.name == SITE_FOLDERS[0] else laid / folder.name)
     except OSError as error:
         raise LayError(f"{error.filename}: {error.strerror}") from error
     return written
 
 
+def lay_folder(sites: Path, laid: Path) -> list[Path]:
+    """Writes all variants of the sites of a folder, beside a copy of its own words of the wire."""
+    laid.mkdir(parents=True, exist_ok=True)
+    (laid / WIRE).unlink(missing_ok=True)  # an earlier copy may be read-only, as the kit's is
+    shutil.copyfile(sites / WIRE, laid / WIRE)
+    written = []
+    for source in sorted(sites.glob("*.toml")):
+        site = tomllib.loads(source.read_text())
+        for change in VARIANTS:
+            path = laid / f"{source.stem}-{variant_name(change)}.toml"
+            path.write_text(f"# {change.__doc__}\n{toml_text(varied(site, change))}")
+            written.append(path)
+    return written
+
+
 def main(words: list[str]) -> int:
     if len(words) > 1:
         print("lay_system.py: one folder at most", file=sys.stderr)
--- a/tests/testing/fault_tests/test_system_days.py
+++ b/tests/testing/fault_tests/test_system_days.py
@@ -225,6 +225,7 @@
     limits = {"memory_mb": 300, "fds": 4000, "link_mbps": 1000.0, "spare": 1}
     tokens = {"mean": 1000.0, "spread": 0.4, "max": 4000.0}
     zones = ("a", "b", "c")
+    mix = {"long": 3.0, "short": 8.0}
     return {
         "name": "here",
         "contracts": ["base", "drain", "config", "engine", "stream", "tenants", "quota"],
@@ -240,7 +241,7 @@
                 "model": "llm",
                 "slots": 64,
                 "conn_cap": 400,
-                "llm": {"kv_tokens": 9000},
+                "llm": {"kv_tokens": 9000, "step_ms": 3.0, "prefill_tokens_per_ms": 60.0},
                 "servers": [{"zone": zone, "count": 2} for zone in zones],
             },
             {
@@ -260,11 +261,12 @@
             },
             {"name": "short", "kind": "unsafe", "service": "app"},
         ],
-        "traffic": [{"zone": zone, "per_s": 10.0, "clients": 4} for zone in zones],
+        "traffic": [{"zone": zone, "per_s": 10.0, "clients": 4, "mix": dict(mix)} for zone in zones],
         "net": {"cross_zone_ms": 1.0},
         "bounds": {"drain_ms": 2000},
         "tolerate": {"machines": 1, "zones": 0},
         "tenants": {"count": 5},
+        "prices": {"memory_gb_s": 3.0, "cross_zone_gb": 1500.0},
         "troubles": [
             {"kind": "burst"},
             {"kind": "hot_tenant", "x": 3.0},
@@ -284,7 +286,7 @@
                     {"at": 3.0, "kind": "config_change", "how": "route"},
                     {"at": 4.0, "kind": "revoke", "count": 1},
                 ],
-                "traffic": [{"zone": zone, "per_s": 7.0, "clients": 4} for zone in zones],
+                "traffic": [{"zone": zone, "per_s": 7.0, "clients": 4, "mix": dict(mix)} for zone in zones],
             }
         ],
     }
@@ -354,6 +356,22 @@
                 self.assertEqual(len(written), len(lay_system.VARIANTS))
                 self.assertTrue(all(path.is_file() for path in written))
 
+    def test_sites_with_words_of_their_own_lie_in_a_folder_beside_them(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            for name in ("sites", "further"):
+                sites = Path(folder) / "kit" / name
+                sites.mkdir(parents=True)
+                (sites / "here.toml").write_text(lay_system.toml_text(site()))
+                (sites / "wire.json").write_text(f'{{"of": "{name}"}}')
+            written = lay_system.lay(sites.parent, Path(folder) / "laid")
+            self.assertEqual(len(written), 2 * len(lay_system.VARIANTS))
+            words = {path.parent.name: (path.parent / "wire.json").read_text() for path in written}
+            self.assertEqual(words, {"laid": '{"of": "sites"}', "further": '{"of": "further"}'})
+
+    def test_the_most_frequent_kind_becomes_the_rarest(self) -> None:
+        other = lay_system.varied(site(), lay_system.other_kinds)
+        self.assertEqual(other["traffic"][0]["mix"], {"long": 8.0, "short": 3.0})
+
 
 def unchanged(site: dict[str, Any]) -> None:
     """No change."""
