--- a/deploy/sites/lay_system.py
+++ b/deploy/sites/lay_system.py
@@ -3,8 +3,8 @@
     python3 deploy/sites/lay_system.py [KIT]
 
 KIT is the users' folder of the system (its `sites/` and `further/` are read). Each of their sites gives one
-file a variant in `deploy/sites/system/`, beside a copy of the wire's words; those of `further/` in a folder of
-that name there. Git ignores that folder: none of it is committed.
+file a variant in `deploy/sites/system/`, beside a copy of the wire's words; those of `further/` in a folder
+of that name there. Git ignores that folder: none of it is committed.
 The marks and floors of the users' days were set for their own deployment, so variants carry none.
 """
 
