Tests' servers listen below the system's own range of ports, a part of it for each worker

What the test connects to was found by binding to port 0 and closing again: until it listens, the system may give that port to any outgoing connection, or to another worker's probe. The test is as it was; its address is taken from a range that nobody else uses.

--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -6,7 +6,6 @@
 import io
 import os
 import random
-import socket
 import tempfile
 import unittest
 from collections.abc import Callable
@@ -40,15 +39,14 @@
 from tests.controlplane.configurations import replacement_body, update
 from tests.controlplane.fleet import heartbeat
 from tests.controlplane.scripted_replica import ScriptedReplica
+from tests.free_ports import LOOPBACK, free_port
 
 DEADLINE_S = 10.0
 
 
 def free_address() -> str:
     """An address that nobody listens at."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"{LOOPBACK}:{free_port()}"
 
 
 class DataPlane:
