--- a/tests/free_ports.py
+++ b/tests/free_ports.py
@@ -1,7 +1,7 @@
 """Ports for servers of a test whose addresses have to be known before they listen.
 
-They lie below the range from which the system gives ports to outgoing connections and to sockets bound to port
-0, and each worker of pytest-xdist has a part of its own: nobody takes one before the test has bound it.
+They lie below the range from which the system gives ports to outgoing connections and to sockets bound to 0,
+and each worker of pytest-xdist has a part of its own: nobody takes one before the test has bound it.
 """
 
 from __future__ import annotations
