A late request that did not run takes back what it counted for; a refusal after a quiet time does not count the quiet

Found by reading the change over. 1. A late request counts for a fifth of its size in the demand, but its refund took the whole size off: demand was understated, by up to four fifths of what never ran, and with it the chance of all was too high. The refund takes back what was counted. 2. What the fleet refuses was added up over the whole time since the last report: where nobody reported for long (one data plane, a quiet tenant), one refusal was told up to 30 s. It reaches back over the horizon (0.6 s) at most; before that the rate worked. The bound's text tells of late requests, and a large tenant (270,590 tokens a second, burst of one second) with late returns from excesses of 3, 6 and 11 s is held against the rule at 6 and 75 data planes; the simulated tenants' usual traffic follows their own limit. The oracle's bounds of prefill and ranks are the placement's own. Where reports come each 200 ms, 2 changes nothing.

--- a/madderwind/dataplane/admission.py
+++ b/madderwind/dataplane/admission.py
@@ -39,7 +39,7 @@
     def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
         """When a request that is refused now would find room."""
 
-    def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
+    def refund(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> None:
         """What was drawn for a request that never ran."""
 
 
@@ -50,6 +50,7 @@
     service: str
     tenant: str | None
     quota_amount: float  # what was drawn for it
+    was_late: bool  # its client had waited beyond the objective when it came
     priority: int
     until_ms: float  # the client's deadline or the route's timeout, whichever comes first
     worthwhile_until_ms: float  # an attempt begun by then can still answer within the route's objective
@@ -141,12 +142,12 @@
         is_late = self._is_late(route, headers)
         if tenant is not None and amount and not self._draw(now_ms, tenant, amount, is_late):
             return Rejected(429, "beyond the quota", self._quota_retry_after_ms(now_ms, tenant))
-        return self._admitted(table, arrived_ms, route, tenant, amount, usage, headers)
+        return self._admitted(table, arrived_ms, route, tenant, amount, usage, headers, is_late)
 
     def never_ran(self, now_ms: float, admitted: Admitted) -> None:
         """The request ends without having run: it does not count for its tenant's quota."""
         if admitted.tenant is not None and admitted.quota_amount:
-            self._quota.refund(now_ms, admitted.tenant, admitted.quota_amount)
+            self._quota.refund(now_ms, admitted.tenant, admitted.quota_amount, is_late=admitted.was_late)
 
     def retry_after_for_ms(self, route: Route) -> float:
         """When a client whose request never ran should come back."""
@@ -181,6 +182,7 @@
         amount: float,
         usage: tuple[int, int] | None,
         headers: Mapping[str, str],
+        is_late: bool,
     ) -> Admitted:
         service = choose_backend(route, self._rng.random())
         priority = route.priority if tenant is None or tenant.priority is None else tenant.priority
@@ -198,6 +200,7 @@
             service=service,
             tenant=None if tenant is None else tenant.name,
             quota_amount=amount,
+            was_late=is_late,
             priority=priority,
             until_ms=until_ms,
             worthwhile_until_ms=min(until_ms, arrived_ms + worthwhile_ms),
--- a/madderwind/limits/isolated_bucket.py
+++ b/madderwind/limits/isolated_bucket.py
@@ -57,11 +57,11 @@
         multiple = self._demand(now_ms) / own_demand if own_demand > 0 else 1.0
         self._level -= amount * max(1.0, multiple)
 
-    def refund(self, now_ms: float, amount: float) -> None:
-        """What was drawn for a request that won't run."""
+    def refund(self, now_ms: float, amount: float, demand: float) -> None:
+        """Take back a request that won't run: what was drawn for it, and what it counted for as demand."""
         self._advance(now_ms)
         self._level = min(self._most, self._level + amount)
-        self._own_demand.add(now_ms, -amount)
+        self._own_demand.add(now_ms, -demand)
 
     def chance(self, now_ms: float) -> float:
         """The chance with which a request is to be admitted now; 1 or more admits all."""
--- a/madderwind/limits/quota.py
+++ b/madderwind/limits/quota.py
@@ -64,10 +64,10 @@
             self.isolated.spend(now_ms, amount)
         self.unreported += amount
 
-    def refund(self, now_ms: float, amount: float) -> None:
-        self.shared.refund(now_ms, amount)
+    def refund(self, now_ms: float, amount: float, demand: float) -> None:
+        self.shared.refund(now_ms, amount, demand)
         if self.isolated is not None:
-            self.isolated.refund(now_ms, amount)
+            self.isolated.refund(now_ms, amount, demand)
         self.unreported -= amount
 
     def drain(self, now_ms: float) -> float:
@@ -130,12 +130,12 @@
         """Whether a request of that size may go on now; if so it is drawn.
 
         `is_late`: its answer can't be in time any more. While there is not room for all, it has a lower
-        chance, and counts for as much less in the demand: what is admitted in all stays the same.
+        chance, and counts for as much less in the demand.
         """
         state = self._tenants.get(tenant_name)
         if state is None or not state.is_configured:
             return True
-        state.record_demand(now_ms, amount * LATE_WEIGHT if is_late else amount)
+        state.record_demand(now_ms, _demand_of(amount, is_late))
         chance = state.chance(now_ms)
         if is_late:
             chance = _late_chance(chance)
@@ -149,11 +149,11 @@
         state = self._tenants.get(tenant_name)
         return 0.0 if state is None else state.shared.retry_after_ms(now_ms)
 
-    def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
-        """An admitted request provably didn't and won't run."""
+    def refund(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> None:
+        """An admitted request provably didn't and won't run; `is_late` as when it was admitted."""
         state = self._tenants.get(tenant_name)
         if state is not None:
-            state.refund(now_ms, amount)
+            state.refund(now_ms, amount, _demand_of(amount, is_late))
 
     def drain_usage(self, now_ms: float) -> Usage:
         """What to report to the others; what was used counts as reported.
@@ -193,6 +193,11 @@
         state.is_configured = True
 
 
+def _demand_of(amount: float, is_late: bool) -> float:
+    """What a request counts for in the demand."""
+    return LATE_WEIGHT * amount if is_late else amount
+
+
 def _late_chance(chance: float) -> float:
     """The chance of a request that is late already, by that of one which can still be in time.
 
--- a/madderwind/limits/shared_bucket.py
+++ b/madderwind/limits/shared_bucket.py
@@ -1,7 +1,8 @@
 """One tenant's token bucket as one data plane sees it: refilled at the whole rate, drawn by the whole fleet.
 
 Every data plane keeps such a bucket of its own. Its own admissions draw on it at once, those of the others
-when they are reported. A request is admitted by chance, the same for all sizes and at all data planes:
+when they are reported. A request is admitted by chance, the same for all sizes and at all data planes (a
+lower one for those that are late already, which count for as much less in the demand; see `limits.quota`):
 
     chance = (rate x HORIZON + level + margin) / (demand x HORIZON)
 
@@ -18,7 +19,9 @@
     admitted in any window <= rate x (window + HORIZON) + burst + margin + (the most that is ever unreported).
 
 While the level is high the last term is what all are asked for while a report is on its way; at the margin it
-is the rate for that time. tests/limits/test_quota_fleet.py holds the sum against the rule.
+is the rate for that time. Where the chance is between 1 and LATE_ADMITTED_CHANCE, late requests are admitted
+beyond their part of the demand: the last term is then what all are asked for, too.
+tests/limits/test_quota_fleet.py holds the sum against the rule.
 """
 
 from __future__ import annotations
@@ -89,12 +92,12 @@
         self._level -= amount
         self._own_use.add(now_ms, amount)
 
-    def refund(self, now_ms: float, amount: float) -> None:
-        """What was drawn for a request that won't run; it is as if it had never been asked for."""
+    def refund(self, now_ms: float, amount: float, demand: float) -> None:
+        """Take back a request that won't run: what was drawn for it, and what it counted for as demand."""
         self._advance(now_ms)
         self._level = min(self.terms.burst, self._level + amount)
         self._own_use.add(now_ms, -amount)
-        self._own_demand.add(now_ms, -amount)
+        self._own_demand.add(now_ms, -demand)
 
     def record_peer_use(self, now_ms: float, amount: float) -> None:
         """Draw what the others admitted."""
@@ -146,16 +149,21 @@
         return self._refused_backlog / self.terms.rate_per_s * MS_PER_S
 
     def _advance_backlog(self, now_ms: float) -> None:
-        """Add what the fleet refused since the last time; the rate works it off once all is admitted."""
+        """Add what the fleet refused since the last time; the rate works it off once all is admitted.
+
+        What is refused now says nothing of the time before the horizon: through a longer gap, in which
+        nothing was asked for or reported here, the rate worked.
+        """
+        rate_per_s = self.terms.rate_per_s
         elapsed_s = max(0.0, now_ms - self._backlog_at_ms) / MS_PER_S
+        recent_s = min(elapsed_s, HORIZON_S)
         self._backlog_at_ms = now_ms
+        backlog = max(0.0, self._refused_backlog - rate_per_s * (elapsed_s - recent_s))
         admitted_part = min(1.0, max(0.0, self.chance(now_ms)))
-        if admitted_part < 1.0:
-            growth_per_s = (1.0 - admitted_part) * self.demand(now_ms)
-        else:
-            growth_per_s = -self.terms.rate_per_s
-        most = MAX_RETRY_AFTER_S * self.terms.rate_per_s
-        self._refused_backlog = min(max(0.0, self._refused_backlog + growth_per_s * elapsed_s), most)
+        refused_per_s = (1.0 - admitted_part) * self.demand(now_ms)
+        growth_per_s = refused_per_s if admitted_part < 1.0 else -rate_per_s
+        backlog = max(0.0, backlog + growth_per_s * recent_s)
+        self._refused_backlog = min(backlog, MAX_RETRY_AFTER_S * rate_per_s)
 
     def demand(self, now_ms: float) -> float:
         """What all data planes together are asked for a second."""
--- a/madderwind/testing/engine_emulator/whole_knowledge.py
+++ b/madderwind/testing/engine_emulator/whole_knowledge.py
@@ -9,15 +9,12 @@
 from collections.abc import Mapping, Sequence
 
 from madderwind.placement.costs import PlacementCosts
-from madderwind.placement.placement import Selection
+from madderwind.placement.placement import PREFILL_BOUNDS_MS, RANKS, Selection
 from madderwind.placement.prompts import Generation
 from madderwind.testing.engine_emulator.engine import Engine
 from madderwind.testing.engine_emulator.policies import OwnCounts
 
-THOUSAND = 1000.0
-# Prefills up to the first bound are short, those beyond the last are long; as the placement tells them apart.
-PREFILL_BOUNDS_MS = (120.0, 480.0)
-RANKS = 3
+MILLION = 1_000_000.0
 
 
 class WholeKnowledge(OwnCounts):
@@ -77,6 +74,6 @@
         """A step's time over the tokens that it prefills, at half of this prompt's context."""
         settings = engine.settings
         step_ms = settings.step_ms + settings.step_ms_per_sequence * engine.running
-        pairs = settings.pairs_ms_per_million * generation.prompt_tokens / 2 / THOUSAND / THOUSAND
+        pairs = settings.pairs_ms_per_million * generation.prompt_tokens / 2 / MILLION
         per_token = step_ms / settings.chunk_tokens + 1.0 / settings.prefill_tokens_per_ms + pairs
         return per_token * settings.slowness
--- a/tests/configuration/cost_of_change.py
+++ b/tests/configuration/cost_of_change.py
@@ -32,7 +32,7 @@
     def admit(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> bool:
         return True
 
-    def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
+    def refund(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> None:
         return None
 
     def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -341,7 +341,7 @@
             self.drawn.append((tenant_name, amount))
         return self.admits
 
-    def refund(self, now_ms: float, tenant_name: str, amount: float) -> None:
+    def refund(self, now_ms: float, tenant_name: str, amount: float, *, is_late: bool = False) -> None:
         self.drawn.remove((tenant_name, amount))
 
     def retry_after_ms(self, now_ms: float, tenant_name: str) -> float:
--- a/tests/limits/quota_fleet.py
+++ b/tests/limits/quota_fleet.py
@@ -77,6 +77,7 @@
         self._events: list[tuple[float, int, Callable[[], object]]] = []
         self._command = itertools.count()
         self._exchange = UsageExchange()
+        self._usual_per_s = tenant.rate_per_s * USUAL_PART / MEAN_SIZE
         self._multiple = 1.0
         # Where given, clients come back so late that their answer can't be in time, and say so.
         self.late_return_ms: float | None = None
@@ -183,7 +184,7 @@
         return quota
 
     def _next_arrival(self) -> None:
-        per_s = TENANT.rate_per_s * USUAL_PART * self._multiple / MEAN_SIZE
+        per_s = self._usual_per_s * self._multiple
         amount = self._rng.choices(SIZES, WEIGHTS)[0]
         self.arrivals.append(Arrival(self._now_ms, amount, self._try(amount)))
         if not self.arrivals[-1].is_admitted:
--- a/tests/limits/test_quota.py
+++ b/tests/limits/test_quota.py
@@ -57,6 +57,32 @@
         self.assertGreater(fresh, 3 * late)
         self.assertGreater(late, 0)
 
+    def test_a_late_request_that_did_not_run_leaves_the_demand_as_it_was(self) -> None:
+        limited = quota()
+        limited.admit(0.0, "blue", 5.0)
+        before = dict(limited.drain_usage(0.0).demand_per_s)
+        for _ in range(3):
+            self.assertTrue(limited.admit(0.0, "blue", 4.0, is_late=True))
+            limited.refund(0.0, "blue", 4.0, is_late=True)
+        after = limited.drain_usage(0.0).demand_per_s["blue"]
+        self.assertAlmostEqual(after, before["blue"])
+
+    def test_a_refusal_after_a_long_quiet_is_told_little(self) -> None:
+        limited = quota()
+        now_ms = 60_000.0
+        while limited.admit(now_ms, "blue", 30.0):
+            pass
+        self.assertLess(limited.retry_after_ms(now_ms, "blue"), 10_000.0)
+
+    def test_a_burst_of_refusals_is_worked_off_while_nothing_is_reported(self) -> None:
+        limited = quota()
+        limited.handle_peer_usage(0.0, {"blue": 20.0}, {})
+        for step in range(1, 21):
+            limited.handle_peer_usage(step * 200.0, {"blue": 2.0}, {"blue": 40.0})
+        told_ms = limited.retry_after_ms(4_000.0, "blue")
+        self.assertGreater(told_ms, 4_000.0)
+        self.assertLess(limited.retry_after_ms(6_600.0, "blue"), told_ms + 1_000.0)
+
     def test_who_is_late_already_is_admitted_where_there_is_room(self) -> None:
         limited = quota()
         self.assertTrue(all(limited.admit(step * 1000.0, "blue", 1.0, is_late=True) for step in range(50)))
--- a/tests/limits/test_quota_fleet.py
+++ b/tests/limits/test_quota_fleet.py
@@ -13,6 +13,8 @@
 SEEDS = range(3)
 FLEETS = (6, 89)
 HOT = 7.5
+# Its burst is as long as its rate's second, so that the slack is a smaller part of what it may send.
+LARGE_TENANT = attrs.evolve(TENANT, rate_per_s=270_590.0, burst=270_590.0)
 Story = Callable[[QuotaFleet], None]
 
 
@@ -88,6 +90,17 @@
 
         self.holds(story, fleets=(6, 9, 89))
 
+    def test_a_large_tenant_with_late_returns_from_excesses_of_any_length(self) -> None:
+        for data_planes in (6, 75):
+            for lasts_s in (3.0, 6.0, 11.0):
+                fleet = QuotaFleet(data_planes, 1, tenant=LARGE_TENANT)
+                fleet.late_return_ms = 2_500.0
+                fleet.demand_multiple(10.0, HOT)
+                fleet.demand_multiple(10.0 + lasts_s, 1.0)
+                fleet.run(16.0 + lasts_s)
+                with self.subTest(data_planes=data_planes, lasts_s=lasts_s):
+                    self.assertLess(fleet.largest_window(), 1.0)
+
     def test_such_a_tenant_while_the_primary_fails_over(self) -> None:
         for data_planes in FLEETS:
 
