--- a/madderwind/limits/shared_bucket.py
+++ b/madderwind/limits/shared_bucket.py
@@ -151,12 +151,13 @@
     def _advance_backlog(self, now_ms: float) -> None:
         """Add what the fleet refused since the last time; the rate works it off once all is admitted.
 
-        What is refused now says nothing of the time before the horizon: through a longer gap, in which
-        nothing was asked for or reported here, the rate worked.
+        While the others are reported, what is refused now says nothing of the time before the horizon:
+        through a longer gap, in which nothing was asked for or reported here, the rate worked. Without
+        reports a gap tells nothing, and refusals are taken to have gone on.
         """
         rate_per_s = self.terms.rate_per_s
         elapsed_s = max(0.0, now_ms - self._backlog_at_ms) / MS_PER_S
-        recent_s = min(elapsed_s, HORIZON_S)
+        recent_s = min(elapsed_s, HORIZON_S if self.is_caught_up(now_ms) else MEAN_DEMAND_S)
         self._backlog_at_ms = now_ms
         backlog = max(0.0, self._refused_backlog - rate_per_s * (elapsed_s - recent_s))
         admitted_part = min(1.0, max(0.0, self.chance(now_ms)))
--- a/tests/limits/test_quota.py
+++ b/tests/limits/test_quota.py
@@ -74,6 +74,17 @@
             pass
         self.assertLess(limited.retry_after_ms(now_ms, "blue"), 10_000.0)
 
+    def test_a_gap_without_reports_does_not_work_off_what_was_refused(self) -> None:
+        told_ms = []
+        for is_connected in (True, False):
+            limited = quota()
+            limited.handle_peer_usage(0.0, {"blue": 20.0}, {})
+            for step in range(1, 21):
+                limited.handle_peer_usage(step * 200.0, {"blue": 2.0}, {"blue": 40.0})
+            limited.set_data_planes(4_000.0, 3, is_connected)
+            told_ms.append(limited.retry_after_ms(6_000.0, "blue"))
+        self.assertGreater(told_ms[1], told_ms[0] + 1_000.0)
+
     def test_a_burst_of_refusals_is_worked_off_while_nothing_is_reported(self) -> None:
         limited = quota()
         limited.handle_peer_usage(0.0, {"blue": 20.0}, {})
