--- a/madderwind/dataplane/attempt_exchange.py
+++ b/madderwind/dataplane/attempt_exchange.py
@@ -18,7 +18,7 @@
 from madderwind.dataplane.answer_relay import AnswerRelay
 from madderwind.dataplane.attempts import Attempt, AttemptResult, Progress
 from madderwind.dataplane.client_requests import ClientRequest
-from madderwind.dataplane.headers import Onward, headers_onward
+from madderwind.dataplane.headers import Onward, deadline_header, headers_onward
 from madderwind.dataplane.request_parts import MS_PER_S, RequestParts
 from madderwind.dataplane.upstream_heads import INSTANCE, REQUEST_ID, Head, read_head
 from madderwind.transport.answering import Addressee
@@ -82,6 +82,7 @@
             self._may_write,
             self._progress.is_idempotent,
             addresses=self._addressee,
+            headers_at_write=self._deadline_header,
         )
         until_s = self._admitted.until_ms / MS_PER_S
         outcome = await self._parts.pool.exchange(
@@ -97,13 +98,16 @@
         urgency = self._parts.chooser.urgency(self._key, self._admitted.generation, self._admitted.priority)
         onward = Onward(
             self._attempt.instance,
-            self._admitted.until_ms - self._now_ms(),
             self._admitted.tenant,
             urgency,
             self._relay.resume_after(),
         )
         return headers_onward(self._headers, onward)
 
+    def _deadline_header(self) -> dict[str, str]:
+        """Called as the request is written: a connection may take long to come up."""
+        return deadline_header(self._admitted.until_ms - self._now_ms())
+
     def _may_write(self) -> bool:
         """Whether it is still right to send, now that the connection is up."""
         if not self._parts.upstreams.takes_new(self._attempt.instance):
--- a/madderwind/dataplane/headers.py
+++ b/madderwind/dataplane/headers.py
@@ -64,20 +64,18 @@
 
 
 class Onward(msgspec.Struct, frozen=True):
-    """What the system tells an upstream about a request."""
+    """What the system tells an upstream about a request, but for its deadline."""
 
     instance: str
-    left_ms: float
     tenant: str | None
     priority: int
     last_event_id: str | None = None  # in place of the client's own
 
 
 def headers_onward(headers: CIMultiDictProxy[str], onward: Onward) -> CIMultiDict[str]:
-    """A client's headers as the upstream gets them."""
+    """A client's headers as the upstream gets them; `deadline_header` comes as the request is written."""
     dropped = _NOT_ONWARD | _named_by_connection(headers)
     passed = CIMultiDict((name, value) for name, value in headers.items() if name.lower() not in dropped)
-    passed[DEADLINE] = str(max(1, int(onward.left_ms)))
     passed[EXPECT_INSTANCE] = onward.instance
     passed[PRIORITY] = str(min(max(onward.priority, 0), MOST_PRIORITY))
     if onward.tenant is not None:
@@ -87,6 +85,11 @@
     return passed
 
 
+def deadline_header(left_ms: float) -> dict[str, str]:
+    """The header that tells an upstream how much time is left, in whole ms, 1 at least."""
+    return {DEADLINE: str(max(1, int(left_ms)))}
+
+
 def headers_back(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
     """An upstream's headers as the client gets them."""
     dropped = _NOT_BACK | _named_by_connection(headers)
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -65,7 +65,8 @@
 class EncodedRequest:
     """One attempt's request, and whether its writing has begun.
 
-    `may_write` is asked when the connection is up: what was right to send may by then be wrong.
+    `may_write` is asked when the connection is up: what was right to send may by then be wrong. For the same
+    reason `headers_at_write` is called then: it gives the headers whose values depend on the time.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "body",
         "connection",
         "headers",
+        "headers_at_write",
         "limit",
         "may_repeat",
         "may_write",
@@ -99,9 +101,11 @@
         upload: Upload | None = None,
         sink: Sink | None = None,
         addresses: Addresses | None = None,
+        headers_at_write: Callable[[], dict[str, str]] = dict,
     ) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_write = may_write
+        self.headers_at_write = headers_at_write
         self.may_repeat = may_repeat  # whether a second copy of it would do no harm
         self.on_whole = on_whole  # called when its last byte has been written
         self.upload = upload  # in the place of `body`
@@ -156,6 +160,7 @@
             raise _NotWritten
         encoded.connection, connection.addresses = connection, encoded.addresses
         encoded.written = True
+        self.headers.update(encoded.headers_at_write())
         encoded.begun = not self._body  # a head that a body follows leaves with it, in `write_bytes`
         self.url = _Target(encoded.target)  # type: ignore[assignment]
         response = await super().send(conn)
--- a/tests/dataplane/chaos.py
+++ b/tests/dataplane/chaos.py
@@ -1,7 +1,8 @@
 """A data plane under everything at once: upstreams that fail in all ways, clients that leave, planned work.
 
-By hand: `python -m tests.dataplane.chaos --seeds 200 --first 1`. Each seed takes about two seconds. Loopback
-and the steady clock are real, so a seed draws the same plan again, and not the same order of events.
+By hand: `python -m tests.dataplane.chaos --seeds 200 --first 1`. Loopback is real, the clock is virtual: what
+a busy machine adds to the time between two events is not the data plane's, so that bounds can be close. With
+`--real-clock` the steady clock is real as well, and the bounds leave room for a busy machine.
 """
 
 from __future__ import annotations
@@ -11,21 +12,17 @@
 import random
 import sys
 from collections import defaultdict
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
 
 from madderwind.testing.fault_tests.wire import Message, answer, chunk
 from tests.dataplane.fleet import SIGNATURE, Client, Fleet, Writer, document, event, record, stream_head
+from tests.dataplane.forwarder import VirtualClockLoop
 
 MS_PER_S = 1000.0
 TIMEOUT_MS = 700
-# The rules' own bounds, and what a busy machine may add.
-LATE_MS, MEASURED_WITHIN_MS = 500.0, 400.0
-# Nothing is sent for a client that has left; so long it may take to be noticed.
-NOTICED_WITHIN_MS = 400.0
-# What an upstream has sent is the client's so soon.
-PASSED_ON_WITHIN_MS = 150.0
 REQUESTS, CLIENTS, UPSTREAMS = 48, 8, 4
 DAY_S = 1.2
 ROUTES = ("safe", "unsafe", "stream", "resumable")
@@ -36,6 +33,28 @@
 LONG_BODY = 150_000
 
 
+class Bounds(msgspec.Struct, frozen=True):
+    """How late what happens may be noticed, ms.
+
+    Attributes:
+        late: How long after the route's time a request may end.
+        measured_within: How late an upstream may note what was sent to it, and its time be over.
+        noticed_within: How long it may take to notice that a client has left.
+        passed_on_within: How soon what an upstream has sent is the client's.
+    """
+
+    late: float
+    measured_within: float
+    noticed_within: float
+    passed_on_within: float
+
+
+# The rules' own bounds, and what a busy machine may add.
+REAL_CLOCK = Bounds(late=500.0, measured_within=400.0, noticed_within=400.0, passed_on_within=150.0)
+# Timers fire early or late by their clock's resolution at most; a header tells whole ms.
+VIRTUAL_CLOCK = Bounds(late=20.0, measured_within=5.0, noticed_within=5.0, passed_on_within=5.0)
+
+
 class Arrival(msgspec.Struct):
     """A request as an upstream had it."""
 
@@ -70,8 +89,9 @@
 class Chaos:
     """One seed's day."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, bounds: Bounds = VIRTUAL_CLOCK) -> None:
         self._rng = random.Random(seed)
+        self._bounds = bounds
         self._seed = seed
         self.arrivals: list[Arrival] = []
         self.sent: dict[str, Sent] = {}
@@ -287,15 +307,15 @@
             raise Broken(f"TWICE: {name} ran {runs} times")
         most_ms = min(sent.deadline_ms or TIMEOUT_MS, TIMEOUT_MS)
         for arrival in arrivals:
-            end_ms = sent.sent_ms + most_ms + MEASURED_WITHIN_MS
+            end_ms = sent.sent_ms + most_ms + self._bounds.measured_within
             if arrival.left_ms is None or arrival.at_ms + arrival.left_ms > end_ms:
                 raise Broken(f"BUDGET: {name} had {arrival.left_ms} ms at {arrival.instance}")
-            if sent.left_at_ms is not None and arrival.at_ms > sent.left_at_ms + NOTICED_WITHIN_MS:
+            if sent.left_at_ms is not None and arrival.at_ms > sent.left_at_ms + self._bounds.noticed_within:
                 raise Broken(
                     f"GONE: {name} came {arrival.at_ms - sent.left_at_ms:.0f} ms after its client left"
                 )
             told_ms = self.told_ms.get(arrival.instance)
-            if told_ms is not None and arrival.at_ms > told_ms + MEASURED_WITHIN_MS:
+            if told_ms is not None and arrival.at_ms > told_ms + self._bounds.measured_within:
                 raise Broken(f"DRAIN: {name} came to {arrival.instance} after it left")
 
     def _check_answer(self, sent: Sent, arrivals: list[Arrival]) -> None:
@@ -306,7 +326,7 @@
         if not sent.status and (arrivals or self._ending is None):
             raise Broken(f"LOST: {name} was read and has no answer")
         self._check_whole(name, sent, arrivals)
-        if sent.ended_ms - sent.sent_ms > TIMEOUT_MS + LATE_MS:
+        if sent.ended_ms - sent.sent_ms > TIMEOUT_MS + self._bounds.late:
             raise Broken(f"CONFIG: {name} took {sent.ended_ms - sent.sent_ms:.0f} ms")
         ran = any(arrival.has_run for arrival in arrivals)
         if sent.status in (408, 421, 429, 503) and ran and sent.route not in IDEMPOTENT:
@@ -318,7 +338,9 @@
 
     def _check_whole(self, name: str, sent: Sent, arrivals: list[Arrival]) -> None:
         """What an upstream answered whole, well within the time, is the client's."""
-        until_ms = sent.sent_ms + min(sent.deadline_ms or TIMEOUT_MS, TIMEOUT_MS) - PASSED_ON_WITHIN_MS
+        until_ms = (
+            sent.sent_ms + min(sent.deadline_ms or TIMEOUT_MS, TIMEOUT_MS) - self._bounds.passed_on_within
+        )
         in_time = [arrival for arrival in arrivals if arrival.whole_ms and arrival.whole_ms < until_ms]
         if in_time and not (sent.is_whole and sent.status == 200):
             raise Broken(f"LOST: {name} was answered whole by {in_time[0].instance}")
@@ -332,16 +354,29 @@
             raise Broken(f"MIXED: {name} has another's body")
 
 
+def play(seeds: Iterable[int], has_real_clock: bool = False) -> None:
+    """Play days, all at the same time: each has a fleet of its own. Raises Broken."""
+    bounds = REAL_CLOCK if has_real_clock else VIRTUAL_CLOCK
+
+    async def days() -> None:
+        await asyncio.gather(*(Chaos(seed, bounds).play() for seed in seeds))
+
+    loop_factory = None if has_real_clock else VirtualClockLoop
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(days())
+
+
 def main() -> None:
     """Play seeds one after the other; the exit status is 1 where a rule did not hold."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--real-clock", action="store_true")
     chosen = parser.parse_args()
     broken = 0
     for seed in range(chosen.first, chosen.first + chosen.seeds):
         try:
-            asyncio.run(Chaos(seed).play())
+            play([seed], chosen.real_clock)
         except Broken as error:
             broken += 1
             print(f"seed {seed}: {error}", flush=True)
--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -81,6 +81,37 @@
         return super().time() + self._ahead_s
 
 
+class VirtualClockLoop(asyncio.SelectorEventLoop):
+    """Its clock stands still while anything is done, and jumps to the next timer once nothing is left to do.
+
+    What a busy machine adds to the time between two events doesn't show: only timers take time.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._virtual_s = 0.0
+        select = self._selector.select  # type: ignore[attr-defined]
+
+        def select_or_jump(timeout_s: float | None) -> Any:
+            if timeout_s is None or timeout_s <= 0.0:
+                return select(timeout_s)
+            if events := select(IN_TRANSIT_S):
+                return events
+            self._virtual_s += timeout_s
+            return []
+
+        self._selector.select = select_or_jump  # type: ignore[attr-defined]
+
+    def time(self) -> float:
+        return self._virtual_s
+
+
+def run_by_virtual_clock(story: Coroutine[Any, Any, None]) -> None:
+    """Run a story on a loop of its own whose clock only timers move."""
+    with asyncio.Runner(loop_factory=VirtualClockLoop) as runner:
+        runner.run(story)
+
+
 def run_jumping(story: Coroutine[Any, Any, None]) -> None:
     """Run a story on a loop of its own whose time jumps."""
     with asyncio.Runner(loop_factory=JumpingLoop) as runner:
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -23,7 +23,14 @@
     may_promise,
 )
 from madderwind.dataplane.event_stream import EventSplitter, EventTooLong
-from madderwind.dataplane.headers import Onward, headers_back, headers_onward, milliseconds, token_usage
+from madderwind.dataplane.headers import (
+    Onward,
+    deadline_header,
+    headers_back,
+    headers_onward,
+    milliseconds,
+    token_usage,
+)
 from madderwind.dataplane.retrying import MOST_UNSENT, Retries
 from madderwind.dataplane.stream_timeouts import STREAM_TIMEOUT_MS, StreamTimeouts
 from madderwind.dataplane.upstream_heads import Head, read_head
@@ -220,7 +227,7 @@
 class Headers(unittest.TestCase):
     def onward(self, headers: Mapping[str, str], tenant: str | None = "acme") -> CIMultiDict[str]:
         proxy = CIMultiDictProxy(CIMultiDict(headers))
-        return headers_onward(proxy, Onward("i-1", 1234.9, tenant, 2))
+        return headers_onward(proxy, Onward("i-1", tenant, 2))
 
     def test_of_one_connection_are_not_passed_on(self) -> None:
         passed = self.onward(
@@ -230,13 +237,19 @@
             {name: passed[name] for name in passed},
             {
                 "X-On": "2",
-                "X-Deadline-Ms": "1234",
                 "X-Expect-Instance": "i-1",
                 "Priority": "2",
                 "X-Tenant-Id": "acme",
             },
         )
 
+    def test_of_the_deadline_is_whole_ms_and_one_at_least(self) -> None:
+        self.assertEqual(deadline_header(1234.9), {"X-Deadline-Ms": "1234"})
+        self.assertEqual(deadline_header(-3.0), {"X-Deadline-Ms": "1"})
+
+    def test_of_a_clients_own_deadline_are_not_passed_on(self) -> None:
+        self.assertNotIn("X-Deadline-Ms", self.onward({"x-deadline-ms": "9000"}))
+
     def test_meant_for_the_other_end_are_passed_on_whatever_the_connections_name(self) -> None:
         named = {
             "Connection": "X-Model, X-Request-Id, X-Hop",
--- a/tests/dataplane/test_time_limits.py
+++ b/tests/dataplane/test_time_limits.py
@@ -11,6 +11,7 @@
 from madderwind.dataplane.attempt_exchange import AttemptExchange
 from madderwind.dataplane.retrying import Retries
 from madderwind.testing.fault_tests.wire import chunk
+from madderwind.transport.upstreams import EncodedRequest, _BoundedConnector
 from tests.dataplane.fleet import (
     SIGNATURE,
     Client,
@@ -23,6 +24,7 @@
     served,
     stream_head,
 )
+from tests.dataplane.forwarder import run_by_virtual_clock
 from tests.standins import Behaviour, Upstream, resets, run, silent, within
 
 MS_PER_S = 1000.0
@@ -34,6 +36,8 @@
 # Timers may fire early by the resolution of their clock.
 CLOCK_STEP_MS = 10.0
 LONG_WAIT_MS = 400.0
+# Less than the time in which a connection has to come up.
+CONNECTING_MS = 200.0
 BODY_BEYOND_BUFFERS = 16 * 1024 * 1024
 
 
@@ -97,6 +101,36 @@
         for first in (refuses(), resets):
             self.assert_ends_with_the_first(first)
 
+    def assert_told_as_it_is_written(self) -> None:
+        """A connection that takes `CONNECTING_MS` to come up takes them from the upstream's time."""
+        told: list[tuple[float, float]] = []
+        ordinary = _BoundedConnector.connect
+
+        async def connect_late(*arguments: Any, **named: Any) -> Any:
+            await asyncio.sleep(CONNECTING_MS / MS_PER_S)
+            return await ordinary(*arguments, **named)
+
+        async def story() -> None:
+            async with Fleet(noting(served(), told), document=document()) as fleet:
+                with mock.patch.object(_BoundedConnector, "connect", connect_late):
+                    await fleet.ask("/unsafe/x", X_Deadline_Ms="900")
+
+        run_by_virtual_clock(story())
+        self.assertEqual([900.0 - CONNECTING_MS], [left_ms for _, left_ms in told])
+
+    def test_is_what_is_left_when_the_connection_is_up(self) -> None:
+        self.assert_told_as_it_is_written()
+
+    def test_of_the_time_before_the_connection_is_up_would_be_noticed(self) -> None:
+        ordinary = EncodedRequest.__init__
+
+        def as_it_is_prepared(encoded: EncodedRequest, *arguments: Any, **named: Any) -> None:
+            headers = named["headers_at_write"]()
+            ordinary(encoded, *arguments, **{**named, "headers_at_write": lambda: headers})
+
+        with mock.patch.object(EncodedRequest, "__init__", as_it_is_prepared):
+            self.assertRaises(AssertionError, self.assert_told_as_it_is_written)
+
     def test_that_begins_anew_with_each_send_would_be_noticed(self) -> None:
         with (
             mock.patch.object(AttemptExchange, "_now_ms", lambda self: self._admitted.until_ms - 900),
