Long commands are prepared beside the event loop; nobody stands still while a configuration is read

Cause: a replacement of 14,000 routes (3.9 MB) was read while its event was handled, at the primary and again at each backup. Three control planes as processes, 20 replacements,: longest heartbeat 558 ms beside them (6 in calm), event_loop_stalled up to 427 ms, view_changed 8 times at each after the founding, primary_changed 2 or 3 times. Each running 52 of 100 ms: 1,608 ms, 1,541 ms, view_changed 111 times, primary_changed 70 to 75 times, replacements 2.2 s.

Change: a replicated state names what has to be prepared for a command (`preparation`), the replica asks its host for it (Prepare, PreparationCompleted), the host runs it on a thread. The primary decides on commands in their order, up to one that is being prepared; a follower acknowledges from its disk at once, and applies when it has read. What is not applied is neither called committed nor fresh. A command that waited for longer than its caller does is dropped.

--- a/madderwind/configuration/history.py
+++ b/madderwind/configuration/history.py
@@ -11,6 +11,8 @@
 
 import hashlib
 from collections import deque
+from collections.abc import Callable
+from functools import partial
 from itertools import islice
 
 import msgspec
@@ -25,6 +27,8 @@
 RETAINED_COMMAND_BYTES = 2 * 1024 * 1024
 DIGEST_BYTES = 16
 NO_VERSION = 0
+# Reading this much takes about 10 ms of a busy core.
+LONG_COMMAND_BYTES = 128 * 1024
 
 
 class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -49,17 +53,19 @@
 
 
 class _Prepared(msgspec.Struct, frozen=True):
-    """The document that a command makes of its base, kept so that checking and applying read it once."""
+    """What a command makes of its base, kept so that checking and applying read it once."""
 
     base: Document | None
     command: Command
-    document: Document
+    result: Document | ConfigurationError
+    digest: bytes
 
 
 class _PreparationCache:
     """The last command's document, shared by a history and its copies.
 
-    A replica checks a command, appends it and commits it, each on a copy of its own.
+    A replica checks a command, appends it and commits it, each on a copy of its own. Any thread may prepare:
+    documents are never changed, and the last one prepared is replaced at once.
     """
 
     def __init__(self) -> None:
@@ -67,11 +73,29 @@
 
     def document(self, base: Document | None, command: Command) -> Document:
         """What the command makes of the base; raises ConfigurationError."""
+        result = self.prepared(base, command).result
+        if isinstance(result, ConfigurationError):
+            # A new one each time: an error that is kept would keep all that its traceback refers to.
+            raise ConfigurationError(result.field, result.reason)
+        return result
+
+    def prepared(self, base: Document | None, command: Command) -> _Prepared:
+        """All that is known of the command on top of the base."""
+        found = self.find(base, command)
+        if found is None:
+            found = _Prepared(base, command, _read(base, command), _digest(command))
+            self._last = found
+        return found
+
+    def prepare(self, base: Document | None, command: Command) -> None:
+        """Have `prepared` at hand."""
+        self.prepared(base, command)
+
+    def find(self, base: Document | None, command: Command) -> _Prepared | None:
+        """The command on top of the base, where it was prepared last."""
         last = self._last
-        if last is None or last.base is not base or last.command != command:
-            last = _Prepared(base, command, _ordered(base, command))
-            self._last = last
-        return last.document
+        is_same = last is not None and last.base is base and last.command == command
+        return last if is_same else None
 
 
 class ConfigurationHistory:
@@ -99,12 +123,20 @@
             return CommandResult(CommandOutcome.INVALID, self.version, error.field, error.reason)
         return None
 
+    def preparation(self, command: Command) -> Callable[[], None] | None:
+        """What reads a long command beforehand; None where it is short, read already, or on another base."""
+        is_long = len(command.body) >= LONG_COMMAND_BYTES and command.base_version == self.version
+        if not is_long or self._prepared.find(self.document, command) is not None:
+            return None
+        return partial(self._prepared.prepare, self.document, command)
+
     def apply(self, command: Command) -> None:
         """Change the state by a command that `validate` let pass on the same state."""
+        prepared = self._prepared.prepared(self.document, command)
         document = self._prepared.document(self.document, command)
         record = CommandRecord(document.version, self.version, command.kind.value, command.body)
         self.document = document
-        self._digests[command.base_version] = _digest(command)
+        self._digests[command.base_version] = prepared.digest
         if len(self._digests) > RETAINED_DIGESTS:
             del self._digests[next(iter(self._digests))]
         self._retain(record)
@@ -175,6 +207,14 @@
     return digest.digest()
 
 
+def _read(base: Document | None, command: Command) -> Document | ConfigurationError:
+    """The document that a command makes of the present one, or why it makes none."""
+    try:
+        return _ordered(base, command)
+    except ConfigurationError as error:
+        return error.with_traceback(None)
+
+
 def _ordered(base: Document | None, command: Command) -> Document:
     """The document that a command makes of the present one; raises ConfigurationError."""
     if command.kind is CommandKind.UPDATE:
--- a/madderwind/controlplane/core.py
+++ b/madderwind/controlplane/core.py
@@ -46,6 +46,7 @@
     CommandSubmitted,
     Event,
     MessageReceived,
+    PreparationCompleted,
     ReadSubmitted,
     SeedsChanged,
     ShutdownRequested,
@@ -121,7 +122,7 @@
     # --- the replica ---
 
     def handle_replica_event(
-        self, now_ms: float, event: WriteCompleted | WriteFailed | ShutdownRequested
+        self, now_ms: float, event: WriteCompleted | WriteFailed | PreparationCompleted | ShutdownRequested
     ) -> list[Effect]:
         """Something happened that concerns the replica alone."""
         return self._run(now_ms, self._handle(now_ms, event))
--- a/madderwind/controlplane/effects.py
+++ b/madderwind/controlplane/effects.py
@@ -7,7 +7,7 @@
 from madderwind.distribution.deliveries import Close, SendTo, SendToAll
 from madderwind.log_events.event import LogLine
 from madderwind.messages.peering import PeerFrame
-from madderwind.replication.actions import Rewrite, Write
+from madderwind.replication.actions import Prepare, Rewrite, Write
 from madderwind.replication.commands import CommandResult
 
 
@@ -61,5 +61,6 @@
     | SaveCheckpoint
     | Write
     | Rewrite
+    | Prepare
     | LogLine
 )
--- a/madderwind/controlplane/host.py
+++ b/madderwind/controlplane/host.py
@@ -17,6 +17,7 @@
     SendToPeer,
 )
 from madderwind.controlplane.peer_links import PeerLinks
+from madderwind.controlplane.preparation_thread import PreparationThread
 from madderwind.controlplane.subscriber_streams import SubscriberStreams
 from madderwind.distribution.deliveries import Close, SendTo, SendToAll
 from madderwind.log_events.event import LogLine
@@ -24,9 +25,9 @@
 from madderwind.messages.peering import PeerFrame, peer_frames
 from madderwind.messages.status import ControlPlaneStatus
 from madderwind.registry.checkpoint import RegistryCheckpoint
-from madderwind.replication.actions import Rewrite, Write
+from madderwind.replication.actions import Prepare, Rewrite, Write
 from madderwind.replication.commands import Command, CommandResult
-from madderwind.replication.events import ShutdownRequested
+from madderwind.replication.events import PreparationCompleted, ShutdownRequested
 from madderwind.storage.record_file import RecordFile
 from madderwind.structured_log import Log, write_line
 
@@ -51,6 +52,7 @@
         self._links = PeerLinks(own_address, self._peer_connected)
         self._streams = SubscriberStreams()
         self._disk = DiskThread(record_file, self._report_from_thread)
+        self._preparation = PreparationThread(self._report_prepared)
         self._checkpoint = checkpoint
         self._checkpoint_writer = CheckpointWriter(checkpoint, self._report_saved)
         self._checkpoint_offered_s = 0.0
@@ -74,6 +76,7 @@
             SaveCheckpoint: self._save_checkpoint,
             Write: self._disk.submit,
             Rewrite: self._disk.submit,
+            Prepare: self._preparation.submit,
             LogLine: self._log_line,
         }
 
@@ -98,6 +101,7 @@
         """End the timer and all connections of this host."""
         if self._ticker is not None:
             self._ticker.cancel()
+        self._preparation.stop()
         self._streams.close_all()
         await self._links.close()
 
@@ -209,6 +213,12 @@
         for completion in completions:
             self._carry_out(self._core.handle_replica_event(self._now_ms(), completion))
 
+    def _report_prepared(self, completion: PreparationCompleted) -> None:
+        self._loop.call_soon_threadsafe(self._preparation_ended, completion)
+
+    def _preparation_ended(self, completion: PreparationCompleted) -> None:
+        self._carry_out(self._core.handle_replica_event(self._now_ms(), completion))
+
     def _carry_out(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
             self._handlers[type(effect)](effect)
--- a/madderwind/controlplane/operator_calls.py
+++ b/madderwind/controlplane/operator_calls.py
@@ -21,13 +21,10 @@
 )
 from madderwind.log_events.control_plane import DATA_PLANES_LAGGING
 from madderwind.messages.peering import CommandReply, ReadReply
-from madderwind.replication.commands import Command, CommandOutcome, CommandResult
+from madderwind.replication.commands import ANSWER_TIMEOUT_MS, Command, CommandOutcome, CommandResult
 from madderwind.replication.events import CommandSubmitted, ReadSubmitted
 from madderwind.replication.status import ReplicaStatus
 
-# The operator turns elsewhere after a second without an answer, later with a large body.
-CALL_TIMEOUT_MS = 800.0
-TIMEOUT_BYTES_PER_MS = 2048
 # After an unknown outcome the same call is tried again at the earliest after so long.
 RESUBMIT_AFTER_MS = 50.0
 # A committed command waits for the connected data planes no longer than this.
@@ -93,8 +90,7 @@
         """Begin a call; a read where `command` is None."""
         if any(call.caller == caller for call in self._calls.values()):
             return []  # forwarded again while it is in progress
-        body_bytes = len(command.body) if command else 0
-        deadline_ms = now_ms + CALL_TIMEOUT_MS + body_bytes / TIMEOUT_BYTES_PER_MS
+        deadline_ms = now_ms + (command.answer_timeout_ms if command else ANSWER_TIMEOUT_MS)
         self._last_token += 1
         call = OperatorCall(self._last_token, caller, command, now_ms, deadline_ms)
         self._calls[call.token] = call
--- a/madderwind/replication/actions.py
+++ b/madderwind/replication/actions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from madderwind.log_events.event import LogLine
@@ -38,6 +40,16 @@
     records: tuple[bytes, ...]
 
 
+class Prepare(msgspec.Struct, frozen=True):
+    """Call `preparation` beside the event loop, on any thread; then PreparationCompleted, however it ended.
+
+    No answer is due within a time, and a preparation that never ends delays its command alone.
+    """
+
+    token: int
+    preparation: Callable[[], None]
+
+
 class CommandResolved(msgspec.Struct, frozen=True):
     """The end of a command that was submitted here."""
 
@@ -58,4 +70,4 @@
     version: int
 
 
-Action = Send | Write | Rewrite | CommandResolved | ReadResolved | Committed | LogLine
+Action = Send | Write | Rewrite | Prepare | CommandResolved | ReadResolved | Committed | LogLine
--- a/madderwind/replication/appended_state.py
+++ b/madderwind/replication/appended_state.py
@@ -14,6 +14,7 @@
     """Runs ahead of the committed state, and keeps the state after each entry for its commit."""
 
     def __init__(self, store: ReplicaStore) -> None:
+        self._preparer = store.preparer
         self._newest = store.committed.copy()
         self._after: dict[int, ReplicatedState] = {}
         for index in range(store.committed_index + 1, store.log.last_index + 1):
@@ -24,6 +25,10 @@
         """The version after all entries."""
         return self._newest.version
 
+    def is_ready(self, command: Command) -> bool:
+        """Whether `validate` and `apply` of a command are short now; if not, it is being prepared."""
+        return self._preparer.is_ready(self._newest, command)
+
     def validate(self, command: Command) -> CommandResult | None:
         """What `ReplicatedState.validate` says on top of all entries."""
         return self._newest.validate(command)
--- a/madderwind/replication/commands.py
+++ b/madderwind/replication/commands.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
 import msgspec
 
+# A caller turns elsewhere after a second without an answer, later with a long body.
+ANSWER_TIMEOUT_MS = 800.0
+ANSWER_TIMEOUT_BYTES_PER_MS = 2_048
+
 
 class CommandKind(Enum):
     """How a command changes the configuration."""
@@ -28,6 +33,11 @@
     base_version: int
     body: bytes
 
+    @property
+    def answer_timeout_ms(self) -> float:
+        """How long its caller waits for a clear answer; nothing is decided on it later."""
+        return ANSWER_TIMEOUT_MS + len(self.body) / ANSWER_TIMEOUT_BYTES_PER_MS
+
 
 class CommandOutcome(Enum):
     """How a command ended. The values are those on the wire."""
@@ -72,6 +82,12 @@
             this very command was applied before, STALE_BASE, INVALID or UNKNOWN.
         """
 
+    def preparation(self, command: Command) -> Callable[[], None] | None:
+        """What makes `validate` and `apply` of a command short; None where they are short already.
+
+        Any thread may call it, as it changes nothing that others can see; it raises nothing.
+        """
+
     def apply(self, command: Command) -> None:
         """Change the state by a command that `validate` let pass on the same state."""
 
--- a/madderwind/replication/events.py
+++ b/madderwind/replication/events.py
@@ -27,6 +27,12 @@
     token: int
 
 
+class PreparationCompleted(msgspec.Struct, frozen=True):
+    """What `Prepare` asked for was called, and has returned or failed."""
+
+    token: int
+
+
 class TimePassed(msgspec.Struct, frozen=True):
     """Nothing happened but time; due at least every 25 ms."""
 
@@ -58,6 +64,7 @@
     MessageReceived
     | WriteCompleted
     | WriteFailed
+    | PreparationCompleted
     | TimePassed
     | CommandSubmitted
     | ReadSubmitted
--- a/madderwind/replication/follower.py
+++ b/madderwind/replication/follower.py
@@ -35,6 +35,7 @@
     def __init__(self, context: ReplicaContext) -> None:
         self._me, self._store, self._outbox = context.me, context.store, context.outbox
         self._snapshot = SnapshotReceiver()
+        self._committed_target = 0  # up to where the primary of this epoch told that entries are committed
         self._match_index = 0  # up to where the log, in memory, is known to be the primary's
         self._acknowledged_index = 0
         self._is_ack_due = False
@@ -45,6 +46,7 @@
 
     def begin_epoch(self) -> None:
         """Another view: what the log has in common with its primary's is not known yet."""
+        self._committed_target = 0
         self._match_index = 0
         self._acknowledged_index = 0
         self._is_ack_due = False
@@ -75,7 +77,7 @@
         """The primary is at work, and tells what is committed."""
         self._record_received(now_ms)
         self.known_peers.handle_heartbeat(now_ms, message.peers)
-        self._store.commit_to(min(message.committed_index, self._match_index))
+        self._commit_to(message.committed_index)
         self._update_lease(message)
         self._answered_ms.setdefault(message.round, now_ms)
         if len(self._answered_ms) > MAX_REMEMBERED_ANSWERS:
@@ -92,7 +94,8 @@
         for entry in entries:
             self._append(entry)
         self._record_match(message.previous_index + len(message.entries))
-        self._store.commit_to(min(message.committed_index, self._match_index))
+        self._commit_to(message.committed_index)
+        self._store.prepare_next()
 
     def handle_snapshot(self, now_ms: float, message: InstallSnapshot) -> None:
         """Take a chunk of the whole state.
@@ -109,6 +112,11 @@
         self._snapshot.reset()
         self._record_match(message.index)
 
+    def apply_prepared(self) -> None:
+        """A command was prepared: entries that waited for it are applied, and the next is prepared."""
+        self._commit_to(self._committed_target)
+        self._store.prepare_next()
+
     # --- answers ---
 
     def send_heartbeat_ack(self, now_ms: float, heartbeat_round: int, is_stopping: bool) -> None:
@@ -165,6 +173,11 @@
         if self._store.committed_index >= message.committed_index:
             self.record_fresh(sent_after_ms - message.fresh_age_ms)
 
+    def _commit_to(self, index: int) -> None:
+        """The primary told that it committed the entries up to an index."""
+        self._committed_target = max(self._committed_target, index)
+        self._store.commit_to(min(self._committed_target, self._match_index))
+
     def _follows(self, message: AppendEntries) -> bool:
         """Whether the log holds the entry before these. What is committed is the same everywhere."""
         if message.previous_index <= self._store.committed_index:
--- a/madderwind/replication/primary.py
+++ b/madderwind/replication/primary.py
@@ -27,6 +27,7 @@
 from madderwind.replication.peer import Peer, Progress
 from madderwind.replication.peer_table import PeerTable
 from madderwind.replication.pending_requests import PendingRequests, Proof
+from madderwind.replication.submitted_commands import SubmittedCommands
 from madderwind.replication.view_planner import ViewPlanner
 
 # Rounds that reads and repeats ask for are shared by those that come within this time.
@@ -69,6 +70,7 @@
         self._outbox, self._times = context.outbox, context.times
         self._shipping = LogShipping(context)
         self._requests = PendingRequests()
+        self._submitted = SubmittedCommands()
         self._appended = AppendedState(context.store)
         self.lease = Lease(context, now_ms)
         self.peers = PeerTable(context, view, now_ms, known_peers)
@@ -110,15 +112,27 @@
     def give_up(self) -> None:
         """The role is lost: whatever waits ends without a known outcome."""
         self._store.log.needed_after = None
+        self._outbox.extend(self._submitted.give_up())
         self._outbox.extend(self._requests.give_up())
 
     # --- commands and reads ---
 
     def submit(self, now_ms: float, token: int, command: Command) -> None:
-        """Validate a command on top of all that is appended, and append it."""
-        if self._requests.is_full:
+        """Validate a command on top of all that is appended, and append it, once it is its turn."""
+        if self._requests.is_full or self._submitted.is_full:
             self._outbox.add(CommandResolved(token, UNKNOWN_RESULT))
             return
+        self._submitted.add(now_ms, token, command)
+        self._decide_submitted(now_ms)
+
+    def _decide_submitted(self, now_ms: float) -> None:
+        """Decide on commands in the order in which they came, up to one that is still being prepared."""
+        self._outbox.extend(self._submitted.expire(now_ms))
+        while (first := self._submitted.first) is not None and self._appended.is_ready(first.command):
+            self._submitted.remove_first()
+            self._decide(now_ms, first.token, first.command)
+
+    def _decide(self, now_ms: float, token: int, command: Command) -> None:
         result = self._appended.validate(command)
         needed_round = NO_ROUND
         if result is None:
@@ -205,6 +219,7 @@
     def advance(self, now_ms: float) -> None:
         """Whatever time and the events so far allow: heartbeats, commits, the ends of requests."""
         self.peers.expire_learners(now_ms)
+        self._decide_submitted(now_ms)
         self._commit(now_ms)
         if self._is_round_due(now_ms):
             self._start_round(now_ms)
--- a/madderwind/replication/replica.py
+++ b/madderwind/replication/replica.py
@@ -17,6 +17,7 @@
     CommandSubmitted,
     Event,
     MessageReceived,
+    PreparationCompleted,
     ReadSubmitted,
     SeedsChanged,
     ShutdownRequested,
@@ -184,11 +185,8 @@
         match event:
             case MessageReceived(sender, message):
                 self._messages.handle(now_ms, sender, message)
-            case WriteCompleted(token):
-                self._store.release(self._store.journal.completed(token))
-            case WriteFailed(token):
-                self._store.journal.failed(token, now_ms)
-                self._outbox.log(WRITE_FAILED.line(token=token))
+            case WriteCompleted() | WriteFailed() | PreparationCompleted():
+                self._handle_completion(now_ms, event)
             case CommandSubmitted(token, command):
                 self._submit(now_ms, token, command)
             case ReadSubmitted(token):
@@ -200,6 +198,20 @@
             case TimePassed():
                 pass
 
+    def _handle_completion(
+        self, now_ms: float, event: WriteCompleted | WriteFailed | PreparationCompleted
+    ) -> None:
+        match event:
+            case WriteCompleted(token):
+                self._store.release(self._store.journal.completed(token))
+            case WriteFailed(token):
+                self._store.journal.failed(token, now_ms)
+                self._outbox.log(WRITE_FAILED.line(token=token))
+            case PreparationCompleted(token):
+                self._store.preparer.handle_completed(token)
+                if self._roles.primary is None:
+                    self._follower.apply_prepared()
+
     def _submit(self, now_ms: float, token: int, command: Command) -> None:
         if self._roles.primary is not None:
             self._roles.primary.submit(now_ms, token, command)
--- a/madderwind/replication/store.py
+++ b/madderwind/replication/store.py
@@ -14,6 +14,7 @@
 from madderwind.replication.commands import Command, CommandKind, ReplicatedState
 from madderwind.replication.journal import DiskState, DurablePosition, Journal
 from madderwind.replication.outbox import Outbox
+from madderwind.replication.preparation import CommandPreparer
 from madderwind.replication.records import (
     EntryRecord,
     IdentityRecord,
@@ -43,6 +44,7 @@
         log: The log, committed or not.
         register: The newest view, and what was promised about the next.
         journal: The pending writes.
+        preparer: Has long commands prepared before they are applied.
         committed: The state after all entries that are known to be committed.
         committed_index: Index of the last of these entries.
     """
@@ -60,6 +62,7 @@
         self.log = stored.log
         self.register = ViewRegister(stored.view, stored.witness)
         self.journal = Journal(times)
+        self.preparer = CommandPreparer(outbox)
         self._states, self._outbox = states, outbox
         self.committed = states.empty() if stored.snapshot is None else states.restore(stored.snapshot)
         self.committed_index = stored.snapshot_index
@@ -128,13 +131,14 @@
         self._outbox.add(Committed(self.committed.version))
 
     def commit_to(self, index: int, prepared: ReplicatedState | None = None) -> None:
-        """Entries up to an index are committed; `prepared` is the state after them where it is at hand."""
-        if index <= self.committed_index:
-            return
-        if prepared is None:
-            self._apply_to(index)
-        else:
+        """Entries up to an index are committed; `prepared` is the state after them where it is at hand.
+
+        Else they are applied up to the first that has to be prepared; the caller commits again.
+        """
+        if prepared is not None and index > self.committed_index:
             self.committed, self.committed_index = prepared, index
+        elif prepared is not None or not self._apply_ready(index):
+            return
         self.log.trim(self.committed_index)
         self._outbox.add(Committed(self.committed.version))
 
@@ -194,6 +198,21 @@
             records.append(EntryRecord(self.log.entry(index), self.committed_index))
         return records
 
+    def prepare_next(self) -> None:
+        """Have the first entry that is not committed here prepared, if it takes long to apply."""
+        if self.committed_index < self.log.last_index:
+            self._is_next_ready()
+
+    def _is_next_ready(self) -> bool:
+        return self.preparer.is_ready(self.committed, command_of(self.log.entry(self.committed_index + 1)))
+
+    def _apply_ready(self, index: int) -> bool:
+        """Apply entries up to an index, or to the first that is not ready; whether there was any."""
+        first_index = self.committed_index
+        while self.committed_index < index and self._is_next_ready():
+            self._apply_to(self.committed_index + 1)
+        return self.committed_index > first_index
+
     def _apply_to(self, index: int) -> None:
         while self.committed_index < index:
             self.committed_index += 1
--- a/tests/campaign/campaign.py
+++ b/tests/campaign/campaign.py
@@ -36,18 +36,29 @@
 LONG_ROUND_MS, LONG_ROUNDS = 45_000.0, 0.12
 SHORT_RETAINED, FEW_DIGESTS = 8, 40
 SHORT_FILE_BYTES = 16 * 1024
+PREPARED_SHARE = 0.3
 UPSTREAMS_KNOWN_WITHIN_MS = 3_000.0
 
 
 @attrs.frozen
 class Schedule:
-    """All that a campaign follows. `keeps_little`: log, commands and file are kept short."""
+    """All that a campaign follows.
+
+    Attributes:
+        plan: Who takes part.
+        rounds: The faults of each round.
+        round_ms: How long a round lasts.
+        keeps_little: Whether log, commands and file are kept short.
+        loss_count: Which losses count, and until when.
+        prepares_all: Whether every command is prepared as a long one is.
+    """
 
     plan: Plan
     rounds: tuple[tuple[Fault, ...], ...]
     round_ms: float
     keeps_little: bool
     loss_count: LossCount
+    prepares_all: bool = False
 
     def describe(self) -> str:
         """The schedule to be read."""
@@ -57,6 +68,7 @@
             f"{plan.operators} operators, a command every {plan.command_interval_ms:.0f} ms, "
             f"{plan.answer_loss:.2f} of answers lost"
             f"{', little is retained' if self.keeps_little else ''}"
+            f"{', all commands are prepared' if self.prepares_all else ''}"
             f", losses are counted {self.loss_count.value}"
         ]
         for number, faults in enumerate(self.rounds, 1):
@@ -91,7 +103,8 @@
         round_ms = rng.uniform(SHORTEST_ROUND_MS, LONGEST_ROUND_MS)
         rounds = tuple(draw_faults(rng, round_ms) for _ in range(rng.randint(1, 2)))
     counts = (LossCount.STRICT, LossCount.STRICT, LossCount.PLAIN, LossCount.LOOSE)
-    return Schedule(plan, rounds, round_ms, keeps_little, rng.choice(counts))
+    prepares_all = random.Random(f"preparation {seed}").random() < PREPARED_SHARE
+    return Schedule(plan, rounds, round_ms, keeps_little, rng.choice(counts), prepares_all)
 
 
 class Campaign:
@@ -113,7 +126,11 @@
 
     def run(self) -> None:
         """The whole schedule."""
-        with forgetting_commands() if self.schedule.keeps_little else contextlib.nullcontext():
+        with contextlib.ExitStack() as conditions:
+            if self.schedule.keeps_little:
+                conditions.enter_context(forgetting_commands())
+            if self.schedule.prepares_all:
+                conditions.enter_context(patch("madderwind.configuration.history.LONG_COMMAND_BYTES", 0))
             try:
                 self._run()
             except Violation:
--- a/tests/campaign/chain.py
+++ b/tests/campaign/chain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 
 import attrs
 
@@ -58,6 +59,9 @@
     def commands_since(self, version: int) -> tuple[CommandRecord, ...] | None:
         return self.inner.commands_since(version)
 
+    def preparation(self, command: Command) -> Callable[[], None] | None:
+        return self.inner.preparation(command)
+
     def validate(self, command: Command) -> CommandResult | None:
         return self.inner.validate(command)
 
--- a/tests/campaign/control_machine.py
+++ b/tests/campaign/control_machine.py
@@ -30,9 +30,9 @@
 from madderwind.messages.peering import PeerFrame, peer_frames
 from madderwind.messages.replication import View
 from madderwind.node_settings import Bounds
-from madderwind.replication.actions import Rewrite, Write
+from madderwind.replication.actions import Prepare, Rewrite, Write
 from madderwind.replication.commands import Command, CommandOutcome, CommandResult
-from madderwind.replication.events import ShutdownRequested
+from madderwind.replication.events import PreparationCompleted, ShutdownRequested
 from madderwind.replication.replica import Replica, ReplicaOptions
 from madderwind.replication.status import ReplicaStatus
 from madderwind.replication.store import StateFactory
@@ -51,6 +51,8 @@
 HEARTBEAT_MS = 1_000.0
 SYNC_MS = 1.0
 GRACE_S = Bounds().grace_s
+# What a busy core takes to read a configuration of several MiB.
+MAX_PREPARATION_MS = 400.0
 UNCLEAR = CommandResult(CommandOutcome.UNKNOWN)
 
 
@@ -349,6 +351,8 @@
                     self._send_to_peer(address, message)
                 case Write() | Rewrite():
                     self.disk.submit(effect)
+                case Prepare():
+                    self._prepare(effect)
                 case SendTo(connection, to_one):
                     self._send_to_data_plane(connection, to_one)
                 case SendToAll(to_all):
@@ -369,6 +373,16 @@
                 case LogLine():
                     self._note_line(effect)
 
+    def _prepare(self, action: Prepare) -> None:
+        """Takes its time beside the process's events; a freeze holds it up as well."""
+        completion = PreparationCompleted(action.token)
+
+        def end() -> None:
+            action.preparation()
+            self._do(lambda core: core.handle_replica_event(self._now, completion))
+
+        self.later(self._rng.uniform(0.0, MAX_PREPARATION_MS), end)
+
     def _end_command(self, call: int, result: CommandResult) -> None:
         command, reply = self._commands.pop(call)
         if result.outcome is CommandOutcome.COMMITTED:
--- a/tests/controlplane/test_core.py
+++ b/tests/controlplane/test_core.py
@@ -8,7 +8,6 @@
 from madderwind.controlplane.drain_tracker import CONFIRMATION_TIMEOUT_MS
 from madderwind.controlplane.operator_calls import (
     APPLY_TIMEOUT_MS,
-    CALL_TIMEOUT_MS,
     CUT_OFF_AFTER_MS,
     CUT_OFF_WAIT_MS,
 )
@@ -23,7 +22,7 @@
 )
 from madderwind.messages.peering import CommandReply
 from madderwind.registry.registry import DROP_AFTER_MS
-from madderwind.replication.commands import CommandOutcome
+from madderwind.replication.commands import ANSWER_TIMEOUT_MS, CommandOutcome
 from tests.controlplane.configurations import replacement, replacement_body
 from tests.controlplane.fleet import ControlPlaneInMemory, FleetInMemory
 
@@ -78,7 +77,7 @@
     def test_a_call_waits_for_a_primary(self) -> None:
         self.fleet.submit(self.second, 1, replacement(0, 5))
         self.fleet.submit(self.third, 1, None)
-        self.fleet.run(CALL_TIMEOUT_MS / 2)
+        self.fleet.run(ANSWER_TIMEOUT_MS / 2)
         self.assertEqual((self.second.commands, self.third.reads), ({}, {}))
         self.fleet.make_primary(self.first)
         self.fleet.run(100.0)
@@ -88,7 +87,7 @@
     def test_but_not_beyond_its_deadline(self) -> None:
         self.fleet.submit(self.second, 1, replacement(0, 5))
         self.fleet.submit(self.second, 2, None)
-        self.fleet.run(CALL_TIMEOUT_MS + 25.0)
+        self.fleet.run(ANSWER_TIMEOUT_MS + 25.0)
         self.assertEqual(self.outcome(self.second, 1), CommandOutcome.UNKNOWN)
         self.assertIsNone(self.second.reads[2].document)
 
@@ -104,7 +103,7 @@
 
     def test_a_large_body_is_given_longer(self) -> None:
         self.fleet.submit(self.second, 1, replacement(0, 5, routes=4000))
-        self.fleet.run(CALL_TIMEOUT_MS + 25.0)
+        self.fleet.run(ANSWER_TIMEOUT_MS + 25.0)
         self.assertEqual(self.second.commands, {})
 
     def test_a_call_goes_on_at_the_next_primary(self) -> None:
@@ -130,7 +129,7 @@
         self.first.replica.unresponsive = True
         self.fleet.submit(self.first, 1, replacement(0, 5))
         self.fleet.submit(self.second, 1, replacement(0, 5))
-        self.fleet.run(CALL_TIMEOUT_MS + 100.0)
+        self.fleet.run(ANSWER_TIMEOUT_MS + 100.0)
         self.assertEqual(self.outcome(self.first, 1), CommandOutcome.UNKNOWN)
         self.assertEqual(self.outcome(self.second, 1), CommandOutcome.UNKNOWN)
 
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -10,12 +10,21 @@
 from madderwind.log_events.control_plane import VIEW_CHANGED
 from madderwind.log_events.event import LogLine
 from madderwind.messages.replication import View, replication_messages
-from madderwind.replication.actions import CommandResolved, Committed, ReadResolved, Rewrite, Send, Write
+from madderwind.replication.actions import (
+    CommandResolved,
+    Committed,
+    Prepare,
+    ReadResolved,
+    Rewrite,
+    Send,
+    Write,
+)
 from madderwind.replication.commands import Command, CommandOutcome, CommandResult
 from madderwind.replication.events import (
     CommandSubmitted,
     Event,
     MessageReceived,
+    PreparationCompleted,
     ReadSubmitted,
     ShutdownRequested,
     TimePassed,
@@ -41,7 +50,15 @@
 
 
 class Machine:
-    """Carries out a replica's actions as its host does."""
+    """Carries out a replica's actions as its host does.
+
+    Attributes:
+        preparation_ms: How long a preparation takes beside the events.
+        processor_ms: How long the event that was just handled took; the process stands still meanwhile.
+    """
+
+    preparation_ms = 0.0
+    processor_ms: Callable[[], float] = staticmethod(lambda: 0.0)
 
     def __init__(
         self,
@@ -240,6 +257,8 @@
                     self._disk_queue.append(action)
                     if len(self._disk_queue) == 1:
                         self._begin_write(self.incarnation)
+                case Prepare():
+                    self._prepare(action, self.incarnation)
                 case CommandResolved(token, result):
                     self._commands.pop(token)(result)
                 case ReadResolved(token, is_newest):
@@ -248,6 +267,20 @@
                     self.on_committed(self, self.register)
                 case LogLine():
                     self._take_report(action)
+        if busy_ms := self.processor_ms():
+            self._stand_still(busy_ms, self.incarnation)
+
+    def _stand_still(self, busy_ms: float, incarnation: int) -> None:
+        self.freeze()
+        self.clock.after(busy_ms, lambda: self.thaw() if incarnation == self.incarnation else None)
+
+    def _prepare(self, action: Prepare, incarnation: int) -> None:
+        def end() -> None:
+            if incarnation == self.incarnation:
+                action.preparation()
+                self._event(PreparationCompleted(action.token))
+
+        self.clock.after(self.preparation_ms, end)
 
     def _take_report(self, report: LogLine) -> None:
         self.reports.append((self.clock.now_ms, report))
--- a/tests/fleet/register.py
+++ b/tests/fleet/register.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from madderwind.replication.commands import Command, CommandKind, CommandOutcome, CommandResult
@@ -41,6 +43,9 @@
     def version(self) -> int:
         return change_of(self.taken[-1][1]).version if self.taken else 0
 
+    def preparation(self, command: Command) -> Callable[[], None] | None:
+        return None
+
     def validate(self, command: Command) -> CommandResult | None:
         if (command.base_version, command.body) in self.taken:
             return CommandResult(CommandOutcome.COMMITTED, self.version)
