--- a/madderwind/controlplane/frames.py
+++ b/madderwind/controlplane/frames.py
@@ -9,29 +9,10 @@
 from typing import NamedTuple
 
 
-class LongFrame(NamedTuple):
-    """A frame that takes long to encode: it is encoded on a thread when it is its turn to be sent.
-
-    Attributes:
-        encode: Returns the frame's bytes; may be called on any thread.
-        size: About how many bytes it holds in memory meanwhile.
-    """
-
-    encode: Callable[[], bytes]
-    size: int
-
-
 class _Frame(NamedTuple):
-    data: bytes | LongFrame
+    data: bytes
     offered_s: float
 
-    @property
-    def size(self) -> int:
-        return len(self.data) if isinstance(self.data, bytes) else self.data.size
-
-    async def encoded(self) -> bytes:
-        return self.data if isinstance(self.data, bytes) else await asyncio.to_thread(self.data.encode)
-
 
 class ByteBudget:
     """Bytes that may be in flight at once; whoever would pass the bound waits, one alone never."""
@@ -70,18 +51,17 @@
     def __len__(self) -> int:
         return len(self._frames)
 
-    def offer(self, now_s: float, data: bytes | LongFrame) -> bool:
+    def offer(self, now_s: float, data: bytes) -> bool:
         """Add a frame; False where there is more now than the bound, one frame aside."""
-        frame = _Frame(data, now_s)
-        self._frames.append(frame)
-        self._bytes += frame.size
+        self._frames.append(_Frame(data, now_s))
+        self._bytes += len(data)
         self._ready.set()
         return self._bytes <= self._max_bytes or len(self._frames) == 1
 
     def drop_oldest(self) -> None:
         """Drop the frame that waited longest."""
         if self._frames:
-            self._bytes -= self._frames.popleft().size
+            self._bytes -= len(self._frames.popleft().data)
 
     def drop_older_than(self, offered_s: float) -> None:
         """Drop frames that were offered before that moment."""
@@ -93,7 +73,7 @@
         while True:
             while self._frames:
                 frame = self._frames.popleft()
-                self._bytes -= frame.size
-                await send(await frame.encoded())
+                self._bytes -= len(frame.data)
+                await send(frame.data)
             self._ready.clear()
             await self._ready.wait()
--- a/madderwind/controlplane/host.py
+++ b/madderwind/controlplane/host.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
-from functools import partial
 
 from madderwind.controlplane.checkpoint_writer import SAVE_INTERVAL_S, CheckpointWriter
 from madderwind.controlplane.core import TICK_MS, ControlPlaneCore
@@ -17,14 +16,13 @@
     SaveCheckpoint,
     SendToPeer,
 )
-from madderwind.controlplane.frames import LongFrame
 from madderwind.controlplane.peer_links import PeerLinks
 from madderwind.controlplane.preparation_thread import PreparationThread
 from madderwind.controlplane.subscriber_streams import SubscriberStreams
 from madderwind.distribution.deliveries import Close, SendTo, SendToAll
 from madderwind.log_events.event import LogLine
 from madderwind.messages.distribution import Subscribe, ToControlPlane, UpstreamRecord
-from madderwind.messages.peering import PeerFrame, peer_content_bytes, peer_frames
+from madderwind.messages.peering import PeerFrame, peer_frames
 from madderwind.messages.status import ControlPlaneStatus
 from madderwind.registry.checkpoint import RegistryCheckpoint
 from madderwind.replication.actions import Prepare, Rewrite, Write
@@ -34,8 +32,6 @@
 from madderwind.structured_log import Log, write_line
 
 UNUSED_LINKS_INTERVAL_S = 5.0
-# A message with so much content takes a ms or more to be compressed, for each peer that it goes to.
-LONG_CONTENT_BYTES = 256 * 1024
 
 
 class ControlPlaneHost:
@@ -228,11 +224,6 @@
             self._handlers[type(effect)](effect)
 
     def _send_to_peer(self, effect: SendToPeer) -> None:
-        content_bytes = peer_content_bytes(effect.message)
-        if content_bytes >= LONG_CONTENT_BYTES:
-            encode = partial(peer_frames.encode, effect.message)
-            self._links.send(effect.address, LongFrame(encode, content_bytes))
-            return
         if effect.message is not self._encoded_message:  # one message to many peers is encoded once
             self._encoded_message, self._encoded = effect.message, peer_frames.encode(effect.message)
         self._links.send(effect.address, self._encoded)
--- a/madderwind/controlplane/peer_links.py
+++ b/madderwind/controlplane/peer_links.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from madderwind.controlplane.frames import FrameQueue, LongFrame
+from madderwind.controlplane.frames import FrameQueue
 from madderwind.controlplane.sockets import connecting_socket
 from madderwind.messages.codec import MAX_MESSAGE_BYTES
 from madderwind.messages.peering import Hello, peer_frames
@@ -36,7 +36,7 @@
         self._is_connected = False
         self.used_s = 0.0
 
-    def send(self, now_s: float, frame: bytes | LongFrame) -> None:
+    def send(self, now_s: float, frame: bytes) -> None:
         """Queue a frame; the oldest are dropped where there are too many or no connection takes them."""
         self.used_s = now_s
         if not self._is_connected:
@@ -99,7 +99,7 @@
         connector = aiohttp.TCPConnector(limit=0, socket_factory=connecting_socket)
         self._session = aiohttp.ClientSession(connector=connector)
 
-    def send(self, address: str, frame: bytes | LongFrame) -> None:
+    def send(self, address: str, frame: bytes) -> None:
         """Queue a frame for the control plane at this address."""
         link = self._links.get(address)
         if link is None:
--- a/madderwind/messages/peering.py
+++ b/madderwind/messages/peering.py
@@ -12,7 +12,7 @@
 
 from madderwind.messages.codec import Codec
 from madderwind.messages.distribution import UpstreamRecord
-from madderwind.messages.replication import AppendEntries, ReplicationMessage
+from madderwind.messages.replication import ReplicationMessage
 
 
 class PeeringMessageBase(msgspec.Struct, frozen=True, array_like=True):
@@ -119,16 +119,3 @@
 PeerFrame = ReplicationMessage | PeeringMessage
 
 peer_frames: Codec[PeerFrame] = Codec(PeerFrame)
-
-
-def peer_content_bytes(message: PeerFrame) -> int:
-    """How many bytes of configurations a message carries, without encoding it."""
-    match message:
-        case AppendEntries(entries=entries):
-            return sum(len(entry.body) for entry in entries)
-        case ForwardCommand(body=body):
-            return len(body)
-        case ReadReply(document=document):
-            return len(document)
-        case _:
-            return 0
--- a/tests/controlplane/test_frames.py
+++ b/tests/controlplane/test_frames.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import threading
 import unittest
 
-from madderwind.controlplane.frames import ByteBudget, FrameQueue, LongFrame
+from madderwind.controlplane.frames import ByteBudget, FrameQueue
 
 DEADLINE_S = 10.0
 
@@ -27,29 +26,6 @@
         queue.drop_older_than(2.0)
         self.assertEqual(len(queue), 2)
 
-    async def test_a_long_frame_is_encoded_on_a_thread_and_keeps_its_place(self) -> None:
-        queue = FrameQueue(max_bytes=100)
-        sent: asyncio.Queue[bytes] = asyncio.Queue()
-        threads: list[int] = []
-        can_end = threading.Event()
-
-        def encode() -> bytes:
-            threads.append(threading.get_ident())
-            can_end.wait(DEADLINE_S)
-            return b"long"
-
-        self.assertTrue(queue.offer(0.0, LongFrame(encode, 90)))
-        self.assertFalse(queue.offer(0.0, b"x" * 20))
-        sending = asyncio.create_task(queue.send_all(sent.put))
-        async with asyncio.timeout(DEADLINE_S):
-            while not threads:
-                await asyncio.sleep(0)
-            self.assertTrue(sent.empty())  # the loop goes on while the frame is encoded
-            can_end.set()
-            self.assertEqual([await sent.get(), await sent.get()], [b"long", b"x" * 20])
-        self.assertNotIn(threading.get_ident(), threads)
-        sending.cancel()
-
     async def test_frames_go_out_in_order_as_they_come(self) -> None:
         queue = FrameQueue(max_bytes=10)
         sent: asyncio.Queue[bytes] = asyncio.Queue()
