--- a/tests/campaign/control_machine.py
+++ b/tests/campaign/control_machine.py
@@ -51,8 +51,8 @@
 HEARTBEAT_MS = 1_000.0
 SYNC_MS = 1.0
 GRACE_S = Bounds().grace_s
-# What a busy core takes to read a configuration of several MiB, and how often a command is as long; the others
-# take little, as no log holds more than two or three of the long ones.
+# What a busy core takes to read a configuration of several MiB, and how often a command is as long. Others
+# take little: no log holds more than two or three of the long ones.
 MAX_PREPARATION_MS, LONG_SHARE = 400.0, 0.05
 MAX_SHORT_PREPARATION_MS = 10.0
 UNCLEAR = CommandResult(CommandOutcome.UNKNOWN)
