--- a/tests/campaign/__main__.py
+++ b/tests/campaign/__main__.py
@@ -12,17 +12,21 @@
 
 import attrs
 
-from tests.campaign.campaign import draw_schedule
+from tests.campaign.campaign import Campaign, draw_schedule
 from tests.campaign.faults import LossCount
-from tests.campaign.shrinking import shrink, violation_of
+from tests.campaign.shrinking import shrink, violation_in, violation_of
 
 
 @attrs.frozen
 class Finding:
-    """What the campaign of a seed showed; `schedule` is what is left of it to show something."""
+    """What the campaign of a seed showed; `schedule` is what is left of it to show something.
+
+    `longest_effect_ms`: from the last sending of a command until a replica had it committed.
+    """
 
     seed: int
     loss_count: LossCount
+    longest_effect_ms: float
     violation: str = ""
     schedule: str = ""
 
@@ -30,9 +34,12 @@
 def find(seed: int) -> Finding:
     """Run the campaign of a seed."""
     schedule = draw_schedule(seed)
-    violation = violation_of(schedule)
+    campaign = Campaign(schedule)
+    violation = violation_in(campaign)
+    longest_effect_ms = campaign.history.longest_effect_ms
+    del campaign
     gc.collect()
-    return Finding(seed, schedule.loss_count, violation)
+    return Finding(seed, schedule.loss_count, longest_effect_ms, violation)
 
 
 def find_and_shrink(seed: int) -> Finding:
@@ -57,17 +64,24 @@
     began = time.monotonic()
     run: Counter[LossCount] = Counter()
     failed: Counter[LossCount] = Counter()
+    latest_effects: list[float] = []
     seeds = range(arguments.first, arguments.first + arguments.count)
     search = find_and_shrink if arguments.shrink else find
     with multiprocessing.Pool(arguments.processes, initializer=gc.disable) as pool:
         for finding in pool.imap_unordered(search, seeds, chunksize=4):
             run[finding.loss_count] += 1
+            latest_effects.append(finding.longest_effect_ms)
             if finding.violation:
                 failed[finding.loss_count] += 1
                 name = f"seed {finding.seed}, losses counted {finding.loss_count.value}"
                 print(f"{name}: {finding.violation}{finding.schedule}", flush=True)
     for count in LossCount:
         print(f"losses counted {count.value}: {run[count]} campaigns, {failed[count]} failed")
+    latest = sorted(latest_effects)
+    print(
+        f"latest effect of a command after its last sending: median {latest[len(latest) // 2]:.0f} ms, "
+        f"99% {latest[len(latest) * 99 // 100]:.0f} ms, longest {latest[-1]:.0f} ms"
+    )
     print(f"{run.total()} campaigns, {failed.total()} failed, {time.monotonic() - began:.0f} s")
     return 1 if failed else 0
 
--- a/tests/campaign/history.py
+++ b/tests/campaign/history.py
@@ -46,6 +46,7 @@
         self.chain: list[Link] = []
         self.disk_losses_ms: list[float] = []
         self.final_states: dict[str, tuple[UpstreamState, float]] = {}  # acknowledged, and when
+        self.longest_effect_ms = 0.0  # from the last sending of a command until a replica has it committed
         self.notes: dict[str, str] = {}  # the first of each kind that may be followed by others
         self._first_notified_ms: dict[tuple[str, UpstreamState], float] = {}
         self._places: dict[int, int] = {0: 0}  # by version
@@ -142,6 +143,7 @@
             raise Violation(f"{machine.address} commits {intent or 'what nobody sent'} at {link.place}")
         if link.command.base_version != version_before or link.version <= version_before:
             raise Violation(f"{machine.address} commits {intent} on top of {version_before}")
+        self.longest_effect_ms = max(self.longest_effect_ms, self._clock.now_ms - intent.last_sent_ms)
         self.chain.append(link)
         self._places[link.version] = link.place
 
--- a/tests/campaign/records.py
+++ b/tests/campaign/records.py
@@ -26,6 +26,9 @@
     is_proper: bool  # whether it is valid on top of its base
     began_ms: float
     acknowledged_ms: float | None = None
+    last_sent_ms: float = attrs.field(
+        default=attrs.Factory(lambda intent: intent.began_ms, takes_self=True), init=False
+    )
 
     def __str__(self) -> str:
         kind = "" if self.is_proper else "improper "
@@ -44,6 +47,9 @@
     ended_ms: float | None = None
     result: CommandResult | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self.intent.last_sent_ms = max(self.intent.last_sent_ms, self.began_ms)
+
     def __str__(self) -> str:
         return f"{self.intent} at {self.machine} from {self.began_ms:.0f} to {self.ended_ms:.0f} ms"
 
--- a/tests/campaign/shrinking.py
+++ b/tests/campaign/shrinking.py
@@ -16,8 +16,13 @@
 
 def violation_of(schedule: Schedule) -> str:
     """What happens that must not; empty where nothing does."""
+    return violation_in(Campaign(schedule))
+
+
+def violation_in(campaign: Campaign) -> str:
+    """The same of a campaign that has not run yet."""
     try:
-        Campaign(schedule).run()
+        campaign.run()
     except Violation as violation:
         return str(violation)
     return ""
