--- a/madderwind/configuration/history.py
+++ b/madderwind/configuration/history.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -17,6 +16,7 @@
 
 import msgspec
 
+from madderwind.configuration.command_preparation import PreparationCache, digest_of
 from madderwind.configuration.reading import Document, read_document
 from madderwind.errors import ConfigurationError, MessageError
 from madderwind.messages.distribution import CommandRecord
@@ -25,7 +25,6 @@
 RETAINED_DIGESTS = 4_000
 RETAINED_COMMANDS = 256
 RETAINED_COMMAND_BYTES = 2 * 1024 * 1024
-DIGEST_BYTES = 16
 NO_VERSION = 0
 # Reading this much takes about 10 ms of a busy core.
 LONG_COMMAND_BYTES = 128 * 1024
@@ -49,53 +48,7 @@
         commands = (
             Command(CommandKind(record.kind), record.base_version, record.body) for record in self.commands
         )
-        return {command.base_version: _digest(command) for command in commands}
-
-
-class _Prepared(msgspec.Struct, frozen=True):
-    """What a command makes of its base, kept so that checking and applying read it once."""
-
-    base: Document | None
-    command: Command
-    result: Document | ConfigurationError
-    digest: bytes
-
-
-class _PreparationCache:
-    """The last command's document, shared by a history and its copies.
-
-    A replica checks a command, appends it and commits it, each on a copy of its own. Any thread may prepare:
-    documents are never changed, and the last one prepared is replaced at once.
-    """
-
-    def __init__(self) -> None:
-        self._last: _Prepared | None = None
-
-    def document(self, base: Document | None, command: Command) -> Document:
-        """What the command makes of the base; raises ConfigurationError."""
-        result = self.prepared(base, command).result
-        if isinstance(result, ConfigurationError):
-            # A new one each time: an error that is kept would keep all that its traceback refers to.
-            raise ConfigurationError(result.field, result.reason)
-        return result
-
-    def prepared(self, base: Document | None, command: Command) -> _Prepared:
-        """All that is known of the command on top of the base."""
-        found = self.find(base, command)
-        if found is None:
-            found = _Prepared(base, command, _read(base, command), _digest(command))
-            self._last = found
-        return found
-
-    def prepare(self, base: Document | None, command: Command) -> None:
-        """Have `prepared` at hand."""
-        self.prepared(base, command)
-
-    def find(self, base: Document | None, command: Command) -> _Prepared | None:
-        """The command on top of the base, where it was prepared last."""
-        last = self._last
-        is_same = last is not None and last.base is base and last.command == command
-        return last if is_same else None
+        return {command.base_version: digest_of(command) for command in commands}
 
 
 class ConfigurationHistory:
@@ -106,7 +59,7 @@
         self._digests: dict[int, bytes] = {}  # by base version, which rises
         self._commands: deque[CommandRecord] = deque()
         self._command_bytes = 0
-        self._prepared = _PreparationCache()
+        self._prepared = PreparationCache()
 
     @property
     def version(self) -> int:
@@ -189,7 +142,8 @@
         """What a command gets that does not build on the current version."""
         followed_by = self._digests.get(command.base_version)
         if followed_by is not None:
-            return CommandOutcome.COMMITTED if followed_by == _digest(command) else CommandOutcome.STALE_BASE
+            is_same = followed_by == digest_of(command)
+            return CommandOutcome.COMMITTED if is_same else CommandOutcome.STALE_BASE
         is_forgotten = NO_VERSION <= command.base_version < next(iter(self._digests), NO_VERSION)
         return CommandOutcome.UNKNOWN if is_forgotten else CommandOutcome.STALE_BASE
 
@@ -198,30 +152,3 @@
         self._command_bytes += len(record.body)
         while len(self._commands) > RETAINED_COMMANDS or self._command_bytes > RETAINED_COMMAND_BYTES:
             self._command_bytes -= len(self._commands.popleft().body)
-
-
-def _digest(command: Command) -> bytes:
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    digest.update(f"{command.kind.value} {command.base_version} ".encode())
-    digest.update(command.body)
-    return digest.digest()
-
-
-def _read(base: Document | None, command: Command) -> Document | ConfigurationError:
-    """The document that a command makes of the present one, or why it makes none."""
-    try:
-        return _ordered(base, command)
-    except ConfigurationError as error:
-        return error.with_traceback(None)
-
-
-def _ordered(base: Document | None, command: Command) -> Document:
-    """The document that a command makes of the present one; raises ConfigurationError."""
-    if command.kind is CommandKind.UPDATE:
-        if base is None:
-            raise ConfigurationError("document", "there is no configuration yet that could be updated")
-        return base.updated(command.body)
-    document = read_document(command.body, base)
-    if base is not None and document.version <= base.version:
-        raise ConfigurationError("version", f"{document.version} is not above {base.version}")
-    return document
--- a/madderwind/dataplane/attempt_exchange.py
+++ b/madderwind/dataplane/attempt_exchange.py
@@ -22,8 +22,8 @@
 from madderwind.dataplane.request_parts import MS_PER_S, RequestParts
 from madderwind.dataplane.upstream_heads import INSTANCE, REQUEST_ID, Head, read_head
 from madderwind.transport.answering import Addressee
+from madderwind.transport.encoded_request import EncodedRequest
 from madderwind.transport.unread import has_left
-from madderwind.transport.upstreams import EncodedRequest
 
 _RESULT_OF_HEAD = {
     Head.REFUSAL: AttemptResult.REFUSED_FULL,
--- a/madderwind/dataplane/upstream_pool.py
+++ b/madderwind/dataplane/upstream_pool.py
@@ -11,7 +11,9 @@
 from aiohttp.client_reqrep import ClientResponse
 
 from madderwind.balancing.outcomes import Outcome
-from madderwind.transport.upstreams import ConnectionOptions, EncodedRequest, Upstreams
+from madderwind.transport.connector import ConnectionOptions
+from madderwind.transport.encoded_request import EncodedRequest
+from madderwind.transport.upstreams import Upstreams
 
 CONNECT_TIMEOUT_MS = 250.0
 # The longest pause within the head of an answer.
--- a/madderwind/standalone/routing/copy.py
+++ b/madderwind/standalone/routing/copy.py
@@ -24,7 +24,8 @@
 from madderwind.standalone.routing.withdrawal import Withdrawal
 from madderwind.standalone.settings import HostSettings
 from madderwind.transport.budget import Budgets
-from madderwind.transport.upstreams import Answer, EncodedRequest, Upstreams
+from madderwind.transport.encoded_request import EncodedRequest
+from madderwind.transport.upstreams import Answer, Upstreams
 
 PROBE_TIMEOUT_MS = 300.0
 
--- a/madderwind/standalone/routing/exchange.py
+++ b/madderwind/standalone/routing/exchange.py
@@ -25,9 +25,10 @@
 from madderwind.standalone.protocol.requests import TRACE_ID, Asked, BadRequest, headers_onward, origin_form
 from madderwind.standalone.routing.copy import Copy, LastWord
 from madderwind.transport.bodies import PASSING, READ_S, BadBody, Body
+from madderwind.transport.encoded_request import EncodedRequest, Upload
 from madderwind.transport.listening import CallersRequest
 from madderwind.transport.unread import has_left
-from madderwind.transport.upstreams import Answer, EncodedRequest, Upload
+from madderwind.transport.upstreams import Answer
 
 # The host's own last word comes this long after the deadline, if the module has said none by then: the rules
 # leave it 50 ms and the settings' slack, and a loop that is late must not overtake the module's answer.
--- a/tests/configuration/test_preparation.py
+++ b/tests/configuration/test_preparation.py
@@ -5,7 +5,8 @@
 import unittest
 from unittest.mock import patch
 
-from madderwind.configuration import history as configuration_history
+from madderwind.configuration import command_preparation
+from madderwind.configuration.command_preparation import PreparationCache
 from madderwind.configuration.history import LONG_COMMAND_BYTES, ConfigurationHistory
 from madderwind.replication.commands import Command, CommandKind, CommandOutcome
 from tests.controlplane.configurations import replacement, update
@@ -28,7 +29,7 @@
     def refuse_to_read(self) -> None:
         """From here on reading would show."""
         failure = AssertionError("it was read again")
-        self.enterContext(patch.object(configuration_history, "_ordered", side_effect=failure))
+        self.enterContext(patch.object(command_preparation, "_ordered", side_effect=failure))
 
     def test_is_read_once_for_the_state_and_its_copies(self) -> None:
         copy = self.history.copy()
@@ -47,7 +48,7 @@
 
     def test_leads_to_the_same_state_as_without(self) -> None:
         other = self.history.copy()
-        other._prepared = configuration_history._PreparationCache()
+        other._prepared = PreparationCache()
         other.apply(self.long)
         self.prepare(self.long)
         self.history.apply(self.long)
@@ -60,7 +61,7 @@
         body = self.long.body.replace(b'"timeout_ms": 1000', b'"timeout_ms": 0', 1)
         invalid = Command(CommandKind.REPLACE, 1, body)
         expected = self.history.copy().validate(invalid)
-        self.history._prepared = configuration_history._PreparationCache()
+        self.history._prepared = PreparationCache()
         self.prepare(invalid)
         self.refuse_to_read()
         self.assertEqual(expected, self.history.validate(invalid))
--- a/tests/dataplane/answer_mutants.py
+++ b/tests/dataplane/answer_mutants.py
@@ -25,9 +25,11 @@
 from madderwind.dataplane.attempts import Progress
 from madderwind.dataplane.client_answers import ClientAnswer
 from madderwind.dataplane.upstream_heads import REQUEST_ID, Head, read_head
-from madderwind.transport import answering, upstreams
+from madderwind.transport import answering
 from madderwind.transport.answering import OneAnswer
-from madderwind.transport.upstreams import ConnectionOptions
+from madderwind.transport.connector import ConnectionOptions
+from madderwind.transport.encoded_request import current_request
+from madderwind.transport.gated_request import GatedRequest
 from tests.dataplane import fuzz_answers
 from tests.dataplane.answer_oracle import Broken
 from tests.dataplane.answer_player import Player
@@ -70,12 +72,12 @@
 async def keep_within_the_body(
     request: Any, writer: Any, conn: Any, content_length: int | None = None
 ) -> None:
-    upstreams._encoded.get().begun = True
+    current_request.get().begun = True
     await ClientRequest.write_bytes(request, writer, _NeverClosed(conn), content_length)  # type: ignore[arg-type]
 
 
 async def look_once(request: Any, writer: Any, conn: Any, content_length: int | None = None) -> None:
-    upstreams._encoded.get().begun = True
+    current_request.get().begun = True
     await ClientRequest.write_bytes(request, writer, conn, content_length)
 
 
@@ -106,10 +108,10 @@
     ),
     "a stream that broke off ends in good command": lambda: patch.object(ClientAnswer, "abort", leave_open),
     "a connection is reused after an early answer": lambda: patch.object(
-        upstreams._GatedRequest, "write_bytes", keep_within_the_body
+        GatedRequest, "write_bytes", keep_within_the_body
     ),
     "a connection is looked at before, not as, a body is written": lambda: patch.object(
-        upstreams._GatedRequest, "write_bytes", look_once
+        GatedRequest, "write_bytes", look_once
     ),
     "what was given up is still written": lambda: patch.object(
         answering, "_close_or_abort", close_after_writing
--- a/tests/dataplane/test_silent_upstreams.py
+++ b/tests/dataplane/test_silent_upstreams.py
@@ -10,7 +10,7 @@
 
 from madderwind.dataplane import stream_timeouts, upstream_pool
 from madderwind.testing.fault_tests.wire import chunk
-from madderwind.transport.upstreams import ConnectionOptions
+from madderwind.transport.connector import ConnectionOptions
 from tests.dataplane.fleet import SIGNATURE, Client, Fleet, Message, Writer, document, event, stream_head
 from tests.standins import Behaviour, run, within
 
--- a/tests/dataplane/test_time_limits.py
+++ b/tests/dataplane/test_time_limits.py
@@ -11,7 +11,8 @@
 from madderwind.dataplane.attempt_exchange import AttemptExchange
 from madderwind.dataplane.retrying import Retries
 from madderwind.testing.fault_tests.wire import chunk
-from madderwind.transport.upstreams import EncodedRequest, _BoundedConnector
+from madderwind.transport.connector import BoundedConnector
+from madderwind.transport.encoded_request import EncodedRequest
 from tests.dataplane.fleet import (
     SIGNATURE,
     Client,
@@ -104,7 +105,7 @@
     def assert_told_as_it_is_written(self) -> None:
         """A connection that takes `CONNECTING_MS` to come up takes them from the upstream's time."""
         told: list[tuple[float, float]] = []
-        ordinary = _BoundedConnector.connect
+        ordinary = BoundedConnector.connect
 
         async def connect_late(*arguments: Any, **named: Any) -> Any:
             await asyncio.sleep(CONNECTING_MS / MS_PER_S)
@@ -112,7 +113,7 @@
 
         async def story() -> None:
             async with Fleet(noting(served(), told), document=document()) as fleet:
-                with mock.patch.object(_BoundedConnector, "connect", connect_late):
+                with mock.patch.object(BoundedConnector, "connect", connect_late):
                     await fleet.ask("/unsafe/x", X_Deadline_Ms="900")
 
         run_by_virtual_clock(story())
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -17,7 +17,8 @@
 from madderwind.transport import answering
 from madderwind.transport import upstreams as transport
 from madderwind.transport.answering import LONGEST_ANSWER, OneAnswer
-from madderwind.transport.upstreams import HELD_ANSWER, READ_BUFFER, Answer, EncodedRequest, Upload, Upstreams
+from madderwind.transport.encoded_request import EncodedRequest, Upload
+from madderwind.transport.upstreams import HELD_ANSWER, READ_BUFFER, Answer, Upstreams
 from tests.examples import HOST
 from tests.standins import Message, Upstream, Writer, answer, reset, resets, run, says, silent, within
 
