--- a/tests/campaign/control_machine.py
+++ b/tests/campaign/control_machine.py
@@ -88,8 +88,10 @@
         snapshots: Snapshots,
         observer: Observer,
         find: Callable[[str], ControlMachine | None],
+        current_seeds: Callable[[], tuple[str, ...]],
     ) -> None:
         super().__init__(address, clock)
+        self._current_seeds = current_seeds
         self.seeds, self.tolerance = seeds, tolerance
         self._links, self._snapshots, self._observer, self._find = links, snapshots, observer, find
         self._rng = random.Random(f"{seed} {address}")
@@ -115,9 +117,11 @@
     # --- what happens to it ---
 
     def start(self, bootstrap: bool = False) -> None:
-        """Start the process on whatever the disk holds."""
+        """Start the process on whatever the disk holds, with the seeds that its settings name by now."""
         if self.is_up or self.is_removed:
             return
+        if not bootstrap:
+            self.seeds = self._current_seeds()
         self.begin_incarnation()
         self._start_calls()
         self.is_stopping = False
--- a/tests/campaign/system.py
+++ b/tests/campaign/system.py
@@ -68,6 +68,7 @@
             self._snapshots,
             self.history,
             self._known.get,
+            self._current_seeds,
         )
         self.machines[address] = self._known[address] = machine
         return machine
