--- a/tests/replication/test_core_quota.py
+++ b/tests/replication/test_core_quota.py
@@ -10,7 +10,7 @@
 from tests.fleet.machine import Machine
 
 PERIOD_MS = 100.0
-# The shares of core machines in the sheets at hand leave half of each period at least; the last is far beyond.
+# Core machines in the sheets at hand may run for half of each period at least; the last is far beyond that.
 STANDING_STILL_MS = (5.0, 35.0, 48.4, 95.0)
 STORY_MS = 10_000.0
 COMMAND_INTERVAL_MS = 250.0
