--- a/tests/replication/test_leaving_with_a_large_state.py
+++ b/tests/replication/test_leaving_with_a_large_state.py
@@ -22,7 +22,7 @@
 
 class ALeaverThatIsNeeded(unittest.TestCase):
     def play(self, bytes_per_ms: float) -> tuple[float, Return]:
-        """Ms from the start of the one that was away until the set does without the leaver, which then ends."""
+        """Ms from the start of the one that was away until the set does without the leaver, which ends."""
         with large_states():
             story = Return(LONG_STATE, 1, True, SHORT_ORDER_BYTES)
             story.fleet.network.bytes_per_ms = bytes_per_ms
