Each response of a request has an event splitter of its own

What callers saw: a complete 200 whose first event was the beginning of one upstream's event followed by the first event of another upstream, for example "id: 1\ndatid: 1\ndata: tok1".

Cause: one EventSplitter served all attempts of a request. Its incomplete event was dropped by resume(), which AnswerRelay called only once a whole event had been passed on. A first attempt that ended before that left its bytes in the splitter, and feed() put them in front of the next attempt's.

Evidence: with a trace of feed() and of writes to the client, the same splitter object held b'id: 1\ndat' when the second attempt's first bytes came; the two attempts ran on separate connections, each delivering only its own bytes, and nothing had been written to the client between them. So neither the connection nor the client's response carried the bytes. An unsafe stream, which is not sent again, got 502.

Fix: the relay makes a splitter for each response and keeps only the id of the last event passed on. Nothing has to be called at the right moment any more: the bytes of a response that broke off are gone with its splitter.

The same cause on a related path: an event that exceeds the limit ends its attempt in the same state, and its megabyte was put in front of the next response. It has a test as well.

--- a/madderwind/dataplane/answer_relay.py
+++ b/madderwind/dataplane/answer_relay.py
@@ -39,7 +39,7 @@
         self._parts, self._progress, self._answer = parts, progress, answer
         self._loop = asyncio.get_running_loop()
         last_id = headers.get(LAST_EVENT_ID)
-        self._events = EventSplitter(None if last_id is None else last_id.encode())
+        self._last_event_id = None if last_id is None else last_id.encode()
         self.final: web.StreamResponse | None = None
 
     def resume_after(self) -> str | None:
@@ -47,7 +47,7 @@
 
         None if the response has not begun.
         """
-        last_id = self._events.last_id if self._progress.answer_begun else None
+        last_id = self._last_event_id if self._progress.answer_begun else None
         return None if last_id is None else last_id.decode("latin-1")
 
     async def relay(self, response: ClientResponse, instance: str, key: str) -> AttemptResult:
@@ -73,33 +73,36 @@
 
     async def _relay_stream(self, response: ClientResponse, instance: str, key: str) -> AttemptResult:
         """Relay complete events as they arrive; the head is sent with the first one."""
-        if self._progress.answer_begun:
-            self._events.resume()
-        else:
+        is_resumption = self._progress.answer_begun
+        if not is_resumption:
             self._answer.set_head(response, None)
+        events = EventSplitter(self._last_event_id, is_resumption=is_resumption)
         data = await response.content.readany()
         if data:
             self._parts.chooser.stream_began(self._now_ms(), key, instance)
             try:
-                await self._relay_events(response, data, instance)
+                await self._relay_events(response, events, data, instance)
             except EventTooLong:
                 response.close()
                 return AttemptResult.BROKEN
             finally:
                 self._parts.chooser.streams.ended(instance)
-        if rest := self._events.rest():
+        if rest := events.rest():
             if not tells_its_end(response.headers):
                 return AttemptResult.BROKEN
             await self._answer.write(rest)
         self.final = await self._answer.end()
         return AttemptResult.COMPLETE
 
-    async def _relay_events(self, response: ClientResponse, data: bytes, instance: str) -> None:
+    async def _relay_events(
+        self, response: ClientResponse, events: EventSplitter, data: bytes, instance: str
+    ) -> None:
         """Relay all events of a stream, starting with its first bytes."""
-        events, streams = self._events, self._parts.chooser.streams
+        streams = self._parts.chooser.streams
         while data:
             if complete := events.feed(data):
                 self._progress.answer_begun = True
+                self._last_event_id = events.last_id
                 # Without an event id another upstream cannot resume: it would repeat the whole stream.
                 self._progress.is_resumable &= events.last_id is not None
                 await self._answer.write(complete)
--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -16,23 +16,25 @@
 
 
 class EventSplitter:
-    """Returns events once they are complete, and keeps the id of the last one returned.
+    """Returns the events of one response once they are complete, and keeps the id of the last one returned.
 
-    The client thereby never receives part of an event when its upstream fails. When another upstream resumes
-    the stream, events up to `last_id` are dropped, so that none is delivered twice.
+    The client thereby never receives part of an event when its upstream fails. An incomplete event belongs to
+    its response alone, so each response needs a splitter of its own. In a response that resumes a stream,
+    events up to `last_id` are dropped, so that none is delivered twice.
     """
 
     __slots__ = ("_buffer", "_skips_known", "last_id")
 
-    def __init__(self, last_id: bytes | None = None) -> None:
-        self.last_id = last_id
-        self._buffer = b""
-        self._skips_known = False
+    def __init__(self, last_id: bytes | None = None, *, is_resumption: bool = False) -> None:
+        """Start before the first byte of a response.
 
-    def resume(self) -> None:
-        """Continue with another upstream's stream, which may repeat events; drops an incomplete event."""
+        Args:
+            last_id: The id of the last event before this response; None if there is none.
+            is_resumption: Whether the response resumes a stream and may repeat events up to `last_id`.
+        """
+        self.last_id = last_id
         self._buffer = b""
-        self._skips_known = self.last_id is not None
+        self._skips_known = is_resumption and last_id is not None
 
     def feed(self, data: bytes) -> bytes:
         """The events that are now complete, concatenated; EventTooLong if one does not end."""
--- /dev/null
+++ b/tests/dataplane/test_answer_relay.py
@@ -0,0 +1,81 @@
+"""Responses that break off: the client never receives bytes of two upstreams' responses as one piece."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from unittest import mock
+
+import pytest
+
+from madderwind.dataplane import event_stream, retrying
+from madderwind.testing.fault_tests.relay import reset
+from madderwind.testing.fault_tests.wire import chunk
+from tests.dataplane.fleet import Fleet, Message, Writer, document, event, stream_head
+from tests.standins import run
+
+LAST_CHUNK = b"0\r\n\r\n"
+EVENTS = event(1) + event(2)
+MAX_EVENT_BYTES = 100
+
+Ending = Callable[[Writer], None]
+
+
+def close(writer: Writer) -> None:
+    """Close the connection in the regular way, within a chunk."""
+    writer.close()
+
+
+class BrokenOffOnce:
+    """Behaviour of all upstreams of a fleet: the first response breaks off, each later one is complete."""
+
+    def __init__(self, first: bytes, ending: Ending, later: bytes) -> None:
+        self._first, self._ending, self._later = first, ending, later
+        self.last_event_ids: list[str | None] = []  # of each request
+
+    async def __call__(self, message: Message, writer: Writer) -> None:
+        self.last_event_ids.append(message.header("Last-Event-Id"))
+        writer.write(stream_head(message))
+        if len(self.last_event_ids) > 1:
+            writer.write(self._later + LAST_CHUNK)
+            return
+        writer.write(self._first)
+        await writer.drain()
+        self._ending(writer)
+
+
+def part_of_chunk(data: bytes, sent_bytes: int) -> bytes:
+    """The beginning of a chunk whose sender ends after `sent_bytes` of its data."""
+    return b"%x\r\n%s" % (len(data), data[:sent_bytes])
+
+
+def ask(path: str, behaviour: BrokenOffOnce) -> Message:
+    """The client's response to a request for which two upstreams are available."""
+    responses = []
+
+    async def scenario() -> None:
+        async with Fleet(behaviour, behaviour, document=document()) as fleet:
+            responses.append(await fleet.ask(path))
+
+    with mock.patch.object(retrying, "TRANSIENT_BASE_MS", 1.0):
+        run(scenario())
+    return responses[0]
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/resumable/x"])
+@pytest.mark.parametrize("ending", [reset, close])
+def test_part_of_a_first_event_is_not_joined_to_the_next_response(path: str, ending: Ending) -> None:
+    # Guards against an event made of the first upstream's last bytes and the second upstream's first event.
+    for sent_bytes in range(len(event(1))):
+        behaviour = BrokenOffOnce(part_of_chunk(event(1), sent_bytes), ending, chunk(EVENTS))
+        response = ask(path, behaviour)
+        assert (response.status, response.body) == (200, EVENTS), sent_bytes
+        assert behaviour.last_event_ids == [None, None]
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/resumable/x"])
+def test_a_first_event_that_is_too_long_is_not_joined_to_the_next_response(path: str) -> None:
+    # Guards against the same fault where the first attempt ends because its event exceeds the limit.
+    behaviour = BrokenOffOnce(chunk(b"x" * (MAX_EVENT_BYTES + 1)), lambda writer: None, chunk(EVENTS))
+    with mock.patch.object(event_stream, "MAX_EVENT_BYTES", MAX_EVENT_BYTES):
+        response = ask(path, behaviour)
+    assert (response.status, response.body) == (200, EVENTS)
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -188,9 +188,9 @@
         self.assertEqual(splitter.last_id, b"2")
 
     def test_drops_known_events_after_a_resumption(self) -> None:
-        splitter = EventSplitter()
-        self.assertEqual(splitter.feed(event(9) + event(10) + b"id: 11\nda"), event(9) + event(10))
-        splitter.resume()
+        first = EventSplitter()
+        self.assertEqual(first.feed(event(9) + event(10) + b"id: 11\nda"), event(9) + event(10))
+        splitter = EventSplitter(first.last_id, is_resumption=True)
         self.assertEqual(splitter.feed(event(8) + event(9)), b"")
         self.assertEqual(splitter.feed(event(10) + event(11) + event(12)[:4]), event(11))
         self.assertEqual(splitter.feed(event(12)[4:]), event(12))
@@ -214,10 +214,10 @@
         """Holds for all chunk sizes and all positions at which the second stream resumes."""
         events = [event(number + 1, "t" * size) for number, size in enumerate(sizes)]
         whole = b"".join(events)
-        splitter = EventSplitter()
+        first = EventSplitter()
         break_at = len(whole) * cut // 9
-        forwarded = b"".join(splitter.feed(whole[at : at + cut]) for at in range(0, break_at, cut))
-        splitter.resume()
+        forwarded = b"".join(first.feed(whole[at : at + cut]) for at in range(0, break_at, cut))
+        splitter = EventSplitter(first.last_id, is_resumption=True)
         known = forwarded.count(b"id: ")
         resumed = b"".join(events[max(0, known - overlap) :])
         forwarded += b"".join(splitter.feed(resumed[at : at + cut]) for at in range(0, len(resumed), cut))
