A stream is resumed only after the id of the last event that was sent

Two shapes, both with upstreams that send an event without an id: the client's own Last-Event-Id stood for the id of an event that had none, and so did the id of an earlier event. The next upstream then resumed before the event that the client already had.

The splitter's last_id began as the client's header and kept the last id that it had met, whatever came after it; the relay took any id for permission to resume.

Change: last_id is the id of the last event returned, None if that event has none (comments and blank lines are no events). The relay keeps it only from events that it passed on; the client's header is forwarded with the request, and the relay doesn't read it any more. A stream whose first event has no id and whose later events have one may now be resumed whichever way its bytes were split; before, it depended on whether they came in one piece.

Tests: test_a_stream_is_not_resumed_after_an_event_without_an_id, 2 of 2 failed before (a complete 200 with the event twice) and pass; a story that such a stream is still resumed after a later event with an id; the splitter's rule on comments and blank lines.

--- a/madderwind/dataplane/answer_relay.py
+++ b/madderwind/dataplane/answer_relay.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
 
 from aiohttp import web
 from aiohttp.client_reqrep import ClientResponse
@@ -14,7 +13,6 @@
 from madderwind.dataplane.attempts import AttemptResult, Progress
 from madderwind.dataplane.client_answers import ClientAnswer
 from madderwind.dataplane.event_stream import EVENT_STREAM, EventSplitter, EventTooLong
-from madderwind.dataplane.headers import LAST_EVENT_ID
 from madderwind.dataplane.request_parts import MS_PER_S, RequestParts
 from madderwind.dataplane.upstream_heads import tells_its_end
 
@@ -32,22 +30,20 @@
         final: The client's response, once it is complete.
     """
 
-    def __init__(
-        self, parts: RequestParts, progress: Progress, answer: ClientAnswer, headers: Mapping[str, str]
-    ) -> None:
-        """Start without a response; `headers` are those of the client's request."""
+    def __init__(self, parts: RequestParts, progress: Progress, answer: ClientAnswer) -> None:
+        """Start without a response."""
         self._parts, self._progress, self._answer = parts, progress, answer
         self._loop = asyncio.get_running_loop()
-        last_id = headers.get(LAST_EVENT_ID)
-        self._last_event_id = None if last_id is None else last_id.encode()
+        self._is_resumable_route = progress.is_resumable
+        self._last_event_id: bytes | None = None  # of the last event that the client was sent
         self.final: web.StreamResponse | None = None
 
     def resume_after(self) -> str | None:
         """The id of the event after which another upstream should resume the stream.
 
-        None if the response has not begun.
+        None if the client was sent no event, or if the last one has no id.
         """
-        last_id = self._last_event_id if self._progress.answer_begun else None
+        last_id = self._last_event_id
         return None if last_id is None else last_id.decode("latin-1")
 
     async def relay(self, response: ClientResponse, instance: str, key: str) -> AttemptResult:
@@ -73,10 +69,9 @@
 
     async def _relay_stream(self, response: ClientResponse, instance: str, key: str) -> AttemptResult:
         """Relay complete events as they arrive; the head is sent with the first one."""
-        is_resumption = self._progress.answer_begun
-        if not is_resumption:
+        if not self._progress.answer_begun:
             self._answer.set_head(response, None)
-        events = EventSplitter(self._last_event_id, is_resumption=is_resumption)
+        events = EventSplitter(self._last_event_id)
         data = await response.content.readany()
         if data:
             self._parts.chooser.stream_began(self._now_ms(), key, instance)
@@ -103,8 +98,8 @@
             if complete := events.feed(data):
                 self._progress.answer_begun = True
                 self._last_event_id = events.last_id
-                # Without an event id another upstream cannot resume: it would repeat the whole stream.
-                self._progress.is_resumable &= events.last_id is not None
+                # Without an id of the last event another upstream would resume before it and repeat it.
+                self._progress.is_resumable = self._is_resumable_route and events.last_id is not None
                 await self._answer.write(complete)
             data = await response.content.readany()
             streams.record_data(self._now_ms(), instance)
--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -20,21 +20,25 @@
 
     The client thereby never receives part of an event when its upstream fails. An incomplete event belongs to
     its response alone, so each response needs a splitter of its own. In a response that resumes a stream,
-    events up to `last_id` are dropped, so that none is delivered twice.
+    events up to the one before it are dropped, so that none is delivered twice.
+
+    Attributes:
+        last_id: The id of the last event returned, or else of the last one before this response. None if that
+            event has none: a stream that resumes at an older id would repeat it.
     """
 
     __slots__ = ("_buffer", "_skips_known", "last_id")
 
-    def __init__(self, last_id: bytes | None = None, *, is_resumption: bool = False) -> None:
+    def __init__(self, resumed_after: bytes | None = None) -> None:
         """Start before the first byte of a response.
 
         Args:
-            last_id: The id of the last event before this response; None if there is none.
-            is_resumption: Whether the response resumes a stream and may repeat events up to `last_id`.
+            resumed_after: The id of the event after which the response resumes a stream, and up to which it
+                may repeat events; None if it begins one.
         """
-        self.last_id = last_id
+        self.last_id = resumed_after
         self._buffer = b""
-        self._skips_known = is_resumption and last_id is not None
+        self._skips_known = resumed_after is not None
 
     def feed(self, data: bytes) -> bytes:
         """The events that are now complete, concatenated; EventTooLong if one does not end."""
@@ -50,8 +54,8 @@
         if not complete:
             return b""
         if self._skips_known:
-            return self._drop_known(complete)
-        self.last_id = _last_id(complete) or self.last_id
+            complete = self._drop_known(complete)
+        self._record_last_id(complete)
         return complete
 
     def rest(self) -> bytes:
@@ -68,9 +72,14 @@
                     continue
                 self._skips_known = False
             kept.append(event)
-            self.last_id = event_id or self.last_id
         return b"".join(kept)
 
+    def _record_last_id(self, complete: bytes) -> None:
+        for event in reversed(_split(complete)):
+            if _has_fields(event):
+                self.last_id = _last_id(event)
+                return
+
 
 def _split(complete: bytes) -> list[bytes]:
     events = []
@@ -86,6 +95,11 @@
     return events
 
 
+def _has_fields(event: bytes) -> bool:
+    """Whether this is an event to the client, and not only a comment or a blank line."""
+    return any(line and not line.startswith(b":") for line in event.splitlines())
+
+
 def _last_id(events: bytes) -> bytes | None:
     """The last event id in the bytes; None if there is none."""
     at = events.rfind(b"\nid:")
--- a/madderwind/dataplane/request_forwarding.py
+++ b/madderwind/dataplane/request_forwarding.py
@@ -40,7 +40,7 @@
         self._request_id = client_request.request.headers.get(REQUEST_ID)
         self._progress = Progress(admitted.is_idempotent, admitted.is_resumable, admitted.route.max_attempts)
         self.answer = ClientAnswer(client_request.request)
-        self._relay = AnswerRelay(parts, self._progress, self.answer, client_request.request.headers)
+        self._relay = AnswerRelay(parts, self._progress, self.answer)
 
     async def run(self) -> web.StreamResponse:
         """Make attempts until an upstream has responded, or give up.
--- a/tests/dataplane/test_answer_relay.py
+++ b/tests/dataplane/test_answer_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from unittest import mock
 
@@ -15,6 +16,7 @@
 
 LAST_CHUNK = b"0\r\n\r\n"
 EVENTS = event(1) + event(2)
+NO_ID_EVENT = b"data: a\n\n"
 MAX_EVENT_BYTES = 100
 
 Ending = Callable[[Writer], None]
@@ -48,13 +50,13 @@
     return b"%x\r\n%s" % (len(data), data[:sent_bytes])
 
 
-def ask(path: str, behaviour: BrokenOffOnce) -> Message:
+def ask(path: str, behaviour: BrokenOffOnce, **headers: str) -> Message:
     """The client's response to a request for which two upstreams are available."""
     responses = []
 
     async def scenario() -> None:
         async with Fleet(behaviour, behaviour, document=document()) as fleet:
-            responses.append(await fleet.ask(path))
+            responses.append(await fleet.ask(path, **headers))
 
     with mock.patch.object(retrying, "TRANSIENT_BASE_MS", 1.0):
         run(scenario())
@@ -79,3 +81,26 @@
     with mock.patch.object(event_stream, "MAX_EVENT_BYTES", MAX_EVENT_BYTES):
         response = ask(path, behaviour)
     assert (response.status, response.body) == (200, EVENTS)
+
+
+@pytest.mark.parametrize(
+    ("first", "headers"),
+    [
+        pytest.param(NO_ID_EVENT, {"Last_Event_Id": "7"}, id="the client's id"),
+        pytest.param(event(1) + NO_ID_EVENT, {}, id="an earlier event's id"),
+    ],
+)
+def test_a_stream_is_not_resumed_after_an_event_without_an_id(first: bytes, headers: dict[str, str]) -> None:
+    # Guards against an event that arrives twice: the upstream would resume before it, at an older id.
+    behaviour = BrokenOffOnce(chunk(first) + part_of_chunk(event(8), 3), close, chunk(NO_ID_EVENT + event(8)))
+    with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+        ask("/resumable/x", behaviour, **headers)
+    assert len(behaviour.last_event_ids) == 1
+
+
+def test_a_stream_is_resumed_after_an_event_with_an_id_that_follows_one_without() -> None:
+    first = NO_ID_EVENT + event(1)
+    behaviour = BrokenOffOnce(chunk(first) + part_of_chunk(event(2), 3), close, chunk(event(2)))
+    response = ask("/resumable/x", behaviour)
+    assert (response.status, response.body) == (200, first + event(2))
+    assert behaviour.last_event_ids == [None, "1"]
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -190,7 +190,7 @@
     def test_drops_known_events_after_a_resumption(self) -> None:
         first = EventSplitter()
         self.assertEqual(first.feed(event(9) + event(10) + b"id: 11\nda"), event(9) + event(10))
-        splitter = EventSplitter(first.last_id, is_resumption=True)
+        splitter = EventSplitter(first.last_id)
         self.assertEqual(splitter.feed(event(8) + event(9)), b"")
         self.assertEqual(splitter.feed(event(10) + event(11) + event(12)[:4]), event(11))
         self.assertEqual(splitter.feed(event(12)[4:]), event(12))
@@ -203,6 +203,17 @@
         self.assertEqual(splitter.last_id, b"4")
         self.assertEqual(splitter.rest(), b"id: 5\r\n")
 
+    def test_knows_no_last_id_after_an_event_without_one(self) -> None:
+        splitter = EventSplitter(b"3")
+        for fed, last_id in (
+            (b": comment\n\n", b"3"),
+            (event(4) + b": comment\n\n\n\n", b"4"),
+            (event(5) + b"data: x\n\n", None),
+            (b"data: y\r\n\r\n" + event(6), b"6"),
+        ):
+            self.assertEqual(splitter.feed(fed), fed)
+            self.assertEqual(splitter.last_id, last_id)
+
     def test_fails_on_an_event_that_does_not_end(self) -> None:
         splitter = EventSplitter()
         with self.assertRaises(EventTooLong):
@@ -217,7 +228,7 @@
         first = EventSplitter()
         break_at = len(whole) * cut // 9
         forwarded = b"".join(first.feed(whole[at : at + cut]) for at in range(0, break_at, cut))
-        splitter = EventSplitter(first.last_id, is_resumption=True)
+        splitter = EventSplitter(first.last_id)
         known = forwarded.count(b"id: ")
         resumed = b"".join(events[max(0, known - overlap) :])
         forwarded += b"".join(splitter.feed(resumed[at : at + cut]) for at in range(0, len(resumed), cut))
