The unterminated last event of a resumed stream isn't sent twice

Cause: bytes behind the last complete event passed by the check that drops events up to the one at which the stream was resumed.

Change: rest() applies the same check. Whether the response ended within an event is asked before it, so that a response that doesn't declare its end stays broken as before, also within an event that would be dropped.

Tests: test_an_unterminated_last_event_is_relayed_only_if_it_is_new; the known event failed before and passes, the new one passes before and after.

--- a/madderwind/dataplane/answer_relay.py
+++ b/madderwind/dataplane/answer_relay.py
@@ -82,9 +82,9 @@
                 return AttemptResult.BROKEN
             finally:
                 self._parts.chooser.streams.ended(instance)
+        if events.is_within_event and not tells_its_end(response.headers):
+            return AttemptResult.BROKEN
         if rest := events.rest():
-            if not tells_its_end(response.headers):
-                return AttemptResult.BROKEN
             await self._answer.write(rest)
         self.final = await self._answer.end()
         return AttemptResult.COMPLETE
--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -58,10 +58,15 @@
         self._record_last_id(complete)
         return complete
 
+    @property
+    def is_within_event(self) -> bool:
+        """Whether bytes have arrived since the end of the last event."""
+        return bool(self._buffer)
+
     def rest(self) -> bytes:
         """Take the bytes after the last complete event, which a properly ended response may still contain."""
         remainder, self._buffer = self._buffer, b""
-        return remainder
+        return self._drop_known(remainder) if self._skips_known else remainder
 
     def _drop_known(self, complete: bytes) -> bytes:
         kept = []
--- a/tests/dataplane/test_answer_relay.py
+++ b/tests/dataplane/test_answer_relay.py
@@ -104,3 +104,18 @@
     response = ask("/resumable/x", behaviour)
     assert (response.status, response.body) == (200, first + event(2))
     assert behaviour.last_event_ids == [None, "1"]
+
+
+@pytest.mark.parametrize(
+    ("later", "received"),
+    [
+        pytest.param(event(2)[:-1], EVENTS, id="known event"),
+        pytest.param(event(3)[:-1], EVENTS + event(3)[:-1], id="new event"),
+    ],
+)
+def test_an_unterminated_last_event_is_relayed_only_if_it_is_new(later: bytes, received: bytes) -> None:
+    # Guards against an event that arrives twice because the resumed response ends without its blank line.
+    behaviour = BrokenOffOnce(chunk(EVENTS) + part_of_chunk(event(3), 3), close, chunk(later))
+    response = ask("/resumable/x", behaviour)
+    assert (response.status, response.body) == (200, received)
+    assert behaviour.last_event_ids == [None, "2"]
