--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -9,6 +9,8 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+# How a block may begin that is no event to the client: a comment or a blank line.
+_COMMENT_OR_BLANK = (b":", b"\r", b"\n")
 
 
 class EventTooLong(MadderwindError):
@@ -80,10 +82,13 @@
         return b"".join(kept)
 
     def _record_last_id(self, complete: bytes) -> None:
-        for event in reversed(_split(complete)):
-            if _has_fields(event):
-                self.last_id = _last_id(event)
+        event = _last_block(complete)
+        if not event or event.startswith(_COMMENT_OR_BLANK):
+            with_fields = [event for event in _split(complete) if _has_fields(event)]
+            if not with_fields:
                 return
+            event = with_fields[-1]
+        self.last_id = _last_id(event)
 
 
 def _split(complete: bytes) -> list[bytes]:
@@ -100,6 +105,17 @@
     return events
 
 
+def _last_block(complete: bytes) -> bytes:
+    """The bytes between the last two terminators; all bytes if there is but one terminator."""
+    before_end = len(complete) - 1
+    begin = 0
+    for terminator in _EVENT_TERMINATORS:
+        at = complete.rfind(terminator, 0, before_end)
+        if at >= 0:
+            begin = max(begin, at + len(terminator))
+    return complete[begin:]
+
+
 def _has_fields(event: bytes) -> bool:
     """Whether this is an event to the client, and not only a comment or a blank line."""
     return any(line and not line.startswith(b":") for line in event.splitlines())
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -214,6 +214,22 @@
             self.assertEqual(splitter.feed(fed), fed)
             self.assertEqual(splitter.last_id, last_id)
 
+    @given(
+        st.lists(st.sampled_from(["id: 1\ndata: x", "data: x\nid: 2", "data: x", ": id: 3"])), st.booleans()
+    )
+    def test_last_id_is_that_of_the_last_event_however_the_bytes_arrive(
+        self, blocks: list[str], is_crlf: bool
+    ) -> None:
+        events = [block for block in blocks if not block.startswith(":")]
+        last_id = events[-1].partition("id: ")[2][:1].encode() if events else b""
+        raw = "".join(f"{block}\n\n" for block in blocks)
+        whole = (raw.replace("\n", "\r\n") if is_crlf else raw).encode()
+        at_once, byte_by_byte = EventSplitter(), EventSplitter()
+        at_once.feed(whole)
+        for at in range(len(whole)):
+            byte_by_byte.feed(whole[at : at + 1])
+        self.assertEqual([at_once.last_id, byte_by_byte.last_id], [last_id or None] * 2)
+
     def test_fails_on_an_event_that_does_not_end(self) -> None:
         splitter = EventSplitter()
         with self.assertRaises(EventTooLong):
