--- a/tests/dataplane/answer_mutants.py
+++ b/tests/dataplane/answer_mutants.py
@@ -8,10 +8,12 @@
 
 import asyncio
 import sys
-from collections.abc import Callable, Mapping
-from contextlib import AbstractContextManager
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import AbstractContextManager, contextmanager
+from contextvars import ContextVar
 from typing import Any
 from unittest.mock import patch
+from weakref import WeakKeyDictionary
 
 from aiohttp import web
 from aiohttp.client_proto import ResponseHandler
@@ -25,8 +27,10 @@
     retrying,
     upstream_pool,
 )
-from madderwind.dataplane.attempts import Progress
+from madderwind.dataplane.answer_relay import AnswerRelay
+from madderwind.dataplane.attempts import AttemptResult, Progress
 from madderwind.dataplane.client_answers import ClientAnswer
+from madderwind.dataplane.event_stream import EventSplitter
 from madderwind.dataplane.upstream_heads import REQUEST_ID, Head, read_head
 from madderwind.transport import answering
 from madderwind.transport.answering import SingleResponseHandler
@@ -94,6 +98,29 @@
     connection.set_exception(HttpProcessingError(message="the response is not for this request"))
 
 
+@contextmanager
+def share_splitter() -> Iterator[None]:
+    """Split all responses to a request that begin a stream with one splitter."""
+    current_relay: ContextVar[AnswerRelay] = ContextVar("current_relay")
+    splitters: WeakKeyDictionary[AnswerRelay, EventSplitter] = WeakKeyDictionary()
+    relay = AnswerRelay.relay
+
+    async def remember_and_relay(of_request: AnswerRelay, *arguments: Any) -> AttemptResult:
+        current_relay.set(of_request)
+        return await relay(of_request, *arguments)
+
+    def splitter_of_request(resumed_after: bytes | None) -> EventSplitter:
+        if resumed_after is not None:
+            return EventSplitter(resumed_after)
+        return splitters.setdefault(current_relay.get(), EventSplitter())
+
+    with (
+        patch.object(AnswerRelay, "relay", remember_and_relay),
+        patch.object(answer_relay, "EventSplitter", splitter_of_request),
+    ):
+        yield
+
+
 Mutant = Callable[[], AbstractContextManager[Any]]
 
 MUTANTS: dict[str, Mutant] = {
@@ -113,6 +140,7 @@
     "a partial event passes as the end of a stream": lambda: patch.object(
         answer_relay, "tells_its_end", lambda headers: True
     ),
+    "a partial event is joined to the next response": share_splitter,
     "a stream that broke off is ended cleanly": lambda: patch.object(
         ClientAnswer, "abort", leave_stream_open
     ),
--- a/tests/dataplane/answer_scripts.py
+++ b/tests/dataplane/answer_scripts.py
@@ -9,6 +9,8 @@
 
 EVENT_COUNT = 4
 LONG_BODY_BYTES = 200_000
+# The parts of a truncated reply that are sent: a tenth of a stream ends within its first event.
+SENT_FRACTIONS = (0.0, 0.1, 0.3, 0.5, 0.9, 0.999)
 
 
 class Owner(Enum):
@@ -209,7 +211,7 @@
     interim_count=_usually(0, 1, 2),
     before=st.none() | st.none() | _replies_to_others | _refusals_to_others | _garbage,
     reply=_own_replies | _own_replies | _refusals | st.none(),
-    sent_fraction=_usually(1.0, 0.0, 0.3, 0.9, 0.999),
+    sent_fraction=_usually(1.0, *SENT_FRACTIONS),
     trailing=st.none() | _replies_to_others | _refusals_to_others | _garbage | st.just(Reply()),
     is_late=st.booleans(),
     write_size=st.sampled_from([1 << 16, 7, 50]),
@@ -219,7 +221,7 @@
 _truncated_turns = st.builds(
     Turn,
     reply=st.builds(Reply, framing=st.sampled_from(Framing), size=st.sampled_from([40, 70_000])),
-    sent_fraction=st.sampled_from([0.0, 0.3, 0.5, 0.9, 0.999]),
+    sent_fraction=st.sampled_from(SENT_FRACTIONS),
     ending=st.sampled_from([Ending.CLOSE, Ending.RESET]),
 )
 _turns = _any_turns | _any_turns | _truncated_turns
--- a/tests/dataplane/test_answer_mutants.py
+++ b/tests/dataplane/test_answer_mutants.py
@@ -10,7 +10,7 @@
 from unittest.mock import patch
 
 from tests.controlplane import test_core
-from tests.dataplane import test_answers, test_hazards
+from tests.dataplane import test_answer_relay, test_answers, test_hazards
 from tests.dataplane.answer_mutants import MUTANTS
 
 TESTS_BY_MUTANT: dict[str, unittest.TestCase] = {
@@ -32,6 +32,11 @@
     "a partial event passes as the end of a stream": test_answers.ResponseWithoutLengthTests(
         "test_is_incomplete_within_an_event"
     ),
+    "a partial event is joined to the next response": unittest.FunctionTestCase(
+        lambda: test_answer_relay.test_part_of_a_first_event_is_not_joined_to_the_next_response(
+            "/resumable/x", test_answer_relay.close
+        )
+    ),
     "a stream that broke off is ended cleanly": test_hazards.AStreamThatBreaksOff(
         "test_is_broken_off_for_the_client_where_it_cannot_go_on"
     ),
