--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -164,8 +164,9 @@
 class ScriptedFleet:
     """A listener, a forwarder and several upstreams, as an async context manager."""
 
-    def __init__(self, *upstreams: ByteUpstream) -> None:
+    def __init__(self, *upstreams: ByteUpstream, max_attempts: int = 2) -> None:
         self.upstreams = upstreams
+        self._max_attempts = max_attempts
         self.counters: Counter[str] = Counter()
 
     async def __aenter__(self) -> ScriptedFleet:
@@ -181,7 +182,8 @@
         self.pool = UpstreamPool(MAX_CONNECTIONS)
         admission = Admission(UnlimitedQuota(), lambda: True, rng)
         limits = {"max_body_bytes": MAX_BODY_BYTES, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-        raw = document(limits={"max_header_bytes": 16384, **limits})
+        routes = [{**route, "max_attempts": self._max_attempts} for route in document()["routes"]]
+        raw = document(limits={"max_header_bytes": 16384, **limits}, routes=routes)
         admission.configure(read_document(json.dumps(raw).encode()))
         budget = FleetRetryBudget(ratio=1.0, slack=1000.0, window_ms=10_000.0)
         shared = RequestParts(
