Test classes of the data plane named for what they test

ResponseToAnotherRequest, InterruptedStream, AttemptLimit and GenerationHeaders in place of sentences.

--- a/tests/dataplane/test_answer_mutants.py
+++ b/tests/dataplane/test_answer_mutants.py
@@ -20,7 +20,7 @@
     "a request that was sent is reported as unexecuted": test_answers.IncompleteRequestBodyTests(
         "test_a_timeout_is_not_retried_and_not_reported_as_unexecuted"
     ),
-    "X-Request-Id is not checked": test_hazards.AnAnswerThatIsNotThisRequests(
+    "X-Request-Id is not checked": test_hazards.ResponseToAnotherRequest(
         "test_of_another_request_is_never_passed_on_and_its_connection_never_used_again"
     ),
     "only the last byte of a request counts as a send": test_answers.IncompleteRequestBodyTests(
@@ -37,7 +37,7 @@
             "/resumable/x", test_answer_relay.close
         )
     ),
-    "a stream that broke off is ended cleanly": test_hazards.AStreamThatBreaksOff(
+    "a stream that broke off is ended cleanly": test_hazards.InterruptedStream(
         "test_is_broken_off_for_the_client_where_it_cannot_go_on"
     ),
     "a connection is reused after an early response": test_answers.IncompleteRequestBodyTests(
--- a/tests/dataplane/test_hazards.py
+++ b/tests/dataplane/test_hazards.py
@@ -48,7 +48,7 @@
     return behave
 
 
-class AnAnswerThatIsNotThisRequests(unittest.TestCase):
+class ResponseToAnotherRequest(unittest.TestCase):
     def test_of_another_request_is_never_passed_on_and_its_connection_never_used_again(self) -> None:
         async def scenario() -> None:
             async with Fleet(send_bytes(raw_response(request_id="r-other")), document=document()) as fleet:
@@ -251,7 +251,7 @@
         run(scenario())
 
 
-class AStreamThatBreaksOff(unittest.TestCase):
+class InterruptedStream(unittest.TestCase):
     def test_is_broken_off_for_the_client_where_it_cannot_go_on(self) -> None:
         async def scenario() -> None:
             async def send_part_and_abort(message: Message, writer: Writer) -> None:
--- a/tests/dataplane/test_sends.py
+++ b/tests/dataplane/test_sends.py
@@ -58,7 +58,7 @@
     return document(routes=[{**route, "max_attempts": max_attempts} for route in document()["routes"]])
 
 
-class TheUpstreamsOfOneRequest(unittest.TestCase):
+class AttemptLimit(unittest.TestCase):
     """One request is sent to at most `max_attempts` upstreams of its route, however each of them fails."""
 
     def assert_bounded(self, behaviours: tuple[Behaviour, ...]) -> None:
@@ -103,7 +103,7 @@
             self.assert_bounded((resets,) * 5)
 
 
-class WhatTheClientSays(unittest.TestCase):
+class GenerationHeaders(unittest.TestCase):
     """Each upstream receives the client's headers on its generation unmodified."""
 
     def test_are_sent_on_first_attempts_retries_and_resumptions(self) -> None:
