--- a/tests/dataplane/broken_responses.py
+++ b/tests/dataplane/broken_responses.py
@@ -6,23 +6,22 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from collections.abc import Callable, Sequence
 from enum import Enum
 
 import attrs
-from hypothesis import HealthCheck, Phase, given, seed, settings
+from hypothesis import given, seed
 from hypothesis import strategies as st
 
 from madderwind.testing.fault_tests.wire import chunk
 from tests.dataplane.answer_scripts import Route
+from tests.dataplane.drawn_scripts import run_command_line, script_settings
 from tests.dataplane.fleet import CLIENT_HOST
 from tests.dataplane.forwarder import ByteUpstream, JumpingLoop, ScriptedFleet
 from tests.examples import HOST
 from tests.standins import Message, read_message, reset
 
 MAX_ATTEMPTS = 3
-DEFAULT_EXAMPLES, DEFAULT_SEED = 2000, 1
 REQUEST_ID = "r-1"
 LAST_CHUNK = b"0\r\n\r\n"
 # Longer than what the data plane buffers of a response that is no stream.
@@ -286,24 +285,9 @@
 
     `is_shrinking`: look for the shortest failing script.
     """
-    bounds = settings(
-        phases=(Phase.generate, Phase.shrink) if is_shrinking else (Phase.generate,),
-        max_examples=examples,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    bounds = script_settings(examples, is_shrinking)
     return seed(seed_value)(bounds(given(scripts())(play)))
 
 
-def main() -> None:
-    """Play the scripts given by the command line."""
-    numbers = [int(argument) for argument in sys.argv[1:]]
-    examples = numbers[0] if numbers else DEFAULT_EXAMPLES
-    seed_value = numbers[1] if len(numbers) > 1 else DEFAULT_SEED
-    checker(examples, seed_value)()
-    print(f"{examples} scripts, seed {seed_value}: no rule broken")
-
-
 if __name__ == "__main__":
-    main()
+    run_command_line(checker)
