Known events are compared with the id at which the stream was resumed

What callers would see: on a resumable route, one event twice in a complete 200, if the next upstream's stream begins with an event without an id and then repeats one that the client has, in another read.

Whether it happened hung on how the bytes were split.

Change: the id at which the stream was resumed is kept by itself, in place of the flag that said whether to drop; it ends with the first newer event.

Test: test_drops_known_events_behind_an_event_without_an_id failed before and passes. tests/dataplane: 193 passed.

--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -29,7 +29,7 @@
             event has none: a stream that resumes at an older id would repeat it.
     """
 
-    __slots__ = ("_buffer", "_skips_known", "last_id")
+    __slots__ = ("_buffer", "_known_id", "last_id")
 
     def __init__(self, resumed_after: bytes | None = None) -> None:
         """Start before the first byte of a response.
@@ -40,7 +40,7 @@
         """
         self.last_id = resumed_after
         self._buffer = b""
-        self._skips_known = resumed_after is not None
+        self._known_id = resumed_after  # events up to this id are dropped; None once a newer one has come
 
     def feed(self, data: bytes) -> bytes:
         """The events that are now complete, concatenated; EventTooLong if one does not end."""
@@ -55,7 +55,7 @@
         complete = buffer[:end]
         if not complete:
             return b""
-        if self._skips_known:
+        if self._known_id is not None:
             complete = self._drop_known(complete)
         self._record_last_id(complete)
         return complete
@@ -68,16 +68,16 @@
     def rest(self) -> bytes:
         """Take the bytes after the last complete event, which a properly ended response may still contain."""
         remainder, self._buffer = self._buffer, b""
-        return self._drop_known(remainder) if self._skips_known else remainder
+        return remainder if self._known_id is None else self._drop_known(remainder)
 
     def _drop_known(self, complete: bytes) -> bytes:
         kept = []
         for event in _split(complete):
             event_id = _last_id(event)
-            if self._skips_known and event_id is not None:
-                if self.last_id is not None and not _is_after(event_id, self.last_id):
+            if self._known_id is not None and event_id is not None:
+                if not _is_after(event_id, self._known_id):
                     continue
-                self._skips_known = False
+                self._known_id = None
             kept.append(event)
         return b"".join(kept)
 
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -203,6 +203,12 @@
         self.assertEqual(splitter.last_id, b"4")
         self.assertEqual(splitter.rest(), b"id: 5\r\n")
 
+    def test_drops_known_events_behind_an_event_without_an_id(self) -> None:
+        # Guards against a known event that is returned again because the one before it had no id.
+        splitter = EventSplitter(b"2")
+        self.assertEqual(splitter.feed(b"data: x\n\n"), b"data: x\n\n")
+        self.assertEqual(splitter.feed(event(2) + event(3)), event(3))
+
     def test_knows_no_last_id_after_an_event_without_one(self) -> None:
         splitter = EventSplitter(b"3")
         for fed, last_id in (
