--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""The first start of the system: one core machine, the first seed, is killed while it starts and is back within a second."""
+"""The operator numbers its versions by date and time; a version of 20 digits drops a route and is acknowledged."""
 
 from __future__ import annotations
 
@@ -9,11 +9,22 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from stand_ins import Operator, Record, Site, Upstream, ask, configuration, is_ready, route, run_case  # noqa: E402
+from stand_ins import (  # noqa: E402
+    BOUNDS,
+    CouldNotRun,
+    Operator,
+    Record,
+    Site,
+    Upstream,
+    ask,
+    configuration,
+    read_back,
+    route,
+    run_case,
+)
 
-KILL_AFTER_S, DOWN_S = 0.1, 0.5
-# The operator's patience, far more than `ack_ms` + `contact_ms` + `recovery_s`.
-OPERATOR_S = 40.0
+# 4 December 2026, 18:10:00: to the second, and to the microsecond.
+SECONDS, MICROSECONDS = 20261204181000, 20261204181000123456
 ASKED = 5
 
 
@@ -22,24 +33,33 @@
     upstream = Upstream(site, "claims", 0)
     try:
         site.start()
-        if has_trouble:
-            await asyncio.sleep(KILL_AFTER_S)
-            await site.core[0].kill()
-            await asyncio.sleep(DOWN_S)
-            site.core[0].start()
-        await upstream.start()
         operator = Operator(site)
-        answer = await operator.send("/config/replace", 0, configuration(1, [route("claim", "claims")], ["claims"]), OPERATOR_S)
-        record(f"the first configuration: {answer.status}")
-        await asyncio.sleep(3.0)
-        served = 0
+        first = configuration(20261204180000, [route("kept", "claims"), route("dropped", "claims")], ["claims"])
+        if (await operator.replace(0, first)).status != 200:
+            raise CouldNotRun("the first configuration was not acknowledged")
+        await upstream.start()
+        await site.wait_ready()
+        await asyncio.sleep(2.5)
+        for front in site.front:
+            if await ask(site, front, "dropped", [upstream]) != (200, True):
+                raise CouldNotRun("the fleet does not serve before the change")
+        version = MICROSECONDS if has_trouble else SECONDS
+        change = {"version": version, "upsert": {"routes": [route("added", "claims")]}, "delete": {"routes": ["dropped"]}}
+        answer = await operator.update(operator.version, change)
+        if answer.status != 200:
+            record(f"not acknowledged: {answer.status}: a configuration that is refused binds nobody")
+            return False
+        record("the route 'dropped' is no longer there, by an acknowledged version; waiting three times config_apply_ms")
+        await asyncio.sleep(3 * BOUNDS["config_apply_ms"] / 1000)
+        old = 0
         for front in site.front:
-            record(f"{front.name}: running: {front.is_running}, ready: {await is_ready(front)}")
             for _ in range(ASKED):
-                _, ran = await ask(site, front, "claim", [upstream])
-                served += ran
-        record(f"all core processes run: {all(node.is_running for node in site.core)}; served: {served} of {3 * ASKED}")
-        return served == 0
+                _, ran = await ask(site, front, "dropped", [upstream])
+                old += ran
+            await ask(site, front, "added", [upstream])
+        record(f"requests on the dropped route that ran, sent over 6 s after the acknowledgement: {old} of {3 * ASKED}")
+        has_come = await read_back(site, operator)
+        return old > 0 or not has_come
     finally:
         await upstream.close()
         site.close()
