Each kind of machine has its own loader in the test of system packages

make test failed on arm64 in tests/test_system_packages.py alone: KeyError 'ld-linux-aarch64.so.1'.

Cause: the table of libraries knew the loader of x86-64 only; every compiled wheel links to the loader of its own kind of machine.

Change: the loader is looked up by the kind of machine and stands apart from the other libraries. The test stays as strict on both: on each, the loader of the other is unknown, as any library without a package is. The story of a library is told for both kinds, on either machine.

On x86-64 not run: none at hand.

--- a/tests/test_system_packages.py
+++ b/tests/test_system_packages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import platform
 import re
 import shlex
 import subprocess
@@ -28,9 +29,10 @@
 }
 # Python modules that Debian packages separately from Python.
 PACKAGE_OF_MODULE = {"venv": "python3-venv"}
-# The package of each shared library that compiled wheels link to.
+# The dynamic loader of each kind of machine, which belongs to the C library.
+LOADER_OF_MACHINE = {"aarch64": "ld-linux-aarch64.so.1", "x86_64": "ld-linux-x86-64.so.2"}
+# The package of each other shared library that compiled wheels link to.
 PACKAGE_OF_LIBRARY = {
-    "ld-linux-x86-64.so.2": "libc6",
     "libc.so.6": "libc6",
     "libdl.so.2": "libc6",
     "libgcc_s.so.1": "libgcc-s1",
@@ -98,10 +100,14 @@
     return packages
 
 
-def packages_of_libraries(ldd_text: str) -> set[str]:
-    """The packages of the shared libraries in `ldd` output; KeyError if a library is unknown."""
+def packages_of_libraries(ldd_text: str, machine: str) -> set[str]:
+    """The packages of the shared libraries in `ldd` output; KeyError if a library is unknown.
+
+    `machine` is the kind of machine, as `platform.machine()` names it: the loader of another is unknown too.
+    """
+    package_of = {**PACKAGE_OF_LIBRARY, LOADER_OF_MACHINE[machine]: "libc6"}
     names = {Path(name).name for name in LDD_LIBRARY.findall(ldd_text)}
-    return {PACKAGE_OF_LIBRARY[name] for name in names if not name.startswith("linux-vdso")}
+    return {package_of[name] for name in names if not name.startswith("linux-vdso")}
 
 
 def required_distributions(requirements: Path) -> dict[str, Distribution]:
@@ -160,7 +166,8 @@
     for command in commands_of("\n".join((deploy_table["build"], *run_commands, script))):
         packages |= packages_of_command(command, deployment.built_under)
     modules = compiled_modules(required_distributions(ROOT / deployment.requirements))
-    return (packages | packages_of_libraries(ldd_output(modules))) - ALWAYS_INSTALLED
+    packages |= packages_of_libraries(ldd_output(modules), platform.machine())
+    return packages - ALWAYS_INSTALLED
 
 
 class ListedPackagesTest(unittest.TestCase):
@@ -212,11 +219,18 @@
         )
 
     def test_a_shared_library_is_found(self) -> None:
-        ldd_text = "\tlinux-vdso.so.1 (0x1)\n\tlibm.so.6 => /lib/libm.so.6 (0x2)\n"
-        ldd_text += "\t/lib64/ld-linux-x86-64.so.2 (0x3)\n"
-        self.assertEqual(packages_of_libraries(ldd_text), {"libc6"})
-        with self.assertRaises(KeyError):
-            packages_of_libraries(ldd_text + "\tlibffi.so.8 => /lib/libffi.so.8 (0x4)\n")
+        for machine, loader in LOADER_OF_MACHINE.items():
+            with self.subTest(machine):
+                ldd_text = "\tlinux-vdso.so.1 (0x1)\n\tlibm.so.6 => /lib/libm.so.6 (0x2)\n"
+                ldd_text += f"\t/lib/{loader} (0x3)\n"
+                self.assertEqual(packages_of_libraries(ldd_text, machine), {"libc6"})
+                with self.assertRaises(KeyError):
+                    packages_of_libraries(ldd_text + "\tlibffi.so.8 => /lib/libffi.so.8 (0x4)\n", machine)
+
+    def test_the_loader_of_another_kind_of_machine_is_rejected(self) -> None:
+        for machine, other in (("aarch64", "x86_64"), ("x86_64", "aarch64")):
+            with self.subTest(machine), self.assertRaises(KeyError):
+                packages_of_libraries(f"\t/lib/{LOADER_OF_MACHINE[other]} (0x3)\n", machine)
 
     def test_compiled_modules_of_wheels_are_found(self) -> None:
         modules = compiled_modules(required_distributions(ROOT / SYSTEM.requirements))
