The data plane logs requests that are sent again, and streams that end within an event

New events, each counted as well and written once a second at most: retried (the client has had nothing yet) and stream_resumed (after the event with the id 'after'), both with the upstreams so far and the size of the incomplete event that was dropped with its response; unterminated_event_relayed where a stream that its upstream ended in order had no blank line behind its last event. What is relayed is unchanged.

--- a/madderwind/dataplane/answer_relay.py
+++ b/madderwind/dataplane/answer_relay.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from aiohttp.client_reqrep import ClientResponse
 
-from madderwind.dataplane.attempts import AttemptResult, Progress
+from madderwind.dataplane.attempts import Attempt, AttemptResult, Progress
 from madderwind.dataplane.client_answers import ClientAnswer
 from madderwind.dataplane.event_stream import EVENT_STREAM, EventSplitter, EventTooLong
 from madderwind.dataplane.request_parts import MS_PER_S, RequestParts
@@ -28,6 +28,7 @@
 
     Attributes:
         final: The client's response, once it is complete.
+        unterminated_bytes: The size of a last event without its blank line that the client was sent.
     """
 
     def __init__(self, parts: RequestParts, progress: Progress, answer: ClientAnswer) -> None:
@@ -37,6 +38,7 @@
         self._is_resumable_route = progress.is_resumable
         self._last_event_id: bytes | None = None  # of the last event that the client was sent
         self.final: web.StreamResponse | None = None
+        self.unterminated_bytes = 0
 
     def resume_after(self) -> str | None:
         """The id of the event after which another upstream should resume the stream.
@@ -46,17 +48,17 @@
         last_id = self._last_event_id
         return None if last_id is None else last_id.decode("latin-1")
 
-    async def relay(self, response: ClientResponse, instance: str, key: str) -> AttemptResult:
+    async def relay(self, response: ClientResponse, attempt: Attempt, key: str) -> AttemptResult:
         """Relay a response to the client.
 
         Args:
             response: The upstream's response, its head already read.
-            instance: The upstream.
+            attempt: The attempt that it answers.
             key: Identifies the attempt within this process.
         """
         content_type = response.headers.get("Content-Type", "")
         if response.status == _OK and content_type.startswith(EVENT_STREAM):
-            return await self._relay_stream(response, instance, key)
+            return await self._relay_stream(response, attempt, key)
         if self._progress.answer_begun:  # only another event stream can continue a stream
             response.close()
             return AttemptResult.BROKEN
@@ -67,24 +69,27 @@
         self.final = self._answer.complete(response, body)
         return AttemptResult.COMPLETE
 
-    async def _relay_stream(self, response: ClientResponse, instance: str, key: str) -> AttemptResult:
+    async def _relay_stream(self, response: ClientResponse, attempt: Attempt, key: str) -> AttemptResult:
         """Relay complete events as they arrive; the head is sent with the first one."""
         if not self._progress.answer_begun:
             self._answer.set_head(response, None)
         events = EventSplitter(self._last_event_id)
         data = await response.content.readany()
         if data:
-            self._parts.chooser.stream_began(self._now_ms(), key, instance)
+            self._parts.chooser.stream_began(self._now_ms(), key, attempt.instance)
             try:
-                await self._relay_events(response, events, data, instance)
+                await self._relay_events(response, events, data, attempt.instance)
             except EventTooLong:
                 response.close()
                 return AttemptResult.BROKEN
             finally:
-                self._parts.chooser.streams.ended(instance)
-        if events.is_within_event and not tells_its_end(response.headers):
+                attempt.discarded_bytes = events.incomplete_bytes
+                self._parts.chooser.streams.ended(attempt.instance)
+        if events.incomplete_bytes and not tells_its_end(response.headers):
             return AttemptResult.BROKEN
+        attempt.discarded_bytes = 0
         if rest := events.rest():
+            self.unterminated_bytes = len(rest)
             await self._answer.write(rest)
         self.final = await self._answer.end()
         return AttemptResult.COMPLETE
--- a/madderwind/dataplane/attempt_exchange.py
+++ b/madderwind/dataplane/attempt_exchange.py
@@ -134,7 +134,7 @@
         self._parts.chooser.record_answer(self._attempt.instance)
         if encoded.connection is not None:
             encoded.connection.passes_on()
-        return await self._relay.relay(response, self._attempt.instance, self._key)
+        return await self._relay.relay(response, self._attempt, self._key)
 
     async def _handle_rejection(self, response: ClientResponse, head: Head) -> None:
         """Handle a refusal, an unproven refusal, or a response of another instance at the address."""
--- a/madderwind/dataplane/attempts.py
+++ b/madderwind/dataplane/attempts.py
@@ -27,11 +27,13 @@
     """One attempt to send the request to an upstream.
 
     `was_sent` is set as soon as the request is cleared for writing; `result` is None while the attempt runs.
+    `discarded_bytes` is the size of an incomplete event that was dropped when its response broke off.
     """
 
     instance: str
     was_sent: bool = False
     result: AttemptResult | None = None
+    discarded_bytes: int = 0
 
     @property
     def has_left(self) -> bool:
--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -61,9 +61,9 @@
         return complete
 
     @property
-    def is_within_event(self) -> bool:
-        """Whether bytes have arrived since the end of the last event."""
-        return bool(self._buffer)
+    def incomplete_bytes(self) -> int:
+        """The number of bytes that have arrived since the end of the last event."""
+        return len(self._buffer)
 
     def rest(self) -> bytes:
         """Take the bytes after the last complete event, which a properly ended response may still contain."""
--- a/madderwind/dataplane/request_forwarding.py
+++ b/madderwind/dataplane/request_forwarding.py
@@ -49,6 +49,8 @@
             ClientDisconnected: The client closed its connection before the end.
         """
         while (instance := self._next_upstream()) is not None:
+            if self._progress.arrivals:
+                self._record_retry()
             attempt = Attempt(instance)
             self._progress.attempts.append(attempt)
             await self._run_attempt(attempt)
@@ -110,6 +112,10 @@
         """The final response after an upstream's complete response was relayed."""
         self._parts.retries.succeeded(self._progress)
         self._parts.counters["complete"] += 1
+        if self._relay.unterminated_bytes:
+            self._record(
+                "unterminated_event_relayed", AttemptResult.COMPLETE, bytes=self._relay.unterminated_bytes
+            )
         assert self._relay.final is not None
         return self._relay.final
 
@@ -120,18 +126,28 @@
         if not any(attempt.may_have_run for attempt in attempts):
             self._parts.admission.refund_quota(self._now_ms(), self._admitted)
         if self._progress.answer_begun:
-            self._record_outcome("stream_broken_off", last)
+            self._record("stream_broken_off", last)
             return self.answer.abort()
         if may_promise(self._progress):
-            self._record_outcome("refused", last)
+            self._record("refused", last)
             retry_after_ms = self._parts.admission.route_retry_after_ms(self._admitted.route)
             return refusal(SERVICE_UNAVAILABLE, "no upstream took it", retry_after_ms)
-        self._record_outcome("failed", last)
+        self._record("failed", last)
         if last is AttemptResult.TIMED_OUT:
             return own_answer(GATEWAY_TIMEOUT, "timed out")
         return own_answer(BAD_GATEWAY, "failed")
 
-    def _record_outcome(self, event: str, last: AttemptResult | None) -> None:
+    def _record_retry(self) -> None:
+        """Record that a request which has reached an upstream is about to be sent to another one."""
+        last = self._progress.attempts[-1]
+        if self._progress.answer_begun:
+            after = self._relay.resume_after()
+            self._record("stream_resumed", last.result, after=after, discarded_bytes=last.discarded_bytes)
+        else:
+            self._record("retried", last.result, discarded_bytes=last.discarded_bytes)
+
+    def _record(self, event: str, last: AttemptResult | None, **fields: object) -> None:
+        """Count and log an event of this request; `last` is the result of its last attempt."""
         self._parts.counters[event] += 1
         self._parts.log(
             event,
@@ -139,6 +155,7 @@
             route=self._admitted.route.name,
             last=None if last is None else last.value,
             attempts=[attempt.instance for attempt in self._progress.attempts],
+            **fields,
         )
 
     def _client_disconnected(self) -> bool:
--- a/tests/dataplane/test_answer_relay.py
+++ b/tests/dataplane/test_answer_relay.py
@@ -50,17 +50,28 @@
     return b"%x\r\n%s" % (len(data), data[:sent_bytes])
 
 
+LogLine = tuple[str, dict[str, object]]
+
+
 def ask(path: str, behaviour: BrokenOffOnce, **headers: str) -> Message:
     """The client's response to a request for which two upstreams are available."""
+    return ask_logged(path, behaviour, **headers)[0]
+
+
+def ask_logged(path: str, behaviour: BrokenOffOnce, **headers: str) -> tuple[Message, list[LogLine]]:
+    """The client's response, and the log lines about the request."""
     responses = []
+    log: list[LogLine] = []
 
     async def scenario() -> None:
         async with Fleet(behaviour, behaviour, document=document()) as fleet:
             responses.append(await fleet.ask(path, **headers))
+            log.extend(line for line in fleet.log if "request" in line[1])
+            assert all(fleet.plane.counters[event] == 1 for event, _ in log)
 
     with mock.patch.object(retrying, "TRANSIENT_BASE_MS", 1.0):
         run(scenario())
-    return responses[0]
+    return responses[0], log
 
 
 @pytest.mark.parametrize("path", ["/safe/x", "/resumable/x"])
@@ -119,3 +130,32 @@
     response = ask("/resumable/x", behaviour)
     assert (response.status, response.body) == (200, received)
     assert behaviour.last_event_ids == [None, "2"]
+
+
+@pytest.mark.parametrize(
+    ("before", "event_logged", "details"),
+    [
+        pytest.param(b"", "retried", {"discarded_bytes": 3}, id="within the first event"),
+        pytest.param(
+            event(1), "stream_resumed", {"after": "1", "discarded_bytes": 3}, id="within a later event"
+        ),
+    ],
+)
+def test_log_tells_where_a_stream_broke_off_that_was_sent_again(
+    before: bytes, event_logged: str, details: dict[str, object]
+) -> None:
+    first = (chunk(before) if before else b"") + part_of_chunk(event(2), 3)
+    later = event(2) if before else EVENTS
+    response, log = ask_logged("/resumable/x", BrokenOffOnce(first, close, chunk(later)))
+    assert response.body == EVENTS
+    [(name, fields)] = log
+    assert fields.pop("attempts") in (["i-0"], ["i-1"])
+    expected = {"request": "r-1", "route": "resumable", "last": "broken", "unsaid_before": 0}
+    assert (name, fields) == (event_logged, {**expected, **details})
+
+
+def test_log_tells_that_a_stream_which_ended_in_order_had_an_unterminated_event() -> None:
+    behaviour = BrokenOffOnce(chunk(event(1) + event(2)[:-1]) + LAST_CHUNK, lambda writer: None, b"")
+    response, [(name, fields)] = ask_logged("/stream/x", behaviour)
+    assert response.body == event(1) + event(2)[:-1]
+    assert (name, fields["bytes"]) == ("unterminated_event_relayed", len(event(2)) - 1)
--- a/tests/dataplane/test_log_page.py
+++ b/tests/dataplane/test_log_page.py
@@ -13,7 +13,7 @@
     ROOT / "madderwind" / "settings_watch.py",
 )
 # Where an event is named: calls of the log, constants of the subscriber's events, recorded request outcomes.
-LOG_CALL = re.compile(r"\b(?:_?log|LogEvent|_record_outcome)\(\s*(.*?)[,)]", re.DOTALL)
+LOG_CALL = re.compile(r"\b(?:_?log|LogEvent|_record)\(\s*(.*?)[,)]", re.DOTALL)
 EVENT_NAME = re.compile(r"\"([a-z_]+)\"")
 
 
