--- a/madderwind/testing/engine_emulator/upstream_process.py
+++ b/madderwind/testing/engine_emulator/upstream_process.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Protocol
 
 import aiohttp
 import msgspec
@@ -27,10 +28,22 @@
 POLL_INTERVAL_S = 0.05
 
 
+class RegisteredUpstream(Protocol):
+    """What the control planes are told about an upstream."""
+
+    instance: str
+
+    def cold_remaining_ms(self) -> float:
+        """Remaining time of the slow phase after the start."""
+
+    def models(self) -> list[dict[str, object]]:
+        """The models that it serves, in the format of registrations."""
+
+
 class Registration:
     """Sends heartbeats to a control plane, and switches to the next one when a call fails."""
 
-    def __init__(self, settings: UpstreamSettings, server: UpstreamServer, rng: random.Random) -> None:
+    def __init__(self, settings: UpstreamSettings, server: RegisteredUpstream, rng: random.Random) -> None:
         self._settings, self._server = settings, server
         self._control_planes = list(settings.control)
         rng.shuffle(self._control_planes)
--- a/madderwind/testing/local_fleet/node_process.py
+++ b/madderwind/testing/local_fleet/node_process.py
@@ -53,8 +53,11 @@
 class NodeProcess:
     """The process of one node."""
 
-    def __init__(self, layout: NodeLayout, on_event: Callable[[ProcessEvent], None]) -> None:
-        self.layout, self._on_event = layout, on_event
+    def __init__(
+        self, layout: NodeLayout, on_event: Callable[[ProcessEvent], None], checkout: Path = ROOT
+    ) -> None:
+        """`checkout` is the root of the sources that the process runs."""
+        self.layout, self._on_event, self._checkout = layout, on_event, checkout
         self.state = NodeState.STOPPED
         self._process: asyncio.subprocess.Process | None = None
         self._wait_task: asyncio.Task[None] | None = None
@@ -96,7 +99,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                cwd=ROOT,
+                cwd=self._checkout,
                 env={**os.environ, SETTINGS_VARIABLE: str(self.layout.settings_path)},
                 preexec_fn=dies_with_parent,
             )
--- a/tests/dataplane/test_answer_relay.py
+++ b/tests/dataplane/test_answer_relay.py
@@ -45,6 +45,11 @@
         self._ending(writer)
 
 
+def end_in_order(writer: Writer) -> None:
+    """End the response as a complete one ends."""
+    writer.write(LAST_CHUNK)
+
+
 def part_of_chunk(data: bytes, sent_bytes: int) -> bytes:
     """The beginning of a chunk whose sender ends after `sent_bytes` of its data."""
     return b"%x\r\n%s" % (len(data), data[:sent_bytes])
@@ -85,6 +90,33 @@
         assert behaviour.last_event_ids == [None, None]
 
 
+@pytest.mark.parametrize(
+    ("path", "before"),
+    [
+        pytest.param("/safe/x", b"", id="first event, safe"),
+        pytest.param("/resumable/x", b"", id="first event, resumable"),
+        pytest.param("/resumable/x", event(1), id="later event, resumable"),
+    ],
+)
+def test_a_stream_that_ends_in_order_within_an_event_is_sent_again(path: str, before: bytes) -> None:
+    # Guards against part of an event that the client takes for the last one of a complete stream.
+    for sent_bytes in range(1, len(event(2))):
+        first = chunk(before + EVENTS.removeprefix(before)[:sent_bytes])
+        behaviour = BrokenOffOnce(first, end_in_order, chunk(EVENTS.removeprefix(before)))
+        response = ask(path, behaviour)
+        assert (response.status, response.body) == (200, EVENTS), sent_bytes
+        assert behaviour.last_event_ids == [None, "1" if before else None]
+
+
+def test_a_stream_that_ends_in_order_within_an_event_and_cannot_resume_is_truncated() -> None:
+    # Guards against the same fault where no other upstream may continue.
+    for sent_bytes in range(1, len(event(2))):
+        behaviour = BrokenOffOnce(chunk(event(1) + event(2)[:sent_bytes]), end_in_order, b"")
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            ask("/stream/x", behaviour)
+        assert len(behaviour.last_event_ids) == 1
+
+
 @pytest.mark.parametrize("path", ["/safe/x", "/resumable/x"])
 def test_a_first_event_that_is_too_long_is_not_joined_to_the_next_response(path: str) -> None:
     # Guards against the same fault where the first attempt ends because its event exceeds the limit.
