A stream that ends within an event has broken off, however its response ended

What callers saw: a complete 200 whose last piece was part of an event. It needs an upstream that ends its stream in order (last chunk, or a length that is reached) within an event; then it happened on every kind of stream, at any event, in one attempt.

Cause: the relay asked the framing alone whether a stream was whole. Bytes behind the last complete event were passed on as the end of the stream wherever the head declared its end. A client discards them by the HTML standard, so nobody could use them as an event.

Change: a stream that ends with part of an event is truncated: it is resumed or sent again where that is allowed, else the client's connection is closed. Comments and blank lines behind the last event are no events and pass. A response whose end isn't declared stays broken after any byte, as before. The event unterminated_event_relayed can't happen any more; attempt_truncated counts these attempts, and the lines retried and stream_resumed tell the discarded bytes.

--- a/madderwind/dataplane/answer_relay.py
+++ b/madderwind/dataplane/answer_relay.py
@@ -28,7 +28,6 @@
 
     Attributes:
         final: The client's response, once it is complete.
-        unterminated_bytes: The size of a last event without its blank line that the client was sent.
     """
 
     def __init__(self, parts: RequestParts, progress: Progress, answer: ClientAnswer) -> None:
@@ -38,7 +37,6 @@
         self._is_resumable_route = progress.is_resumable
         self._last_event_id: bytes | None = None  # of the last event that the client was sent
         self.final: web.StreamResponse | None = None
-        self.unterminated_bytes = 0
 
     def resume_after(self) -> str | None:
         """The id of the event after which another upstream should resume the stream.
@@ -83,14 +81,14 @@
                 response.close()
                 return AttemptResult.BROKEN
             finally:
-                attempt.discarded_bytes = events.incomplete_bytes
+                attempt.discarded_bytes = len(events.rest)
                 self._parts.chooser.streams.ended(attempt.instance)
-        if events.incomplete_bytes and not tells_its_end(response.headers):
+        if events.is_within_event or (events.rest and not tells_its_end(response.headers)):
+            self._parts.counters["attempt truncated"] += 1
             return AttemptResult.BROKEN
         attempt.discarded_bytes = 0
-        if rest := events.rest():
-            self.unterminated_bytes = len(rest)
-            await self._answer.write(rest)
+        if events.rest:
+            await self._answer.write(events.rest)
         self.final = await self._answer.end()
         return AttemptResult.COMPLETE
 
--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -61,14 +61,18 @@
         return complete
 
     @property
-    def incomplete_bytes(self) -> int:
-        """The number of bytes that have arrived since the end of the last event."""
-        return len(self._buffer)
+    def is_within_event(self) -> bool:
+        """Whether part of an event has arrived since the end of the last one.
 
+        A client discards such a part at the end of a stream (HTML standard, "Server-sent events"), so a
+        stream that ends here has been truncated. Comments and blank lines are no events.
+        """
+        return _has_fields(self._buffer)
+
+    @property
     def rest(self) -> bytes:
-        """Take the bytes after the last complete event, which a properly ended response may still contain."""
-        remainder, self._buffer = self._buffer, b""
-        return remainder if self._known_id is None else self._drop_known(remainder)
+        """The bytes that have arrived since the end of the last event."""
+        return self._buffer
 
     def _drop_known(self, complete: bytes) -> bytes:
         kept = []
--- a/madderwind/dataplane/request_forwarding.py
+++ b/madderwind/dataplane/request_forwarding.py
@@ -112,10 +112,6 @@
         """The final response after an upstream's complete response was relayed."""
         self._parts.retries.succeeded(self._progress)
         self._parts.counters["complete"] += 1
-        if self._relay.unterminated_bytes:
-            self._record(
-                "unterminated_event_relayed", AttemptResult.COMPLETE, bytes=self._relay.unterminated_bytes
-            )
         assert self._relay.final is not None
         return self._relay.final
 
--- a/madderwind/dataplane/upstream_heads.py
+++ b/madderwind/dataplane/upstream_heads.py
@@ -59,7 +59,7 @@
 def tells_its_end(headers: Mapping[str, str]) -> bool:
     """Whether the head declares how the body ends; otherwise the body ends with the connection.
 
-    A body without such a declaration may be truncated: when an upstream process dies within an event, its
+    A body without such a declaration may be truncated: when an upstream process dies within a line, its
     operating system closes the connections in the regular way.
     """
     return "Content-Length" in headers or "Transfer-Encoding" in headers
--- a/tests/dataplane/test_answer_mutants.py
+++ b/tests/dataplane/test_answer_mutants.py
@@ -32,6 +32,9 @@
     "a partial event passes as the end of a stream": test_answers.ResponseWithoutLengthTests(
         "test_is_incomplete_within_an_event"
     ),
+    "a partial event passes as the end of a stream that ends in order": unittest.FunctionTestCase(
+        test_answer_relay.test_a_stream_that_ends_in_order_within_an_event_and_cannot_resume_is_truncated
+    ),
     "a partial event is joined to the next response": unittest.FunctionTestCase(
         lambda: test_answer_relay.test_part_of_a_first_event_is_not_joined_to_the_next_response(
             "/resumable/x", test_answer_relay.close
--- a/tests/dataplane/test_broken_responses.py
+++ b/tests/dataplane/test_broken_responses.py
@@ -22,6 +22,7 @@
     [
         "a partial event is joined to the next response",
         "a partial event passes as the end of a stream",
+        "a partial event passes as the end of a stream that ends in order",
         "a stream that broke off is ended cleanly",
         "an unsafe request is retried after a reset",
     ],
