A streamed answer that breaks off is reset for a client of HTTP/1.0

What callers saw: a client of HTTP/1.0 has nothing but the connection's end to tell where a streamed answer ends. Where the upstream broke off, both programs ended its connection by transport.abort(), which closes it in the regular way if nothing is unread: the part of the answer appeared complete.

Change: madderwind/transport/streamed_response.py says for both programs how the end of a streamed body is marked (it stood twice). Where only the connection's end marks it, the socket is set up to be reset by any close until the body is complete, so that also a process that is killed doesn't end it in order. Clients of HTTP/1.1 miss the last chunk, as before, and keep the regular close, which loses nothing that was sent.

Tests: one story for each program; both failed before (the client read the part until a regular close) and pass.

--- a/madderwind/dataplane/client_answers.py
+++ b/madderwind/dataplane/client_answers.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from aiohttp import HttpVersion11, web
+from aiohttp import web
 from aiohttp.client_reqrep import ClientResponse
 
 from madderwind.dataplane.headers import client_response_headers
 from madderwind.errors import MadderwindError
-from madderwind.transport.listening import CallersRequest
+from madderwind.transport.streamed_response import confirm_complete, declare_body
 
 # Status of the response object given to the server when there is no client to respond to. Unlike 503 it does
 # not promise that the request was not executed.
@@ -51,6 +51,7 @@
         """Finish the body; ClientDisconnected if the connection is closed."""
         try:
             response = await self._begin()
+            confirm_complete(self._request)
             await response.write_eof()
         except (ConnectionError, RuntimeError) as error:
             raise ClientDisconnected(str(error)) from None
@@ -69,11 +70,6 @@
         assert response is not None
         if not self.begun:
             self.begun = True
-            if self._length is not None:
-                response.content_length = self._length
-            elif self._request.version >= HttpVersion11:
-                response.enable_chunked_encoding()
-            if isinstance(self._request, CallersRequest) and self._request.is_last():
-                response.force_close()
+            declare_body(self._request, response, self._length)
             await response.prepare(self._request)
         return response
--- a/madderwind/standalone/routing/exchange.py
+++ b/madderwind/standalone/routing/exchange.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Awaitable, Mapping
 
 import msgspec
-from aiohttp import HttpVersion11, web
+from aiohttp import web
 from multidict import CIMultiDictProxy
 
 from madderwind.standalone.policy import api
@@ -26,7 +26,7 @@
 from madderwind.standalone.routing.copy import Copy, LastWord
 from madderwind.transport.bodies import PASSING, READ_S, BadBody, Body
 from madderwind.transport.encoded_request import EncodedRequest, Upload
-from madderwind.transport.listening import CallersRequest
+from madderwind.transport.streamed_response import confirm_complete, declare_body
 from madderwind.transport.unread import has_left
 from madderwind.transport.upstreams import Answer
 
@@ -350,12 +350,7 @@
         elapsed_ms = first_ms - self._began_ms
         copy.happened(api.AnswerBegan(exchange.number, self._number, self._upstream, elapsed_ms))
         response = exchange.response = web.StreamResponse(status=200, headers=_forwarded_headers(headers))
-        if length is not None:
-            response.content_length = length
-        elif exchange.request.version >= HttpVersion11:
-            response.enable_chunked_encoding()
-        if isinstance(exchange.request, CallersRequest) and exchange.request.is_last():
-            response.force_close()
+        declare_body(exchange.request, response, length)
         await self._write_within_limit(response.prepare(exchange.request))
         return True
 
@@ -482,7 +477,9 @@
         attempts=exchange.attempt_outcomes,
     )
     if exchange.response is not None:
-        if final.status != 200 and request.transport is not None:
+        if final.status == 200:
+            confirm_complete(request)
+        elif request.transport is not None:
             request.transport.abort()  # tells the caller that the response is incomplete
         return exchange.response
     return web.Response(status=final.status, body=final.body, headers=final.headers)
--- a/tests/dataplane/test_answer_relay.py
+++ b/tests/dataplane/test_answer_relay.py
@@ -12,7 +12,8 @@
 from madderwind.dataplane import event_stream, retrying
 from madderwind.testing.fault_tests.relay import reset
 from madderwind.testing.fault_tests.wire import chunk
-from tests.dataplane.fleet import Fleet, Message, Writer, document, event, stream_head
+from tests.dataplane.fleet import CLIENT_HOST, Fleet, Message, Writer, document, event, stream_head
+from tests.examples import HOST
 from tests.standins import run
 
 LAST_CHUNK = b"0\r\n\r\n"
@@ -156,6 +157,30 @@
     assert behaviour.last_event_ids == [None, "1"]
 
 
+async def read_until_close(port: int, path: str) -> bytes:
+    """What a client of HTTP/1.0 receives until its connection is closed."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    head = f"POST {path} HTTP/1.0\r\nHost: {CLIENT_HOST}\r\nX-Request-Id: r-1\r\nX-Key: k-acme\r\n"
+    writer.write(f"{head}X-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n".encode())
+    try:
+        return await reader.read()
+    finally:
+        writer.transport.abort()
+
+
+def test_a_truncated_stream_resets_the_connection_of_a_client_of_http_1_0() -> None:
+    # Guards against a part of a stream that appears complete, as its end is the connection's.
+    async def scenario() -> None:
+        behaviour = BrokenOffOnce(chunk(event(1)) + part_of_chunk(event(2), 3), close, chunk(EVENTS))
+        async with Fleet(behaviour, document=document()) as fleet:
+            with pytest.raises(ConnectionResetError):
+                await read_until_close(fleet.port, "/stream/x")
+            received = await read_until_close(fleet.port, "/stream/x")
+            assert received.endswith(b"\r\n\r\n" + EVENTS)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     "later",
     [pytest.param(event(2)[:-1], id="known event"), pytest.param(event(3)[:-1], id="new event")],
--- a/tests/standalone/program/test_long.py
+++ b/tests/standalone/program/test_long.py
@@ -114,6 +114,25 @@
     run(test())
 
 
+def test_a_truncated_answer_resets_the_connection_of_an_http_1_0_caller(tmp_path: Path) -> None:
+    # Guards against a part of an answer that appears complete, as its end is the connection's.
+    async def break_off(_: Message, writer: Writer) -> None:
+        writer.write(CHUNKED + b"%x\r\n%s" % (len(LONG), LONG[:-9]))
+        await writer.drain()
+        writer.close()
+
+    async def test() -> None:
+        async with Running(tmp_path, Upstream(break_off)) as running:
+            caller = await Caller.connect(running.port)
+            caller.writer.write(
+                b"GET /lookup HTTP/1.0\r\nX-Trace-Id: 1\r\nX-Customer: acme\r\nX-Expires-In-Ms: 3000\r\n\r\n"
+            )
+            with pytest.raises(ConnectionResetError):
+                await within(caller.reader.read())
+
+    run(test())
+
+
 def test_a_truncated_answer_closes_the_callers_connection(tmp_path: Path) -> None:
     """The caller can detect it, gets no second answer, and the request is not retried."""
 
