An event ends at a blank line after any line end

By the HTML standard a line of an event stream ends with LF, CRLF or CR, in any mixture. (A blank CR behind LF or CRLF stays unknown: it can't be told from the beginning of a CRLF.)

Test: test_ends_an_event_at_a_blank_line_after_any_line_end; LF CRLF, CR CR and CR CRLF failed before.

--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -8,7 +8,8 @@
 # Far longer than any real event; bounds the memory used for an upstream that never ends an event.
 MAX_EVENT_BYTES = 1024 * 1024
 
-_EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+# A line ends with LF, CRLF or CR, and a blank line ends an event.
+_EVENT_TERMINATORS = (b"\n\n", b"\n\r\n", b"\r\r")
 # How a block may begin that is no event to the client: a comment or a blank line.
 _COMMENT_OR_BLANK = (b":", b"\r", b"\n")
 
@@ -45,10 +46,7 @@
     def feed(self, data: bytes) -> bytes:
         """The events that are now complete, concatenated; EventTooLong if one does not end."""
         buffer = self._buffer + data if self._buffer else data
-        end = max(
-            buffer.rfind(terminator) + len(terminator) if terminator in buffer else 0
-            for terminator in _EVENT_TERMINATORS
-        )
+        end = _end_of_last_event(buffer)
         self._buffer = buffer[end:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLong(f"{len(self._buffer)} bytes without the end of an event")
@@ -95,6 +93,16 @@
         self.last_id = _last_id(event)
 
 
+def _end_of_last_event(data: bytes) -> int:
+    """The number of bytes up to the end of the last complete event; 0 if there is none."""
+    if data.endswith(_EVENT_TERMINATORS):
+        return len(data)
+    return max(
+        data.rfind(terminator) + len(terminator) if terminator in data else 0
+        for terminator in _EVENT_TERMINATORS
+    )
+
+
 def _split(complete: bytes) -> list[bytes]:
     events = []
     while complete:
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -203,6 +203,25 @@
         self.assertEqual(splitter.last_id, b"4")
         self.assertEqual(splitter.rest, b"id: 5\r\n")
 
+    def test_ends_an_event_at_a_blank_line_after_any_line_end(self) -> None:
+        # Guards against a whole event that is held back to the end, and taken for a part there.
+        for line_end, blank_line in (
+            ("\n", "\n"),
+            ("\n", "\r\n"),
+            ("\r\n", "\n"),
+            ("\r\n", "\r\n"),
+            ("\r", "\r"),
+            ("\r", "\r\n"),
+        ):
+            whole = f"id: 1{line_end}data: x{line_end}{blank_line}".encode()
+            for step in (1, len(whole)):
+                with self.subTest(whole=whole, step=step):
+                    splitter = EventSplitter()
+                    fed = [splitter.feed(whole[at : at + step]) for at in range(0, len(whole), step)]
+                    self.assertEqual(b"".join(fed) + splitter.rest, whole)
+                    self.assertIn(splitter.rest, (b"", b"\n"))
+                    self.assertFalse(splitter.is_within_event)
+
     def test_drops_known_events_behind_an_event_without_an_id(self) -> None:
         # Guards against a known event that is returned again because the one before it had no id.
         splitter = EventSplitter(b"2")
