Ids of thousands of digits are compared without an exception

What callers would see: a resumed stream closed, though another upstream continued it, where an id has more than 4,300 digits: int() refuses them, and the ValueError ended the request. Found by reading for what else a resumed stream could meet.

Change: numbers are compared by their significant digits. Test: test_drops_known_events_with_ids_of_any_length, failed before with the ValueError.

--- a/madderwind/dataplane/event_stream.py
+++ b/madderwind/dataplane/event_stream.py
@@ -149,5 +149,11 @@
 def _is_after(event_id: bytes, known: bytes) -> bool:
     """Whether an event is newer; ids that are not numbers can only be compared for equality."""
     if event_id.isdigit() and known.isdigit():
-        return int(event_id) > int(known)
+        return _numeric_order(event_id) > _numeric_order(known)
     return event_id != known
+
+
+def _numeric_order(digits: bytes) -> tuple[int, bytes]:
+    """Sorts as the number does; `int` refuses numbers of thousands of digits."""
+    significant = digits.lstrip(b"0")
+    return len(significant), significant
--- a/tests/dataplane/test_decisions.py
+++ b/tests/dataplane/test_decisions.py
@@ -228,6 +228,13 @@
         self.assertEqual(splitter.feed(b"data: x\n\n"), b"data: x\n\n")
         self.assertEqual(splitter.feed(event(2) + event(3)), event(3))
 
+    def test_drops_known_events_with_ids_of_any_length(self) -> None:
+        # Guards against an exception in place of the comparison of two ids with thousands of digits.
+        known, newer = "8" * 5000, "9" * 5000
+        splitter = EventSplitter(known.encode())
+        whole = "".join(f"id: {number}\ndata: x\n\n" for number in ("7", f"00{known}", newer, "1" + known))
+        self.assertEqual(splitter.feed(whole.encode()), whole[whole.index(newer) - 4 :].encode())
+
     def test_knows_no_last_id_after_an_event_without_one(self) -> None:
         splitter = EventSplitter(b"3")
         for fed, last_id in (
