The local fleet's judge and its upstreams know streams that break at any byte

Change: an event has to be, byte for byte, what an emulated upstream sends, with the same total in each; a stream breaks off at any byte within an event. The soak sums the counters of all processes of a data plane.

Test: test_event_that_no_upstream_sent_is_a_fault; four of its five shapes passed the judge before.

--- a/madderwind/testing/engine_emulator/server.py
+++ b/madderwind/testing/engine_emulator/server.py
@@ -247,7 +247,7 @@
                     encoded = stream.encode(event)
                     if event.index == abort_index:
                         how = "broken off"
-                        await response.write(encoded[: len(encoded) // 2])
+                        await response.write(encoded[: self._rng.randrange(1, len(encoded))])
                         return _abort(request, response)
                     await response.write(encoded)
                     sent += 1
--- a/madderwind/testing/local_fleet/event_check.py
+++ b/madderwind/testing/local_fleet/event_check.py
@@ -1,11 +1,15 @@
-"""Parses an event stream as a client does and detects missing, repeated and foreign events.
+"""Compares an event stream with what an emulated upstream sends.
 
-Performs no I/O.
+Detects missing, repeated, foreign, cut and joined events. Performs no I/O.
 """
 
 from __future__ import annotations
 
+import re
+
 _END = b"\n\n"
+# All that an emulated upstream sends for one event: its number, the stream's subject, the number, the total.
+_EVENT = re.compile(rb"id: (\d+)\ndata: ([^\s]+) (\d+)/(\d+)")
 
 
 class EventCheck:
@@ -43,17 +47,13 @@
             self._record_fault(f"ended as complete after event {self.last} of {self._total or 'none'}")
 
     def _check_event(self, event: bytes) -> None:
-        fields = dict(line.split(b": ", 1) for line in event.split(b"\n") if b": " in line)
-        try:
-            number = int(fields[b"id"])
-            subject, _, position = fields[b"data"].decode().partition(" ")
-            stated_number, _, total = position.partition("/")
-            is_consistent = int(stated_number) == number
-            self._total = self._total or int(total)
-        except (KeyError, ValueError):
-            self._record_fault(f"a malformed event after event {self.last}")
+        match = _EVENT.fullmatch(event)
+        if match is None:
+            self._record_fault(f"an event that no upstream sent after event {self.last}")
             return
-        if not is_consistent or subject != self._subject:
+        number, total = int(match[1]), int(match[4])
+        self._total = self._total or total
+        if match[2].decode() != self._subject or int(match[3]) != number or total != self._total:
             self._record_fault(f"an event of another stream after event {self.last}")
         elif number != self.last + 1:
             error_kind = "a gap" if number > self.last else "a repeat"
--- a/tests/stream_soak/fleet.py
+++ b/tests/stream_soak/fleet.py
@@ -150,12 +150,11 @@
         return lines
 
     def counters(self) -> Counter[str]:
-        """The last counters that each data plane logged, summed; a process that was killed has fewer."""
+        """The last counters that each data plane process logged, summed; fewer of one that was killed."""
         totals: Counter[str] = Counter()
         for node, _ in self.fronts:
-            logged = [line for line in self.log_lines(node) if line.get("event") in ("counters", "ended")]
-            last = logged[-1] if logged else {}
-            totals.update({name: count for name, count in last.items() if isinstance(count, int)})
+            for last in _last_counters(self.log_lines(node)):
+                totals.update({name: count for name, count in last.items() if isinstance(count, int)})
         return totals
 
     def _nodes(self, kind: NodeKind) -> Sequence[NodeLayout]:
@@ -165,6 +164,17 @@
         return [NodeProcess(node, lambda event: None, checkout) for node in self._nodes(kind)]
 
 
+def _last_counters(lines: Sequence[dict[str, Any]]) -> list[dict[str, Any]]:
+    """The last line with counters of each process of a node."""
+    last_lines: list[dict[str, Any]] = []
+    for line in lines:
+        if line.get("event") == "started":
+            last_lines.append({})
+        elif line.get("event") in ("counters", "ended") and last_lines:
+            last_lines[-1] = line
+    return last_lines
+
+
 async def _disturb(process: NodeProcess, action: Action) -> None:
     match action.what:
         case What.DATA_PLANE_PAUSED | What.CONTROL_PLANE_PAUSED:
--- a/tests/testing/local_fleet/test_client_side.py
+++ b/tests/testing/local_fleet/test_client_side.py
@@ -130,6 +130,20 @@
         self.check.feed(event(1) + event(2, subject="t"))
         self.assertIn("an event of another stream", self.check.fault)
 
+    def test_event_that_no_upstream_sent_is_a_fault(self) -> None:
+        # Guards against a check that reads joined pieces as one event, as a map of its fields.
+        for name, data in {
+            "part of an event joined to the next": event(1)[:-7] + event(1),
+            "part of a field name": b"da" + event(1),
+            "two ids": b"id: 1\n" + event(1),
+            "an additional line": event(1)[:-1] + b"data: s 1/3\n\n",
+            "a longer total": event(1)[:-2] + b"3\n\n" + event(2),
+        }.items():
+            with self.subTest(name):
+                check = EventCheck("s")
+                check.feed(data)
+                self.assertIn("after event", check.fault)
+
     def test_premature_end_is_a_fault(self) -> None:
         self.check.feed(event(1))
         self.check.check_end()
