The soak tells how each run's response ended, and ends streams in order within events only

Nothing on the wire tells such a stream from a whole one, and the option promises an end within an event: the fault was the stand-in's. It cuts one byte earlier there now; the judge is as it was.

--- a/tests/stream_soak/runs.py
+++ b/tests/stream_soak/runs.py
@@ -34,8 +34,11 @@
         return self.is_resumable or self.route_type == "safe"
 
 
-class Run(msgspec.Struct, frozen=True):
-    """One upstream's run of a request: a stream of the events `after` + 1 to `total`, or a plain body."""
+class Run(msgspec.Struct):
+    """One upstream's run of a request: a stream of the events `after` + 1 to `total`, or a plain body.
+
+    `ending` tells how its response ended, for reports.
+    """
 
     number: int
     request_id: str
@@ -43,6 +46,7 @@
     after: int
     total: int
     words: int = 3
+    ending: str = "whole"
 
     @property
     def signature(self) -> str:
--- a/tests/stream_soak/soak.py
+++ b/tests/stream_soak/soak.py
@@ -47,7 +47,7 @@
     runs: int
     counters: Counter[str]
     unexpected_exits: list[str]
-    log_lines: list[str]
+    trace: list[str]
 
     def summary(self) -> str:
         """One line."""
@@ -62,7 +62,7 @@
         """A line for each broken rule, and the log lines about it."""
         for received, text in self.broken:
             yield f"  {received.kind.name} {received.request_id} at {received.node}: {text}"
-        yield from self.log_lines
+        yield from self.trace
 
 
 async def run_soak(seed: int, settings: SoakSettings) -> SoakResult:
@@ -97,10 +97,17 @@
         runs=fleet.log.count,
         counters=fleet.counters(),
         unexpected_exits=fleet.unexpected_exits,
-        log_lines=list(_log_lines(fleet, broken)),
+        trace=[*_run_lines(fleet.log, broken), *_log_lines(fleet, broken)],
     )
 
 
+def _run_lines(log: RunLog, broken: list[tuple[Received, str]]) -> Iterator[str]:
+    """The runs of each request that broke a rule, and how their responses ended."""
+    for received, _ in broken:
+        for run in log.of(received.request_id):
+            yield f"  run {run.number} of {run.request_id} at {run.instance} after {run.after}: {run.ending}"
+
+
 def _log_lines(fleet: SoakFleet, broken: list[tuple[Received, str]]) -> Iterator[str]:
     """The lines that name a request that broke a rule, and the counters of its data plane."""
     requests = {received.request_id for received, _ in broken}
--- a/tests/stream_soak/upstreams.py
+++ b/tests/stream_soak/upstreams.py
@@ -126,7 +126,7 @@
         after = int(message.header("Last-Event-Id") or 0)
         run = self._log.add(request_id, self.instance, after, total, self._rng.randint(1, MAX_WORDS))
         if total:
-            await self._send(writer, self._stream_pieces(run))
+            await self._send(writer, run, self._stream_pieces(run))
             return b""
         response = answer(
             200,
@@ -135,7 +135,7 @@
             X_Upstream_Signature=run.signature,
             Keep_Alive="timeout=15",
         )
-        await self._send(writer, [(self._rng.expovariate(1 / MEAN_PLAIN_WORK_S), response)])
+        await self._send(writer, run, [(self._rng.expovariate(1 / MEAN_PLAIN_WORK_S), response)])
         return response
 
     def _stream_pieces(self, run: Run) -> list[tuple[float, bytes]]:
@@ -152,14 +152,14 @@
         pieces = [(0.0, head), (delay_s, first)] if has_early_head else [(delay_s, head + first)]
         return pieces + [(rng.expovariate(1 / MEAN_EVENT_GAP_S), frame) for frame in frames]
 
-    async def _send(self, writer: asyncio.StreamWriter, pieces: list[tuple[float, bytes]]) -> None:
+    async def _send(self, writer: asyncio.StreamWriter, run: Run, pieces: list[tuple[float, bytes]]) -> None:
         """Send a response piece by piece, up to a drawn break or a crash; OSError if it breaks."""
         left = self._bytes_before_break(pieces)
         for delay_s, data in pieces:
             if await self._crashes_within(delay_s):
-                await self._break_off(writer, data, self._rng.randrange(len(data)))
+                await self._break_off(writer, run, data, self._rng.randrange(len(data)))
             if left is not None and left < len(data):
-                await self._break_off(writer, data, left)
+                await self._break_off(writer, run, data, left)
             left = None if left is None else left - len(data)
             writer.write(data)
             await writer.drain()
@@ -179,18 +179,22 @@
             return False
         return True
 
-    async def _break_off(self, writer: asyncio.StreamWriter, data: bytes, size: int) -> None:
+    async def _break_off(self, writer: asyncio.StreamWriter, run: Run, data: bytes, size: int) -> None:
         """Send the beginning of a piece and end the connection; always raises OSError."""
         rng = self._rng
         if self._breaks.in_order and b"data: " in data[:size] and rng.random() < 0.5:
-            writer.write(_ended_in_order(data, size))
+            ended = _ended_in_order(data, size)
+            run.ending = f"in order, last bytes {ended[-40:]!r}"
+            writer.write(ended)
             await writer.drain()
             raise ConnectionResetError
         writer.write(data[:size])
         await writer.drain()
         if rng.random() < FLUSH_PROBABILITY:
             await asyncio.sleep(FLUSH_S)
-        if rng.random() < 0.5:
+        is_reset = rng.random() < 0.5
+        run.ending = f"{'reset' if is_reset else 'closed'} behind {data[max(0, size - 40) : size]!r}"
+        if is_reset:
             reset(writer)
         else:
             writer.close()
@@ -198,8 +202,10 @@
 
 
 def _ended_in_order(data: bytes, size: int) -> bytes:
-    """A piece whose chunk has less data than was drawn for it, and behind it the response's last chunk."""
+    """A piece whose chunk ends early, within an event, and behind it the response's last chunk."""
     before_frame = data.find(b"\r\n\r\n") + 4 if data.startswith(b"HTTP") else 0
     begin = data.index(b"\r\n", before_frame) + 2
     end = min(max(size, begin + 1), len(data) - 3)
+    if data[:end].endswith(b"\n\n"):
+        end -= 1
     return data[:before_frame] + chunk(data[begin:end]) + LAST_CHUNK
