An id names at most one exchange on a connection to an upstream

An upstream refused it, it came back to the same connection, and there the refusal came once more, late, in the place of the answer to the second attempt. Also, by a drawn script: a client that uses an id again got the former request's answer (MIXED).

Cause: only the request's id tells answers apart on a connection, and a pooled connection was handed out to an id that it had carried before.

Change: each connection remembers the ids that it has carried. A request whose id it has carried gets another connection, and this one is closed; after 256 exchanges a connection is retired, so nothing is forgotten.

--- a/madderwind/dataplane/attempt_exchange.py
+++ b/madderwind/dataplane/attempt_exchange.py
@@ -84,6 +84,7 @@
             self._progress.is_idempotent,
             addresses=self._addressee,
             headers_at_write=self._deadline_header,
+            exchange_id=self._request_id or "",
         )
         until_s = self._admitted.until_ms / MS_PER_S
         outcome = await self._parts.pool.exchange(
--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -16,6 +16,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from madderwind.transport.exchange_ids import ExchangeIds
 from madderwind.transport.unread import has_unread
 
 HEAD_END = b"\r\n\r\n"
@@ -73,6 +74,7 @@
         self._stall_s, self._passing_stall_s = stall_s, passing_stall_s
         self.keep_alive_s: float | None = None  # the idle timeout that the upstream stated, if any
         self.addresses: AddresseeCheck | None = None  # checks the head of the current response
+        self.exchange_ids = ExchangeIds()
         self._is_skipping = False  # whether the current response belongs to another request
         self._has_skipped = False  # whether a response to another request was skipped before the current one
         self._expects_body = True  # false for HEAD requests, whose responses have no body
@@ -259,6 +261,12 @@
             self._body.set_exception(ClientPayloadError("the connection was lost within the response"))
         super().connection_lost(exc)
 
+    def begin_exchange(self, exchange_id: str) -> None:
+        """Record an exchange; the last one that the connection may carry retires it."""
+        self.exchange_ids.add(exchange_id)
+        if self.exchange_ids.is_full:
+            self.force_close()
+
     def is_reusable(self) -> bool:
         """Whether the connection is open and has no unsolicited bytes to read."""
         transport = self.transport
--- a/madderwind/transport/connector.py
+++ b/madderwind/transport/connector.py
@@ -72,19 +72,21 @@
         return await super().connect(req, traces, timeout)
 
     def _drop_unusable(self, key: ConnectionKey) -> None:
-        """Close idle connections until the next one to be used is reusable.
+        """Close idle connections until the next one to be used is reusable for the current request.
 
         Guards against an attempt on a connection whose close has not been read yet: it ends in a reset and
-        may have run.
+        may have run. Guards also against a late repetition of a response to the same id.
         """
         idle = self._conns.get(key)
-        may_reuse = self.trust.may_reuse(self._loop.time(), current_request.get().may_repeat)
+        encoded = current_request.get()
+        may_reuse = self.trust.may_reuse(self._loop.time(), encoded.may_repeat)
         while idle:
             protocol, idle_since_s = idle[0]
             if (
                 may_reuse
                 and isinstance(protocol, SingleResponseHandler)
                 and self._is_reusable(protocol, idle_since_s)
+                and protocol.exchange_ids.may_carry(encoded.exchange_id)
             ):
                 return
             idle.popleft()
--- a/madderwind/transport/encoded_request.py
+++ b/madderwind/transport/encoded_request.py
@@ -41,6 +41,7 @@
         "write_started",
         "body",
         "connection",
+        "exchange_id",
         "headers",
         "headers_at_write",
         "limit",
@@ -69,10 +70,13 @@
         sink: Sink | None = None,
         addresses: AddresseeCheck | None = None,
         headers_at_write: Callable[[], dict[str, str]] = dict,
+        exchange_id: str | None = None,
     ) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_write = may_write
         self.headers_at_write = headers_at_write
+        # Tells its response from others on a connection, which carries it once at most; None if nothing does.
+        self.exchange_id = exchange_id
         self.may_repeat = may_repeat  # whether a duplicate would do no harm
         self.on_whole = on_whole  # called when the last byte has been written
         self.upload = upload  # replaces `body`
--- /dev/null
+++ b/madderwind/transport/exchange_ids.py
@@ -0,0 +1,33 @@
+"""The ids of the exchanges that one connection to an upstream has carried. No I/O."""
+
+from __future__ import annotations
+
+# A connection is used for this many exchanges at most, which bounds its memory.
+MAX_EXCHANGES = 256
+
+
+class ExchangeIds:
+    """Makes an id name at most one exchange on a connection.
+
+    An upstream may repeat a response late, in the place of a later one, and only its id tells the two apart.
+    So a retry, or a client that uses an id again, needs another connection. Nothing is ever forgotten: a
+    connection whose ids are full is retired.
+    """
+
+    __slots__ = ("_ids",)
+
+    def __init__(self) -> None:
+        self._ids: set[str] = set()
+
+    def add(self, exchange_id: str) -> None:
+        """Record that an exchange begins."""
+        self._ids.add(exchange_id)
+
+    def may_carry(self, exchange_id: str | None) -> bool:
+        """Whether an exchange with this id may begin; None for exchanges that no id names."""
+        return exchange_id is None or (exchange_id not in self._ids and not self.is_full)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further exchange may begin."""
+        return len(self._ids) >= MAX_EXCHANGES
--- a/madderwind/transport/gated_request.py
+++ b/madderwind/transport/gated_request.py
@@ -47,6 +47,8 @@
             raise NotWrittenError
         encoded.connection, connection.addresses = connection, encoded.addresses
         encoded.write_approved = True
+        if encoded.exchange_id is not None:
+            connection.begin_exchange(encoded.exchange_id)
         self.headers.update(encoded.headers_at_write())
         encoded.write_started = (
             not self._body
