--- a/madderwind/testing/local_fleet/fleet_file.py
+++ b/madderwind/testing/local_fleet/fleet_file.py
@@ -47,7 +47,7 @@
         """The work settings of a plain service; None for a model service."""
         return None if self.plain is None else msgspec.convert(self.plain, PlainWork)
 
-    def mishap_settings(self) -> Mishaps:
+    def fault_settings(self) -> Mishaps:
         """The errors that these upstreams produce without an injected fault."""
         return msgspec.convert(self.mishaps, Mishaps)
 
@@ -108,7 +108,7 @@
     for name, read in (
         ("engine", group.engine_settings),
         ("plain", group.plain_work),
-        ("mishaps", group.mishap_settings),
+        ("mishaps", group.fault_settings),
     ):
         try:
             read()
--- a/madderwind/testing/local_fleet/layout.py
+++ b/madderwind/testing/local_fleet/layout.py
@@ -240,7 +240,7 @@
             max_connections=group.max_connections,
             cold_ms=group.cold_ms,
             cold_slowness=group.cold_slowness,
-            mishaps=group.mishap_settings(),
+            mishaps=group.fault_settings(),
             engine=engine,
             plain=group.plain_work(),
         )
