--- a/madderwind/testing/local_fleet/load_figures.py
+++ b/madderwind/testing/local_fleet/load_figures.py
@@ -67,7 +67,7 @@
     )
 
 
-def own_lateness(outcomes: Sequence[Outcome]) -> LatencyQuantiles:
+def load_delay(outcomes: Sequence[Outcome]) -> LatencyQuantiles:
     """The send delay of the load generator itself: a busy machine delays its clients too."""
     return latency_quantiles(
         outcome.tries[0].sent_ms - outcome.at_ms for outcome in outcomes if outcome.tries
--- a/madderwind/testing/local_fleet/report.py
+++ b/madderwind/testing/local_fleet/report.py
@@ -29,7 +29,7 @@
 
     name: str
     kinds: Sequence[KindFigures]
-    own_lateness: LatencyQuantiles
+    load_delay: LatencyQuantiles
     cache: CacheFigures
     faults: Sequence[InjectedFault]
     baselines: Sequence[Baseline]
@@ -44,8 +44,8 @@
     parts = [
         f"Fleet {report.name}: measured on this machine, over real sockets",
         _kind_table(report.kinds),
-        f"Requests left the load tool late by {report.own_lateness.p50_ms:.0f} ms (p50), "
-        f"{report.own_lateness.p99_ms:.0f} ms (p99): the times above include this delay",
+        f"Requests left the load tool late by {report.load_delay.p50_ms:.0f} ms (p50), "
+        f"{report.load_delay.p99_ms:.0f} ms (p99): the times above include this delay",
         _cache_line(report.cache),
     ]
     if report.faults:
--- a/madderwind/testing/local_fleet/run.py
+++ b/madderwind/testing/local_fleet/run.py
@@ -17,7 +17,7 @@
 from madderwind.testing.local_fleet.fleet_file import FleetFile, read_fleet_file
 from madderwind.testing.local_fleet.layout import FleetLayout, read_layout
 from madderwind.testing.local_fleet.load import traffic_of
-from madderwind.testing.local_fleet.load_figures import all_figures, own_lateness
+from madderwind.testing.local_fleet.load_figures import all_figures, load_delay
 from madderwind.testing.local_fleet.load_process import LoadProcess
 from madderwind.testing.local_fleet.node_process import ProcessEvent
 from madderwind.testing.local_fleet.operator_client import OperatorClient
@@ -128,7 +128,7 @@
     report = RunReport(
         name=layout.name,
         kinds=all_figures(outcomes),
-        own_lateness=own_lateness(outcomes),
+        load_delay=load_delay(outcomes),
         cache=cache_figures(records, asked_tokens, traffic_of(fleet).again_s),
         faults=faults,
         baselines=simulate_baselines(fleet) if with_baselines else [],
