--- a/madderwind/testing/local_fleet/cache_figures.py
+++ b/madderwind/testing/local_fleet/cache_figures.py
@@ -14,28 +14,28 @@
 class CacheFigures(msgspec.Struct, frozen=True):
     """Token counts of shared prompt parts.
 
-    `asked_tokens` counts them in all prompts that ran, `prefilled_tokens` those that were prefilled, and
+    `requested_tokens` counts them in all prompts that ran, `prefilled_tokens` those that were prefilled, and
     `prefilled_again_tokens` those that were prefilled again within `again_s` of the previous prefill.
     """
 
-    asked_tokens: int
+    requested_tokens: int
     prefilled_tokens: int
     prefilled_again_tokens: int
 
     @property
     def hit_share(self) -> float:
         """Fraction of the shared tokens that did not have to be prefilled."""
-        if not self.asked_tokens:
+        if not self.requested_tokens:
             return 0.0
-        return max(0.0, 1.0 - self.prefilled_tokens / self.asked_tokens)
+        return max(0.0, 1.0 - self.prefilled_tokens / self.requested_tokens)
 
     @property
     def again_share(self) -> float:
         """Fraction of the shared tokens prefilled although an upstream had prefilled them shortly before."""
-        return self.prefilled_again_tokens / self.asked_tokens if self.asked_tokens else 0.0
+        return self.prefilled_again_tokens / self.requested_tokens if self.requested_tokens else 0.0
 
 
-def cache_figures(records: Iterable[AnyRecord], asked_tokens: int, again_s: float) -> CacheFigures:
+def cache_figures(records: Iterable[AnyRecord], requested_tokens: int, again_s: float) -> CacheFigures:
     """Compute the figures of one load from the records of all its upstreams."""
     prefills: Sequence[PrefilledPart] = sorted(
         (record for record in records if isinstance(record, PrefilledPart) and record.shared),
@@ -48,4 +48,4 @@
         if previous_ms is not None and prefill.at_ms - previous_ms <= again_s * MS_PER_S:
             again_tokens += prefill.tokens
         last_prefill_ms[prefill.part] = prefill.at_ms
-    return CacheFigures(asked_tokens, sum(prefill.tokens for prefill in prefills), again_tokens)
+    return CacheFigures(requested_tokens, sum(prefill.tokens for prefill in prefills), again_tokens)
--- a/madderwind/testing/local_fleet/report.py
+++ b/madderwind/testing/local_fleet/report.py
@@ -77,7 +77,7 @@
 
 def _cache_line(cache: CacheFigures) -> str:
     return (
-        f"Shared prompt tokens: {cache.asked_tokens}, of which {cache.hit_share:.1%} were found in an "
+        f"Shared prompt tokens: {cache.requested_tokens}, of which {cache.hit_share:.1%} were found in an "
         f"upstream's cache; {cache.again_share:.1%} were prefilled again shortly after a previous prefill"
     )
 
--- a/madderwind/testing/local_fleet/run.py
+++ b/madderwind/testing/local_fleet/run.py
@@ -123,13 +123,13 @@
     folder = Path(layout.folder)
     started_ms = min((outcome.at_ms for outcome in outcomes), default=0.0)
     records = [record for record in upstream_records(layout) if record.at_ms >= started_ms]
-    asked_tokens = sum(outcome.shared_tokens for outcome in outcomes if outcome.is_served)
+    requested_tokens = sum(outcome.shared_tokens for outcome in outcomes if outcome.is_served)
     commands = operator.commands if operator is not None else []
     report = RunReport(
         name=layout.name,
         kinds=all_figures(outcomes),
         load_delay=load_delay(outcomes),
-        cache=cache_figures(records, asked_tokens, traffic_of(fleet).again_s),
+        cache=cache_figures(records, requested_tokens, traffic_of(fleet).again_s),
         faults=faults,
         baselines=simulate_baselines(fleet) if with_baselines else [],
         acknowledged_commands=count_acknowledged(commands),
