--- a/tests/stream_soak/runs.py
+++ b/tests/stream_soak/runs.py
@@ -45,7 +45,7 @@
     instance: str
     after: int
     total: int
-    words: int = 3
+    tokens: int = 3
     ending: str = "whole"
 
     @property
@@ -55,7 +55,7 @@
 
     def event(self, number: int) -> bytes:
         """An event of this run."""
-        text = f"{self.request_id} run {self.number} event {number}/{self.total}" + " token" * self.words
+        text = f"{self.request_id} run {self.number} event {number}/{self.total}" + " token" * self.tokens
         return f"id: {number}\ndata: {text}\n\n".encode()
 
     def events(self) -> list[bytes]:
@@ -100,10 +100,10 @@
         self._by_request: dict[str, list[Run]] = defaultdict(list)
         self.count = 0
 
-    def add(self, request_id: str, instance: str, after: int, total: int, words: int) -> Run:
+    def add(self, request_id: str, instance: str, after: int, total: int, tokens: int) -> Run:
         """Record the begin of a run."""
         self.count += 1
-        run = Run(self.count, request_id, instance, after, total, words)
+        run = Run(self.count, request_id, instance, after, total, tokens)
         self._by_request[request_id].append(run)
         return run
 
--- a/tests/stream_soak/upstreams.py
+++ b/tests/stream_soak/upstreams.py
@@ -17,7 +17,7 @@
 
 MAX_HEAD_DELAY_S, MEAN_EVENT_GAP_S, MEAN_PLAIN_WORK_S = 0.3, 0.015, 0.03
 MAX_EVENTS_PER_CHUNK = 3
-MAX_WORDS = 40
+MAX_TOKENS = 40
 # Bytes that were written before a break are usually on the wire; sometimes the break overtakes them.
 FLUSH_S = 0.01
 FLUSH_PROBABILITY = 0.8
@@ -124,7 +124,7 @@
         usage = message.header("X-Token-Usage")
         total = int(usage.partition(",")[2]) if usage else 0
         after = int(message.header("Last-Event-Id") or 0)
-        run = self._log.add(request_id, self.instance, after, total, self._rng.randint(1, MAX_WORDS))
+        run = self._log.add(request_id, self.instance, after, total, self._rng.randint(1, MAX_TOKENS))
         if total:
             await self._send(writer, run, self._stream_pieces(run))
             return b""
