The last exchange that a connection may carry is sent on it

What callers saw: nothing but a delay.

Change: a connection that has carried 256 exchanges stays as it is and is closed when it is asked for the next one.

--- a/madderwind/transport/answering.py
+++ b/madderwind/transport/answering.py
@@ -261,12 +261,6 @@
             self._body.set_exception(ClientPayloadError("the connection was lost within the response"))
         super().connection_lost(exc)
 
-    def begin_exchange(self, exchange_id: str) -> None:
-        """Record an exchange; the last one that the connection may carry retires it."""
-        self.exchange_ids.add(exchange_id)
-        if self.exchange_ids.is_full:
-            self.force_close()
-
     def is_reusable(self) -> bool:
         """Whether the connection is open and has no unsolicited bytes to read."""
         transport = self.transport
--- a/madderwind/transport/exchange_ids.py
+++ b/madderwind/transport/exchange_ids.py
@@ -11,7 +11,7 @@
 
     An upstream may repeat a response late, in the place of a later one, and only its id tells the two apart.
     So a retry, or a client that uses an id again, needs another connection. Nothing is ever forgotten: a
-    connection whose ids are full is retired.
+    connection whose ids are full carries no further exchange.
     """
 
     __slots__ = ("_ids",)
@@ -25,9 +25,6 @@
 
     def may_carry(self, exchange_id: str | None) -> bool:
         """Whether an exchange with this id may begin; None for exchanges that no id names."""
-        return exchange_id is None or (exchange_id not in self._ids and not self.is_full)
-
-    @property
-    def is_full(self) -> bool:
-        """Whether no further exchange may begin."""
-        return len(self._ids) >= MAX_EXCHANGES
+        if exchange_id is None:
+            return True
+        return exchange_id not in self._ids and len(self._ids) < MAX_EXCHANGES
--- a/madderwind/transport/gated_request.py
+++ b/madderwind/transport/gated_request.py
@@ -48,7 +48,7 @@
         encoded.connection, connection.addresses = connection, encoded.addresses
         encoded.write_approved = True
         if encoded.exchange_id is not None:
-            connection.begin_exchange(encoded.exchange_id)
+            connection.exchange_ids.add(encoded.exchange_id)
         self.headers.update(encoded.headers_at_write())
         encoded.write_started = (
             not self._body
