--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -16,7 +16,7 @@
     "tests/testing/local_fleet": "drills",
     "tests/standalone/program": "programs",
     "tests/testing/simulation": "programs",
-    "tests/stream_soak": "soak",
+    "tests/stream_soak": "drills",
 }
 """The group of each folder whose tests depend on real time."""
 
--- a/tests/stream_soak/test_soak.py
+++ b/tests/stream_soak/test_soak.py
@@ -8,7 +8,8 @@
 from tests.stream_soak.upstreams import Breaks
 
 SEED = 71
-SETTINGS = SoakSettings(seconds=20.0, data_planes=3, clients=16, breaks=Breaks(share=0.1, extra_share=0.03))
+BREAKS = Breaks(share=0.1, in_order=True, extra_share=0.03)
+SETTINGS = SoakSettings(seconds=60.0, data_planes=3, clients=16, breaks=BREAKS)
 
 
 def test_streams_of_broken_upstreams_keep_the_rules_during_restarts_and_changes() -> None:
@@ -20,3 +21,4 @@
     assert result.counters["retried"]
     assert result.counters["stream_resumed"]
     assert result.counters["stream_broken_off"]
+    assert result.counters["attempt_truncated"]
