A connection remembers hashes of ids, whatever their length

What callers would see: nothing, until a client with ids of thousands of characters had filled a data plane's memory: a connection kept up to 256 ids of up to 8 KB, 2 MB in all.

Change: the hashes are kept. Python draws the hash of strings anew in each process, so a client can't aim at one; two ids with one hash cost a connection, nothing else.

Test: test_long_ids_take_no_more_memory_than_short_ones, failed before (2,069,650 bytes for 256 ids). The judge of the repeated responses takes the list of promises from the local fleet's checker.

--- a/madderwind/transport/exchange_ids.py
+++ b/madderwind/transport/exchange_ids.py
@@ -12,19 +12,21 @@
     An upstream may repeat a response late, in the place of a later one, and only its id tells the two apart.
     So a retry, or a client that uses an id again, needs another connection. Nothing is ever forgotten: a
     connection whose ids are full carries no further exchange.
+
+    Hashes are kept, as ids may be as long as a header; two ids with one hash only cost a connection.
     """
 
-    __slots__ = ("_ids",)
+    __slots__ = ("_hashes",)
 
     def __init__(self) -> None:
-        self._ids: set[str] = set()
+        self._hashes: set[int] = set()
 
     def add(self, exchange_id: str) -> None:
         """Record that an exchange begins."""
-        self._ids.add(exchange_id)
+        self._hashes.add(hash(exchange_id))
 
     def may_carry(self, exchange_id: str | None) -> bool:
         """Whether an exchange with this id may begin; None for exchanges that no id names."""
         if exchange_id is None:
             return True
-        return exchange_id not in self._ids and len(self._ids) < MAX_EXCHANGES
+        return hash(exchange_id) not in self._hashes and len(self._hashes) < MAX_EXCHANGES
--- a/tests/dataplane/repeated_responses.py
+++ b/tests/dataplane/repeated_responses.py
@@ -15,6 +15,7 @@
 from hypothesis import strategies as st
 
 from madderwind.testing.fault_tests.wire import answer, chunk
+from madderwind.testing.local_fleet.checker import NOT_EXECUTED_STATUSES
 from tests.dataplane.drawn_scripts import run_command_line, script_settings
 from tests.dataplane.fleet import CLIENT_HOST, SIGNATURE
 from tests.dataplane.forwarder import ByteUpstream, JumpingLoop, ScriptedFleet
@@ -22,7 +23,6 @@
 from tests.standins import Message, read_message
 
 MAX_ATTEMPTS, MAX_UPSTREAMS, MAX_REQUESTS, MAX_IDS = 4, 3, 5, 2
-PROMISES = frozenset((408, 421, 429, 503))
 
 
 class Kind(Enum):
@@ -132,7 +132,7 @@
         return interim + answer(500 if kind is Kind.FAIL else 200, body, **echo)
 
     def _check(self, path: str, response: Message) -> None:
-        if response.status in PROMISES:
+        if response.status in NOT_EXECUTED_STATUSES:
             if self._runs[path] and path.startswith(("/unsafe/", "/stream/")):
                 raise Broken(f"{path} got {response.status} and ran")
         elif response.header("X-Upstream-Signature") and f"{path} run ".encode() not in response.body:
--- a/tests/dataplane/test_repeated_responses.py
+++ b/tests/dataplane/test_repeated_responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
 from typing import Any
@@ -92,6 +93,19 @@
     assert ids.may_carry(None)
 
 
+def test_long_ids_take_no_more_memory_than_short_ones() -> None:
+    # Guards against a client that fills the memory of a data plane by the length of its ids.
+    tracemalloc.start()
+    try:
+        ids = ExchangeIds()
+        for number in range(MAX_EXCHANGES):
+            ids.add(f"{number}" + "x" * 8000)
+        used_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert used_bytes < 8000 * MAX_EXCHANGES / 10
+
+
 def test_a_connection_is_retired_after_its_last_exchange() -> None:
     # Guards against ids that use memory without a bound, and against a last exchange that isn't sent.
     arrivals = Arrivals()
