The local fleet's judge reports bytes that are no text; the soak's unused fields go

A subject that isn't UTF-8, or a number of over 4,300 digits, ended the judge of event streams in an exception in place of a finding (since for the first). Both are in test_event_that_no_upstream_sent_is_a_fault; both failed before.

In the soak: a state that nothing read, a time that nothing read, and its own list of the statuses that promise, which stands in the local fleet's checker.

--- a/madderwind/testing/local_fleet/event_check.py
+++ b/madderwind/testing/local_fleet/event_check.py
@@ -9,7 +9,7 @@
 
 _END = b"\n\n"
 # All that an emulated upstream sends for one event: its number, the stream's subject, the number, the total.
-_EVENT = re.compile(rb"id: (\d+)\ndata: ([^\s]+) (\d+)/(\d+)")
+_EVENT = re.compile(rb"id: (\d{1,9})\ndata: ([^\s]+) (\d{1,9})/(\d{1,9})")
 
 
 class EventCheck:
@@ -53,7 +53,7 @@
             return
         number, total = int(match[1]), int(match[4])
         self._total = self._total or total
-        if match[2].decode() != self._subject or int(match[3]) != number or total != self._total:
+        if match[2] != self._subject.encode() or int(match[3]) != number or total != self._total:
             self._record_fault(f"an event of another stream after event {self.last}")
         elif number != self.last + 1:
             error_kind = "a gap" if number > self.last else "a repeat"
--- a/tests/stream_soak/clients.py
+++ b/tests/stream_soak/clients.py
@@ -6,10 +6,10 @@
 import contextlib
 import random
 import secrets
-import time
 from collections.abc import Sequence
 
-from tests.stream_soak.runs import NOT_EXECUTED_STATUSES, OK, Received, RequestKind
+from madderwind.testing.local_fleet.checker import NOT_EXECUTED_STATUSES
+from tests.stream_soak.runs import OK, Received, RequestKind
 
 CLIENT_HOST = "soak.example"
 DEADLINE_MS, SILENCE_S, CONNECT_S = 6000, 4.0, 1.0
@@ -59,7 +59,7 @@
         self.received.append(received)
         try:
             connection = await self._connected()
-            received.node, received.at_s = connection.node, time.time()
+            received.node = connection.node
             async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
                 connection.writer.write(_encoded(received))
                 await _read_response(connection.reader, received)
--- a/tests/stream_soak/runs.py
+++ b/tests/stream_soak/runs.py
@@ -8,9 +8,8 @@
 import msgspec
 
 from madderwind.testing.fault_tests.wire import chunk
+from madderwind.testing.local_fleet.checker import NOT_EXECUTED_STATUSES
 
-# Statuses that promise that the request has not run and never will.
-NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 OK = 200
 
 
@@ -79,7 +78,6 @@
     kind: RequestKind
     request_id: str
     node: str
-    at_s: float = 0.0
     events_wanted: int = 0
     after: int = 0
     status: int = 0
--- a/tests/stream_soak/soak.py
+++ b/tests/stream_soak/soak.py
@@ -25,7 +25,7 @@
 
 
 class SoakSettings(msgspec.Struct, frozen=True):
-    """What one run does, but for its seed. `keep` is where the logs of a run that broke a rule are kept."""
+    """What one run does, but for its seed. `keep` is where the logs of each run are kept, if anywhere."""
 
     plan: str = "mixed"
     seconds: float = 30.0
--- a/tests/stream_soak/upstreams.py
+++ b/tests/stream_soak/upstreams.py
@@ -50,7 +50,6 @@
         self._handlers: set[asyncio.Task[None]] = set()
         self._registration = Registration(settings, self, rng)
         self._heartbeats: asyncio.Task[None] | None = None
-        self.state = "ready"
 
     def models(self) -> list[dict[str, object]]:
         """The models that it serves."""
--- a/tests/testing/local_fleet/test_client_side.py
+++ b/tests/testing/local_fleet/test_client_side.py
@@ -136,6 +136,8 @@
             "part of an event joined to the next": event(1)[:-7] + event(1),
             "part of a field name": b"da" + event(1),
             "two ids": b"id: 1\n" + event(1),
+            "a subject that is no text": event(1).replace(b"data: s", b"data: \xff"),
+            "a number of thousands of digits": b"id: 1" + b"0" * 5000 + event(1)[5:],
             "an additional line": event(1)[:-1] + b"data: s 1/3\n\n",
             "a longer total": event(1)[:-2] + b"3\n\n" + event(2),
         }.items():
