--- a/madderwind/dataplane/admission.py
+++ b/madderwind/dataplane/admission.py
@@ -113,7 +113,7 @@
 
     def provisional_rejection(self) -> Rejected:
         """Replaces a final rejection while a newer configuration may allow the request."""
-        return self._retryable_rejection("no newest configuration is known here")
+        return self.retryable_rejection("no newest configuration is known here")
 
     def until_ms(self, arrived_ms: float, target: str, headers: Mapping[str, str]) -> float:
         """The end of the request's time limit; infinite if no route matches."""
@@ -130,13 +130,13 @@
         """Whether the request may be sent, and to which service."""
         table = self._table
         if table is None:
-            return self._retryable_rejection("no configuration yet")
+            return self.retryable_rejection("no configuration yet")
         route = table.match(headers.get("Host", ""), target)
         if route is None:
             return (
                 Rejected(404, "no such route")
                 if self._is_current()
-                else self._retryable_rejection("no such route yet")
+                else self.retryable_rejection("no such route yet")
             )
         key = headers.get(KEY)
         tenant = table.tenant_of(key) if key else None
@@ -144,7 +144,7 @@
             return (
                 Rejected(401, "no such key")
                 if self._is_current()
-                else self._retryable_rejection("no such key yet")
+                else self.retryable_rejection("no such key yet")
             )
         usage = token_usage(headers)
         amount = 0.0 if tenant is None else _quota_amount(tenant, usage)
@@ -179,7 +179,8 @@
         expected_ms = self._quota.retry_after_ms(now_ms, tenant.name)
         return max(MIN_QUOTA_RETRY_AFTER_MS, expected_ms) * self._rng.uniform(0.5, 1.0)
 
-    def _retryable_rejection(self, reason: str) -> Rejected:
+    def retryable_rejection(self, reason: str) -> Rejected:
+        """Rejects a request that was not executed and that the client may send again after a while."""
         return Rejected(503, reason, DEFAULT_RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
 
     def _admitted(
--- a/madderwind/dataplane/attempt_exchange.py
+++ b/madderwind/dataplane/attempt_exchange.py
@@ -86,9 +86,9 @@
             headers_at_write=self._deadline_header,
             exchange_id=self._request_id or "",
         )
-        until_s = self._admitted.until_ms / MS_PER_S
+        limit = self._parts.shutdown.timeout_at(self._admitted.until_ms / MS_PER_S)
         outcome = await self._parts.pool.exchange(
-            instance, address, encoded, until_s, lambda response: self._receive(response, encoded)
+            instance, address, encoded, limit, lambda response: self._receive(response, encoded)
         )
         if isinstance(outcome, AttemptResult):
             return outcome
--- a/madderwind/dataplane/client_requests.py
+++ b/madderwind/dataplane/client_requests.py
@@ -10,6 +10,7 @@
 from aiohttp.http_exceptions import BadHttpMessage
 
 from madderwind.configuration.documents import ClientLimits
+from madderwind.dataplane.shutdown_deadline import ShutdownDeadline
 from madderwind.errors import MadderwindError
 
 MS_PER_S = 1000.0
@@ -33,6 +34,10 @@
         return self.status in LIMIT_STATUSES
 
 
+class CutShortByShutdown(MadderwindError):
+    """A request that is not complete as the process ends; it was sent to no upstream."""
+
+
 class ClientRequest(msgspec.Struct):
     """A completely read request; its target and body are unmodified."""
 
@@ -42,11 +47,19 @@
 
 
 async def read_request(
-    request: web.BaseRequest, limits: ClientLimits, until_s: Callable[[], float]
+    request: web.BaseRequest, limits: ClientLimits, until_s: Callable[[], float], shutdown: ShutdownDeadline
 ) -> ClientRequest:
-    """Read the body; UnusableRequest if a limit is exceeded or the body is not received completely.
+    """Read the body.
+
+    Args:
+        request: The request, its head already read.
+        limits: What clients may send.
+        until_s: Returns the end of the request's time limit on the loop's clock; called if there is a body.
+        shutdown: Ends the wait for the body before the process ends.
 
-    `until_s` returns the end of the request's time limit on the loop's clock; called only if there is a body.
+    Raises:
+        UnusableRequest: A limit is exceeded, or the body is not received completely.
+        CutShortByShutdown: The body is not complete as the process ends.
     """
     head_bytes = len(request._message.path) + sum(
         len(name) + len(value) + LINE_OVERHEAD for name, value in request.raw_headers
@@ -60,7 +73,7 @@
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(CONTINUE_RESPONSE)
         request.writer.output_size = 0  # otherwise the response's headers would count as sent
-    body = await _read_body(request, limits, until_s()) if request.body_exists else b""
+    body = await _read_body(request, limits, until_s(), shutdown) if request.body_exists else b""
     return ClientRequest(request, request._message.path, body)
 
 
@@ -69,7 +82,9 @@
     return transfer_encoding is None or transfer_encoding.strip().lower() == "chunked"
 
 
-async def _read_body(request: web.BaseRequest, limits: ClientLimits, until_s: float) -> bytes:
+async def _read_body(
+    request: web.BaseRequest, limits: ClientLimits, until_s: float, shutdown: ShutdownDeadline
+) -> bytes:
     """Read the body; fails if it stalls for the idle timeout or is not complete in time."""
     loop = asyncio.get_running_loop()
     idle_s = limits.idle_timeout_ms / MS_PER_S
@@ -77,7 +92,8 @@
     size = 0
     try:
         while True:
-            async with asyncio.timeout_at(min(loop.time() + idle_s, until_s)):
+            limit_s = min(loop.time() + idle_s, until_s)
+            async with shutdown.timeout_at(limit_s):
                 part = await request.content.readany()
             if not part:
                 return parts[0] if len(parts) == 1 else b"".join(parts)
@@ -86,6 +102,8 @@
                 raise UnusableRequest(413, "the body is too long")
             parts.append(part)
     except TimeoutError:
+        if shutdown.comes_before(limit_s):
+            raise CutShortByShutdown("the process ended before the body was complete") from None
         raise UnusableRequest(408, "the body never came whole") from None
     except (web.RequestPayloadError, BadHttpMessage) as error:
         raise UnusableRequest(400, f"the body cannot be read: {type(error).__name__}") from None
--- a/madderwind/dataplane/forwarder.py
+++ b/madderwind/dataplane/forwarder.py
@@ -9,7 +9,7 @@
 
 from madderwind.dataplane.admission import Rejected
 from madderwind.dataplane.client_answers import ClientDisconnected
-from madderwind.dataplane.client_requests import UnusableRequest, read_request
+from madderwind.dataplane.client_requests import CutShortByShutdown, UnusableRequest, read_request
 from madderwind.dataplane.own_answers import own_answer, refusal
 from madderwind.dataplane.request_forwarding import RequestForwarding
 from madderwind.dataplane.request_parts import MS_PER_S, RequestParts
@@ -29,10 +29,15 @@
         arrived_ms = loop.time() * MS_PER_S
         try:
             client_request = await read_request(
-                request, parts.admission.limits, lambda: self._deadline_s(request, arrived_ms)
+                request,
+                parts.admission.limits,
+                lambda: self._deadline_s(request, arrived_ms),
+                parts.shutdown,
             )
         except UnusableRequest as error:
             return self._reject_unusable(error)
+        except CutShortByShutdown as error:
+            return self._reject_and_close(parts.admission.retryable_rejection(str(error)))
         now_ms = loop.time() * MS_PER_S
         decision = parts.admission.admit(now_ms, arrived_ms, client_request.target, request.headers)
         if isinstance(decision, Rejected):
@@ -57,6 +62,12 @@
             return own_answer(rejected.status, rejected.reason)
         return refusal(rejected.status, rejected.reason, rejected.retry_after_ms)
 
+    def _reject_and_close(self, rejected: Rejected) -> web.Response:
+        """The response to a request of which more may follow on its connection."""
+        response = self._reject(rejected)
+        response.force_close()
+        return response
+
     def _reject_unusable(self, error: UnusableRequest) -> web.StreamResponse:
         """The response to a request that was not read completely.
 
@@ -64,8 +75,6 @@
         """
         admission = self._parts.admission
         if error.exceeds_limit and not admission.knows_newest:
-            response = self._reject(admission.provisional_rejection())
-            response.force_close()
-            return response
+            return self._reject_and_close(admission.provisional_rejection())
         self._parts.counters[f"unusable {error.status}"] += 1
         return own_answer(error.status, str(error), closes=True)
--- a/madderwind/dataplane/request_forwarding.py
+++ b/madderwind/dataplane/request_forwarding.py
@@ -65,7 +65,7 @@
         now_ms = self._now_ms()
         if self._client_disconnected():
             raise ClientDisconnected("the client closed its connection")
-        if self._admitted.until_ms - now_ms < MIN_REMAINING_MS:
+        if self._until_ms(self._admitted.until_ms) - now_ms < MIN_REMAINING_MS:
             return None
         return self._parts.chooser.choose(
             now_ms, self._admitted.service, self._admitted.generation, self._progress.tried
@@ -99,14 +99,18 @@
         now_ms = self._now_ms()
         admitted = self._admitted
         is_resumption = self._progress.answer_begun
-        until_ms = admitted.until_ms if is_resumption else admitted.worthwhile_until_ms
+        until_ms = self._until_ms(admitted.until_ms if is_resumption else admitted.worthwhile_until_ms)
         retries = self._parts.retries
         wait_ms = retries.wait_ms(now_ms, self._progress, admitted.service, until_ms - now_ms)
         if wait_ms is None:
             return False
-        if wait_ms:
-            await asyncio.sleep(wait_ms / MS_PER_S)
-        return True
+        if not wait_ms:
+            return True
+        return await self._parts.shutdown.sleep_until((now_ms + wait_ms) / MS_PER_S)
+
+    def _until_ms(self, limit_ms: float) -> float:
+        """This limit, or the end of the process's work on requests if that comes first."""
+        return min(limit_ms, self._parts.shutdown.at_ms)
 
     def _complete(self) -> web.StreamResponse:
         """The final response after an upstream's complete response was relayed."""
--- a/madderwind/dataplane/request_parts.py
+++ b/madderwind/dataplane/request_parts.py
@@ -10,6 +10,7 @@
 from madderwind.dataplane.attempt_log import AttemptLog
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.retrying import Retries, RetryBudget
+from madderwind.dataplane.shutdown_deadline import ShutdownDeadline
 from madderwind.dataplane.upstream_pool import UpstreamPool
 from madderwind.eventlog import EventLog
 from madderwind.registry.known_upstreams import KnownUpstreams
@@ -29,6 +30,7 @@
         budget: The fleet's retry budget.
         log: Receives log events.
         attempt_log: Receives each attempt if attempt logging is on.
+        shutdown: Ends the waits of requests before the process ends.
         counters: The number of requests and attempts by how they ended.
     """
 
@@ -40,4 +42,5 @@
     budget: RetryBudget
     log: EventLog
     attempt_log: AttemptLog
+    shutdown: ShutdownDeadline
     counters: Counter[str]
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -21,6 +21,7 @@
 from madderwind.dataplane.reports import Reports
 from madderwind.dataplane.request_parts import RequestParts
 from madderwind.dataplane.retrying import Retries
+from madderwind.dataplane.shutdown_deadline import ShutdownDeadline
 from madderwind.dataplane.subscriber_links import SubscriberLinks
 from madderwind.dataplane.upstream_pool import UpstreamPool
 from madderwind.distribution.subscriber import Subscriber
@@ -62,8 +63,10 @@
 STILL_ACCEPTING_S = 2.5
 # The part of `grace_s` reserved for the shutdown of the process itself.
 SHUTDOWN_RESERVE_S = 0.7
-# Upper bounds for both as shares of `grace_s`, so that a short one is mostly left to running requests.
-STILL_ACCEPTING_SHARE, SHUTDOWN_RESERVE_SHARE = 1 / 3, 0.1
+# The part of the remaining time in which the last answers reach their clients.
+LAST_ANSWERS_S = 0.3
+# Upper bounds for these as shares of `grace_s`, so that a short one is mostly left to running requests.
+STILL_ACCEPTING_SHARE, SHUTDOWN_RESERVE_SHARE, LAST_ANSWERS_SHARE = 1 / 3, 0.1, 0.1
 # Time for the last messages to the control planes to be sent.
 SHUTDOWN_FLUSH_S = 0.02
 # Links to control planes in addition to the number of machines that may fail at once.
@@ -128,6 +131,7 @@
         self.reports = Reports(self.subscriber, self.links, self.quota, self.budget, self.placement, log)
         self.admission = Admission(self.quota, lambda: self.subscriber.is_current(self._now_ms()), rng)
         retries = Retries(RetryQuota(rng, refund_on_success=False), self.budget)
+        self._shutdown = ShutdownDeadline()
         self.counters: Counter[str] = Counter()
         parts = RequestParts(
             admission=self.admission,
@@ -138,6 +142,7 @@
             budget=self.budget,
             log=Sparing(log, self._now_ms),
             attempt_log=AttemptLog(debug_log),
+            shutdown=self._shutdown,
             counters=self.counters,
         )
         self._listener = Listener(
@@ -191,11 +196,12 @@
         if self._phase is not Phase.SERVING:
             return
         began_s, grace_s = self._loop.time(), self._settings.bounds.grace_s
+        until_s = began_s + grace_s - min(SHUTDOWN_RESERVE_S, SHUTDOWN_RESERVE_SHARE * grace_s)
         self._change_phase(Phase.DRAINING)
+        self._shutdown.begin(until_s - min(LAST_ANSWERS_S, LAST_ANSWERS_SHARE * grace_s))
         self._listener.begin_ending()
         await asyncio.sleep(min(self._still_accepting_s, STILL_ACCEPTING_SHARE * grace_s))
         self._change_phase(Phase.FINISHING)
-        until_s = began_s + grace_s - min(SHUTDOWN_RESERVE_S, SHUTDOWN_RESERVE_SHARE * grace_s)
         left_open = await self._listener.finish(until_s - self._loop.time())
         self._log("ended", left_open=left_open, **_log_fields(self.counters))
         await self.close()
--- a/madderwind/dataplane/upstream_pool.py
+++ b/madderwind/dataplane/upstream_pool.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from typing import Any, TypeVar
 
 from aiohttp.client_reqrep import ClientResponse
@@ -62,7 +64,7 @@
         instance: str,
         address: str,
         encoded: EncodedRequest,
-        until_s: float,
+        limit: AbstractAsyncContextManager[asyncio.Timeout],
         receive: Callable[[ClientResponse], Awaitable[Received]],
     ) -> Received | Outcome:
         """Make one attempt; see `Upstreams.exchange`."""
@@ -72,7 +74,7 @@
             number = self._instance_numbers[instance] = next(self._next_number)
         self._in_use[instance] += 1
         try:
-            return await self._upstreams.exchange(number, (host, int(port)), encoded, until_s, receive)
+            return await self._upstreams.exchange(number, (host, int(port)), encoded, limit, receive)
         finally:
             self._in_use[instance] -= 1
             if not self._in_use[instance]:
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from typing import TypeVar
 
 import aiohttp
@@ -85,8 +86,9 @@
         """Make one attempt; return the response, or the outcome without one. `until_s` is on the loop's
         clock.
         """
+        limit = asyncio.timeout_at(until_s)
         return await self.exchange(
-            upstream, address, encoded, until_s, lambda response: self._receive(response, encoded)
+            upstream, address, encoded, limit, lambda response: self._receive(response, encoded)
         )
 
     async def exchange(
@@ -94,10 +96,10 @@
         upstream: int,
         address: tuple[str, int],
         encoded: EncodedRequest,
-        until_s: float,
+        limit: AbstractAsyncContextManager[asyncio.Timeout],
         receive: Callable[[ClientResponse], Awaitable[Received]],
     ) -> Received | Outcome:
-        """Make one attempt; return what `receive` makes of the response, or the outcome without one."""
+        """Make one attempt within `limit`; return what `receive` makes of the response, or the outcome."""
         if self._session.closed:  # the process is shutting down: queued attempts are no longer sent
             return Outcome.NOT_SENT
         encoded.upstream = upstream
@@ -105,7 +107,7 @@
         url = URL.build(scheme="http", host=address[0], port=address[1])
         try:
             async with (
-                asyncio.timeout_at(until_s) as encoded.limit,
+                limit as encoded.limit,
                 self._session.request(
                     encoded.method,
                     url,
--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -19,6 +19,7 @@
 from madderwind.dataplane.forwarder import Forwarder
 from madderwind.dataplane.request_parts import RequestParts
 from madderwind.dataplane.retrying import Retries
+from madderwind.dataplane.shutdown_deadline import ShutdownDeadline
 from madderwind.dataplane.upstream_pool import UpstreamPool
 from madderwind.limits.budget import FleetRetryBudget
 from madderwind.messages.distribution import UpstreamRecord
@@ -180,6 +181,7 @@
         known = KnownUpstreams(heartbeat_ms=1000.0)
         known.merge(loop.time() * MS_PER_S, self._records())
         self.pool = UpstreamPool(MAX_CONNECTIONS)
+        self.shutdown = ShutdownDeadline()
         admission = Admission(UnlimitedQuota(), lambda: True, rng)
         limits = {"max_body_bytes": MAX_BODY_BYTES, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         routes = [{**route, "max_attempts": self._max_attempts} for route in document()["routes"]]
@@ -197,6 +199,7 @@
             retries=Retries(RetryQuota(ShortestBackoff(), refund_on_success=False), budget),
             budget=budget,
             log=lambda event, /, **fields: None,
+            shutdown=self.shutdown,
             counters=self.counters,
         )
         self.listener = Listener(Forwarder(shared).serve, MAX_CONNECTIONS, lambda event, /, **fields: None)
--- a/tests/dataplane/test_chaos.py
+++ b/tests/dataplane/test_chaos.py
@@ -8,6 +8,7 @@
 
 from madderwind.dataplane.attempt_exchange import AttemptExchange
 from madderwind.dataplane.headers import deadline_header
+from madderwind.dataplane.shutdown_deadline import ShutdownDeadline
 from tests.dataplane.chaos import RuleViolation, run_seeds
 from tests.dataplane.forwarder import VirtualClockLoop
 
@@ -20,6 +21,13 @@
         run_seeds(range(1, 4))
 
 
+class WaitsOutlastTheProcess(unittest.TestCase):
+    def test_is_detected(self) -> None:
+        ignored = mock.patch.object(ShutdownDeadline, "begin", lambda *_: None)
+        with ignored, self.assertRaisesRegex(RuleViolation, "LOST: .* open as the process ends"):
+            run_seeds(range(1, 13))
+
+
 class MutantsAreDetected(unittest.TestCase):
     """Each mutant violates a rule within the first seeds, so the result is the same in each run."""
 
