Control planes answer the calls in progress before they end

What callers saw: where the grace period is shorter than a call takes (0.8 s without a primary), or a body is complete only as the process ends, an operator's command or read, a heartbeat or a deregistration got a closed connection without an answer.

Cause: the host stops its timer with calls in progress, and nothing resolves them; a body that was read during the shutdown was still submitted.

Change: the host ends all calls in progress (unknown outcome, not accepted: 503), and a body that is complete after the signal is answered with 503 too.

Evidence: the new test fails before the change (ServerDisconnectedError) and passes after it, three runs of the file.

--- a/madderwind/controlplane/host.py
+++ b/madderwind/controlplane/host.py
@@ -26,7 +26,7 @@
 from madderwind.messages.status import ControlPlaneStatus
 from madderwind.registry.checkpoint import RegistryCheckpoint
 from madderwind.replication.actions import Prepare, Rewrite, Write
-from madderwind.replication.commands import Command, CommandResult
+from madderwind.replication.commands import UNKNOWN_RESULT, Command, CommandResult
 from madderwind.replication.events import PreparationCompleted, ShutdownRequested
 from madderwind.storage.record_file import RecordFile
 from madderwind.structured_log import Log, write_line
@@ -98,9 +98,10 @@
         self._tick()
 
     async def stop(self) -> None:
-        """Stop the timer and close all connections of this host."""
+        """Stop the timer, end the calls in progress and close all connections of this host."""
         if self._ticker is not None:
             self._ticker.cancel()
+        self._end_calls()
         self._preparation.stop()
         self._streams.close_all()
         await self._links.close()
@@ -227,19 +228,28 @@
         self._links.send(effect.address, self._encoded)
 
     def _respond_to_command(self, effect: RespondToCommand) -> None:
-        response = self._commands.pop(effect.call)
-        if not response.done():
+        response = self._commands.pop(effect.call, None)
+        if response is not None and not response.done():
             response.set_result(effect.result)
 
     def _respond_to_read(self, effect: RespondToRead) -> None:
-        response = self._reads.pop(effect.call)
-        if not response.done():
+        response = self._reads.pop(effect.call, None)
+        if response is not None and not response.done():
             response.set_result(effect)
 
     def _respond_to_upstream(self, effect: RespondToUpstream) -> None:
-        answer = self._upstream_calls.pop(effect.call)
-        if not answer.done():
+        answer = self._upstream_calls.pop(effect.call, None)
+        if answer is not None and not answer.done():
             answer.set_result(effect.is_accepted)
 
+    def _end_calls(self) -> None:
+        """Answer all calls in progress: their callers turn to another control plane."""
+        for call in list(self._commands):
+            self._respond_to_command(RespondToCommand(call, UNKNOWN_RESULT))
+        for call in list(self._reads):
+            self._respond_to_read(RespondToRead(call, 0, None))
+        for call in list(self._upstream_calls):
+            self._respond_to_upstream(RespondToUpstream(call, False))
+
     def _log_line(self, line: LogLine) -> None:
         write_line(self._log, line)
--- a/madderwind/controlplane/public_server.py
+++ b/madderwind/controlplane/public_server.py
@@ -52,8 +52,10 @@
 
     async def _heartbeat(self, request: web.Request) -> web.Response:
         if self._is_shutting_down:
-            return _unavailable("this process is about to end")
+            return _shutting_down()
         body = await _read_body(request, MAX_HEARTBEAT_BYTES, HEARTBEAT_BODY_TIMEOUT_S)
+        if self._is_shutting_down:
+            return _shutting_down()
         instance = request.match_info["instance"]
         try:
             is_accepted = await self._host.handle_heartbeat(instance, body)
@@ -64,7 +66,7 @@
 
     async def _deregister(self, request: web.Request) -> web.Response:
         if self._is_shutting_down:
-            return _unavailable("this process is about to end")
+            return _shutting_down()
         return _upstream_response(await self._host.deregister(request.match_info["instance"]))
 
     async def _replace(self, request: web.Request) -> web.Response:
@@ -75,11 +77,13 @@
 
     async def _submit(self, request: web.Request, kind: CommandKind) -> web.Response:
         if self._is_shutting_down:
-            return _unavailable("this process is about to end")
+            return _shutting_down()
         base = request.headers.get(BASE_VERSION_HEADER, "")
         if not (base.isascii() and base.isdigit()):
             return _json_response(400, {"error": "a whole number is expected", "field": BASE_VERSION_HEADER})
         body = await _read_body(request, MAX_COMMAND_BYTES, COMMAND_BODY_TIMEOUT_S)
+        if self._is_shutting_down:
+            return _shutting_down()
         result = await self._host.submit(Command(kind, int(base), body))
         line = COMMAND_COMPLETED.line(
             kind=kind.value,
@@ -94,7 +98,7 @@
 
     async def _read(self, _request: web.Request) -> web.Response:
         if self._is_shutting_down:
-            return _unavailable("this process is about to end")
+            return _shutting_down()
         response = await self._host.read()
         if response.document is None:
             return _unavailable("no newest configuration could be proven here and now")
@@ -136,6 +140,10 @@
     )
 
 
+def _shutting_down() -> web.Response:
+    return _unavailable("this process is about to end")
+
+
 def _unavailable(reason: str) -> web.Response:
     response = _json_response(503, {"error": reason})
     response.headers["Retry-After"] = RETRY_AFTER_S
--- a/tests/controlplane/test_process.py
+++ b/tests/controlplane/test_process.py
@@ -9,11 +9,14 @@
 import os
 import tempfile
 import unittest
+from collections.abc import Callable
 from pathlib import Path
 from unittest import mock
 
 import aiohttp
 
+from madderwind.controlplane.core import ControlPlaneCore
+from madderwind.controlplane.effects import Effect
 from madderwind.controlplane.process import ControlPlaneProcess, main
 from madderwind.node_settings import CONTROL_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, parse_settings
 from madderwind.storage.disk import FileDisk
@@ -89,6 +92,16 @@
                         if response.status < 500:
                             return response.status, await response.read()
 
+    async def status_of(self, method: str, path: str) -> int:
+        """The status that machine 1 answers a call with, as soon as it listens."""
+        async with asyncio.timeout(DEADLINE_S):
+            while True:
+                with contextlib.suppress(aiohttp.ClientConnectorError):
+                    async with self.session.request(
+                        method, self.url(1, path), headers={"X-Base-Version": "0"}
+                    ) as response:
+                        return response.status
+
     async def command(self, number: int, base: int, version: int) -> int:
         url = self.url(number, "/config/replace")
         return (await self.call_until_resolved("POST", url, base, replacement_body(version)))[0]
@@ -135,6 +148,35 @@
         self.assertEqual(await self.read(2), (200, replacement_body(5)))
         self.assertEqual(await self.command(3, 5, 6), 200)
 
+    async def test_calls_in_progress_are_answered_before_the_process_ends(self) -> None:
+        # Guards against connections that close without an answer at a SIGTERM, with a short grace period.
+        self.start(1, bootstrap=True)
+        waiting: asyncio.Queue[str] = asyncio.Queue()
+
+        def never_decide(name: str) -> Callable[..., list[Effect]]:
+            def start_call(*_: object) -> list[Effect]:
+                waiting.put_nowait(name)
+                return []
+
+            return start_call
+
+        for name in ("submit", "handle_heartbeat", "deregister"):
+            self.enterContext(mock.patch.object(ControlPlaneCore, name, never_decide(name)))
+        calls = [
+            asyncio.create_task(self.status_of(method, path))
+            for method, path in (
+                ("POST", "/config/replace"),
+                ("GET", "/config/read"),
+                ("POST", "/instances/i-1/heartbeat"),
+                ("POST", "/instances/i-1/deregister"),
+            )
+        ]
+        async with asyncio.timeout(DEADLINE_S):
+            for _ in calls:
+                await waiting.get()
+        await self.stop(1)
+        self.assertEqual(await asyncio.gather(*calls), [503] * len(calls))
+
     async def test_heartbeats_are_acknowledged_before_there_is_a_primary(self) -> None:
         self.start(1, bootstrap=True)
         url = self.url(1, "/instances/i-1/heartbeat")
