--- a/madderwind/configuration/history.py
+++ b/madderwind/configuration/history.py
@@ -20,6 +20,7 @@
 from madderwind.configuration.reading import Document, read_document
 from madderwind.errors import ConfigurationError, MessageError
 from madderwind.messages.distribution import CommandRecord
+from madderwind.messages.message_pack import MessagePack
 from madderwind.replication.commands import Command, CommandKind, CommandOutcome, CommandResult
 
 RETAINED_DIGESTS = 4_000
@@ -51,6 +52,9 @@
         return {command.base_version: command_digest(command) for command in commands}
 
 
+_snapshots: MessagePack[_Snapshot] = MessagePack(_Snapshot)
+
+
 class ConfigurationHistory:
     """Implements replication.commands.ReplicatedState."""
 
@@ -109,16 +113,14 @@
     def snapshot(self) -> bytes:
         """The complete state, serialized."""
         document = b"" if self.document is None else self.document.raw
-        return msgspec.msgpack.encode(
-            _Snapshot(document, tuple(self._digests.items()), tuple(self._commands))
-        )
+        return _snapshots.encode(_Snapshot(document, tuple(self._digests.items()), tuple(self._commands)))
 
     @classmethod
     def restore(cls, data: bytes) -> ConfigurationHistory:
         """The state that `snapshot` serialized; raises MessageError if the data is not a valid snapshot."""
         try:
-            snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
-        except msgspec.MsgspecError as error:
+            snapshot = _snapshots.decode(data)
+        except MessageError as error:
             raise MessageError(f"invalid configuration snapshot: {error}") from None
         history = cls()
         if snapshot.document:
--- a/madderwind/configuration/reading.py
+++ b/madderwind/configuration/reading.py
@@ -28,6 +28,7 @@
 from madderwind.configuration.sections import Section, SectionChange
 from madderwind.configuration.structuring import structure
 from madderwind.errors import ConfigurationError
+from madderwind.messages.message_pack import MAX_INTEGER_DIGITS
 
 # The field name for errors that concern no particular part of a document.
 ENTIRE_DOCUMENT = "document"
@@ -243,7 +244,10 @@
 def _read_version(members: dict[str, msgspec.Raw]) -> int:
     if "version" not in members:
         raise ConfigurationError("version", "is missing")
-    version = read_value(members.pop("version"), "version")
+    raw_version = members.pop("version")
+    if len(raw_version) > MAX_INTEGER_DIGITS:
+        raise ConfigurationError("version", f"has more than {MAX_INTEGER_DIGITS} digits")
+    version = read_value(raw_version, "version")
     if type(version) is not int or version <= 0:
         raise ConfigurationError("version", "must be a whole number above 0")
     return version
--- a/madderwind/controlplane/metrics.py
+++ b/madderwind/controlplane/metrics.py
@@ -6,14 +6,14 @@
 from collections.abc import Iterator
 
 from madderwind.messages.status import ControlPlaneStatus
-from madderwind.metrics.samples import Sample
+from madderwind.metrics.samples import Sample, gauge_value
 
 
 def control_plane_samples(status: ControlPlaneStatus) -> Iterator[Sample]:
     """The samples of a control plane's status."""
     yield Sample("primary", "Whether this control plane is the primary.", float(status.is_primary))
     yield Sample("epoch", "The newest epoch known here.", float(status.epoch))
-    yield Sample("committed_version", "The committed configuration.", float(status.committed_version))
+    yield Sample("committed_version", "The committed configuration.", gauge_value(status.committed_version))
     yield Sample("in_sync", "Replicas whose word every commit needs.", float(len(status.in_sync)))
     yield Sample("members", "Members of the view.", float(len(status.members)))
     if status.fresh_age_ms is not None:
@@ -21,7 +21,7 @@
         yield Sample("lease_age_seconds", "Since the primary was last known to hold its lease.", age_s)
     for plane in status.data_planes:
         labels = {"node": plane.node}
-        applied = float(plane.applied_version)
+        applied = gauge_value(plane.applied_version)
         yield Sample("data_plane_version", "The version in force at a data plane.", applied, labels=labels)
         if plane.lag is not None:
             lag = float(plane.lag)
--- a/madderwind/controlplane/public_server.py
+++ b/madderwind/controlplane/public_server.py
@@ -10,6 +10,7 @@
 from madderwind.controlplane.host import ControlPlaneHost
 from madderwind.errors import HeartbeatError
 from madderwind.log_events.control_plane import COMMAND_COMPLETED, INVALID_HEARTBEAT
+from madderwind.messages.message_pack import MAX_INTEGER_DIGITS
 from madderwind.registry.heartbeats import MAX_HEARTBEAT_BYTES
 from madderwind.replication.commands import Command, CommandKind, CommandOutcome, CommandResult
 from madderwind.structured_log import Log, write_line
@@ -79,8 +80,9 @@
         if self._is_shutting_down:
             return _shutting_down()
         base = request.headers.get(BASE_VERSION_HEADER, "")
-        if not (base.isascii() and base.isdigit()):
-            return _json_response(400, {"error": "a whole number is expected", "field": BASE_VERSION_HEADER})
+        if not (base.isascii() and base.isdigit() and len(base) <= MAX_INTEGER_DIGITS):
+            error = f"a whole number of at most {MAX_INTEGER_DIGITS} digits is expected"
+            return _json_response(400, {"error": error, "field": BASE_VERSION_HEADER})
         body = await _read_body(request, MAX_COMMAND_BYTES, COMMAND_BODY_TIMEOUT_S)
         if self._is_shutting_down:
             return _shutting_down()
--- a/madderwind/dataplane/metrics.py
+++ b/madderwind/dataplane/metrics.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
-from madderwind.metrics.samples import Sample, SampleKind
+from madderwind.metrics.samples import Sample, SampleKind, gauge_value
 from madderwind.registry.known_upstreams import KnownUpstream
 
 
@@ -30,7 +30,7 @@
     """The samples of the current state."""
     version, links = figures.configuration_version, figures.control_planes
     yield Sample("ready", "Whether this data plane takes new connections.", float(figures.is_ready))
-    yield Sample("configuration_version", "The version in force here.", float(version))
+    yield Sample("configuration_version", "The version in force here.", gauge_value(version))
     yield Sample("control_planes", "Connected control planes.", float(links))
     yield Sample("data_planes", "Data planes that the fleet has.", float(figures.data_planes))
     upstreams = Counter((known.service, known.state.value) for known in figures.upstreams)
--- a/madderwind/messages/codec.py
+++ b/madderwind/messages/codec.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 import zlib
-from typing import Generic, TypeVar
-
-import msgspec
+from typing import Generic
 
 from madderwind.errors import MessageError
+from madderwind.messages.message_pack import MessagePack, MessageType
 
 # A configuration is at most 4 MiB; a snapshot contains the configuration and its history.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -20,19 +19,16 @@
 COMPRESSION_LEVEL = 1
 COMPRESSED_PREFIX = b"\xc1"  # unused in MessagePack
 
-MessageType = TypeVar("MessageType")
-
 
 class Codec(Generic[MessageType]):
     """Encodes and decodes one union of tagged structs."""
 
     def __init__(self, union: object) -> None:
-        self._encoder = msgspec.msgpack.Encoder()
-        self._decoder: msgspec.msgpack.Decoder[MessageType] = msgspec.msgpack.Decoder(union)
+        self._format: MessagePack[MessageType] = MessagePack(union)
 
     def encode(self, message: MessageType) -> bytes:
-        """Serialize a message."""
-        data = self._encoder.encode(message)
+        """Serialize a message; raises MessageError if it holds text that is not Unicode."""
+        data = self._format.encode(message)
         if len(data) < MIN_COMPRESSED_BYTES:
             return data
         return COMPRESSED_PREFIX + zlib.compress(data, COMPRESSION_LEVEL)
@@ -43,10 +39,7 @@
             data = _decompress(data[1:])
         if len(data) > MAX_MESSAGE_BYTES:
             raise MessageError(f"{len(data)} bytes exceed the maximum message size")
-        try:
-            return self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
-            raise MessageError(str(error)) from None
+        return self._format.decode(data)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/madderwind/metrics/samples.py
+++ b/madderwind/metrics/samples.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum
 
@@ -25,4 +26,12 @@
     labels: Mapping[str, str] = {}
 
 
+def gauge_value(number: int) -> float:
+    """A whole number of any size as a metric's value; infinite if it is beyond the largest float."""
+    try:
+        return float(number)
+    except OverflowError:
+        return math.inf if number > 0 else -math.inf
+
+
 Collect = Callable[[], Iterable[Sample]]
--- a/tests/controlplane/test_process.py
+++ b/tests/controlplane/test_process.py
@@ -9,7 +9,7 @@
 import os
 import tempfile
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from unittest import mock
 
@@ -18,6 +18,7 @@
 from madderwind.controlplane.core import ControlPlaneCore
 from madderwind.controlplane.effects import Effect
 from madderwind.controlplane.process import ControlPlaneProcess, main
+from madderwind.messages.message_pack import MAX_INTEGER_DIGITS
 from madderwind.node_settings import CONTROL_PLANE_PORT, SETTINGS_VARIABLE, NodeSettings, parse_settings
 from madderwind.storage.disk import FileDisk
 from madderwind.storage.record_file import RecordFile
@@ -28,6 +29,9 @@
 DEADLINE_S = 30.0
 # A process that the in-sync set needs keeps running for this time, less the time reserved for shutdown.
 GRACE_S = 2.0
+FIRST_BASE = {"X-Base-Version": "0"}
+# Date and time down to the microsecond, beyond 64 bits.
+MICROSECONDS = 20261204181000123456
 
 
 class ProcessTestCase(unittest.IsolatedAsyncioTestCase):
@@ -92,14 +96,12 @@
                         if response.status < 500:
                             return response.status, await response.read()
 
-    async def status_of(self, method: str, path: str) -> int:
+    async def status_of(self, method: str, path: str, headers: Mapping[str, str] = FIRST_BASE) -> int:
         """The status that machine 1 answers a call with, as soon as it listens."""
         async with asyncio.timeout(DEADLINE_S):
             while True:
                 with contextlib.suppress(aiohttp.ClientConnectorError):
-                    async with self.session.request(
-                        method, self.url(1, path), headers={"X-Base-Version": "0"}
-                    ) as response:
+                    async with self.session.request(method, self.url(1, path), headers=headers) as response:
                         return response.status
 
     async def command(self, number: int, base: int, version: int) -> int:
@@ -177,6 +179,26 @@
         await self.stop(1)
         self.assertEqual(await asyncio.gather(*calls), [503] * len(calls))
 
+    async def test_a_version_beyond_64_bits_is_in_force_everywhere_and_takes_the_next_change(self) -> None:
+        # Guards against an acknowledged version that other machines never learn of (review/7).
+        for number in (1, 2, 3):
+            self.start(number, bootstrap=True)
+        self.assertEqual(await self.command(1, 0, 5), 200)
+        self.assertEqual(await self.command(2, 5, MICROSECONDS), 200)
+        for number in (1, 2, 3):
+            self.assertEqual(await self.read(number), (200, replacement_body(MICROSECONDS)))
+        self.assertEqual(await self.command(3, MICROSECONDS, MICROSECONDS + 1), 200)
+        for number in (1, 2, 3):
+            await self.stop(number)
+        for number in (3, 1, 2):
+            self.start(number)
+        self.assertEqual(await self.read(2), (200, replacement_body(MICROSECONDS + 1)))
+
+    async def test_a_base_version_with_too_many_digits_is_rejected(self) -> None:
+        self.start(1, bootstrap=True)
+        headers = {"X-Base-Version": "9" * (MAX_INTEGER_DIGITS + 1)}
+        self.assertEqual(await self.status_of("POST", "/config/replace", headers), 400)
+
     async def test_heartbeats_are_acknowledged_before_there_is_a_primary(self) -> None:
         self.start(1, bootstrap=True)
         url = self.url(1, "/instances/i-1/heartbeat")
--- a/tests/golden/test_golden_files.py
+++ b/tests/golden/test_golden_files.py
@@ -18,6 +18,7 @@
 from madderwind.messages.peering import PeerFrame, peer_frames
 from madderwind.messages.status import ControlPlaneStatus
 from madderwind.registry.checkpoint import RegistryCheckpoint
+from madderwind.replication.events import CommandSubmitted
 from madderwind.replication.records import (
     EntryRecord,
     IdentityRecord,
@@ -154,6 +155,20 @@
     assert committed.document.raw == replacement_body(8, routes=2)
 
 
+def test_directory_with_a_version_beyond_64_bits_starts_and_takes_the_next_changes(
+    copy_golden_directory: Callable[[str], Path],
+) -> None:
+    # Written by commit 7f7269a, which committed this version and failed at the next command.
+    directory = copy_golden_directory("version-beyond-64-bits")
+    for version in (20261204181000123456, 20261204181000123457, 20261204181000123458):
+        disk_replica = DiskReplica(directory, tolerance=0, bootstrap=False)
+        disk_replica.run(3_000.0)
+        assert disk_replica.replica.committed.version == version
+        disk_replica.handle(CommandSubmitted(1, update(version, version + 1)))
+        disk_replica.run(100.0)
+        assert disk_replica.replica.committed.version == version + 1
+
+
 def test_retried_command_is_recognized_after_start_from_golden_directory(
     copy_golden_directory: Callable[[str], Path],
 ) -> None:
--- a/tests/golden/write_golden_files.py
+++ b/tests/golden/write_golden_files.py
@@ -2,7 +2,8 @@
 
 The committed files were written by this script at version 0.2.0 (commit de54336) and must not be regenerated
 for that version: they represent what deployed control planes store on disk and send to each other. A change
-of a stored format or a message adds new files beside them.
+of a stored format or a message adds new files beside them. Commit 7f7269a wrote `version-beyond-64-bits`, as
+`write_primary` does, with the commands replacement(0, 3) and update(3, 20261204181000123456).
 """
 
 from __future__ import annotations
--- a/tests/metrics/test_exporter.py
+++ b/tests/metrics/test_exporter.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 import aiohttp
+import msgspec
 
 from madderwind.controlplane.metrics import control_plane_samples
 from madderwind.errors import SettingsError
@@ -64,6 +65,11 @@
         self.assertIn('madderwind_data_plane_version{node="data-1"} 5.0', lines)
         self.assertIn('madderwind_upstreams{service="s",state="ready"} 2.0', lines)
 
+    async def test_exports_a_version_beyond_the_largest_float(self) -> None:
+        status = msgspec.structs.replace(STATUS, committed_version=10**4000)
+        lines = await self.scrape(list(control_plane_samples(status)))
+        self.assertIn("madderwind_committed_version +Inf", lines)
+
     async def test_does_not_listen_without_a_setting(self) -> None:
         self.assertIsNone(await start_exporter({"front": "127.0.0.1:1"}, lambda: ()))
 
