--- a/madderwind/registry/checkpoint.py
+++ b/madderwind/registry/checkpoint.py
@@ -12,8 +12,9 @@
 
 import msgspec
 
-from madderwind.errors import StorageError
+from madderwind.errors import MessageError, StorageError
 from madderwind.messages.distribution import UpstreamRecord
+from madderwind.messages.message_pack import MessagePack
 from madderwind.storage.disk import Disk
 from madderwind.storage.records import decode_records, encode_record
 
@@ -27,7 +28,7 @@
     upstreams: tuple[UpstreamRecord, ...]
 
 
-_decoder = msgspec.msgpack.Decoder(_CheckpointFile)
+_checkpoint_files: MessagePack[_CheckpointFile] = MessagePack(_CheckpointFile)
 
 
 class RegistryCheckpoint:
@@ -52,12 +53,12 @@
         """
         file = _CheckpointFile(self._generation + 1, tuple(upstreams))
         name = FILE_NAMES[file.generation % len(FILE_NAMES)]
-        self._disk.create(name, encode_record(msgspec.msgpack.encode(file)))
+        self._disk.create(name, encode_record(_checkpoint_files.encode(file)))
         self._generation = file.generation
 
     def _read(self, name: str) -> _CheckpointFile | None:
-        with contextlib.suppress(StorageError, msgspec.MsgspecError):
+        with contextlib.suppress(StorageError, MessageError):
             if name in self._disk.names():
                 records = decode_records(self._disk.read(name)).records
-                return _decoder.decode(records[0]) if records else None
+                return _checkpoint_files.decode(records[0]) if records else None
         return None
--- a/madderwind/registry/registry.py
+++ b/madderwind/registry/registry.py
@@ -28,6 +28,8 @@
 # A longer interval between two ticks means that this process stalled; heartbeats that are missing from that
 # interval do not count towards a time-out.
 MAX_TICK_INTERVAL_MS = 1_000.0
+# From here on a float takes no more bytes than an integer.
+MAX_ROUNDED_MS = 2.0**32
 
 
 @attrs.define
@@ -282,6 +284,6 @@
     return UpstreamRecord(instance=instance, heartbeat_age_ms=0.0, **description)
 
 
-def _round_duration_ms(duration_ms: float) -> int:
-    """Whole milliseconds, at least 0, which have a shorter encoding on the wire."""
-    return max(0, round(duration_ms))
+def _round_duration_ms(duration_ms: float) -> float:
+    """Whole milliseconds, at least 0, which have a shorter encoding on the wire than most floats."""
+    return max(0, round(duration_ms)) if duration_ms < MAX_ROUNDED_MS else duration_ms
--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -8,7 +8,7 @@
 import random
 import tempfile
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 
 import aiohttp
@@ -209,6 +209,27 @@
         self.assertEqual(await self.call(1, "i-1/heartbeat", b" " * 5000), 413)
 
 
+class LargeNumbersTest(HostsTestCase):
+    """Heartbeats with a number beyond 64 bits in one field."""
+
+    BODIES: tuple[tuple[str, bytes], ...] = (
+        ("sequence", heartbeat(20261204181000123456)),
+        ("slots", heartbeat(1).replace(b'"slots":4', b'"slots":1e30')),
+        ("cold_remaining_ms", heartbeat(1).replace(b'"cold_remaining_ms":0', b'"cold_remaining_ms":1e300')),
+    )
+
+    async def test_a_data_plane_can_subscribe_and_a_drain_is_acknowledged(self) -> None:
+        # Guards against data planes that are shut out, and drains that wait for a checkpoint (review/8).
+        for field, body in self.BODIES:
+            self.assertEqual(await self.call(1, f"{field}/heartbeat", body), 200, field)
+        for number in range(3):
+            data_plane = await self.subscribe(number)
+            while not _instances(data_plane.received) >= {field for field, _ in self.BODIES}:
+                await data_plane.receive_until(lambda message: isinstance(message, RegistryDelta))
+        self.assertEqual(await self.call(2, "i-1/heartbeat", heartbeat(1)), 200)
+        self.assertEqual(await self.call(0, "i-1/heartbeat", heartbeat(2, "draining")), 200)
+
+
 class DataPlaneSubscriptionTest(HostsTestCase):
     async def test_a_data_plane_is_notified_of_a_version_fetches_and_acknowledges_it(self) -> None:
         data_plane = await self.subscribe(0)
@@ -255,6 +276,11 @@
         self.assertTrue(line.endswith(b"}\n"))
 
 
+def _instances(messages: Iterable[ToDataPlane]) -> set[str]:
+    registries = [message for message in messages if isinstance(message, (RegistrySnapshot, RegistryDelta))]
+    return {record.instance for message in registries for record in message.upstreams}
+
+
 def _names_state(message: ToDataPlane, state: str) -> bool:
     return isinstance(message, RegistryDelta) and any(r.state == state for r in message.upstreams)
 
