An effect that can't be encoded doesn't end the others

What callers saw: none of this is known from the field.

Change: an effect whose message cannot be encoded is left out, counted and logged (effect_dropped, at most a line a second); the others are carried out. The upstream whose call it belongs to gets 503 and turns to another control plane. The checkpoint's thread lives on and takes the next offer.

Tests: three control planes whose core sends such a message at each tick; an upstream whose own state cannot be sent; the checkpoint's writer.

--- a/madderwind/controlplane/checkpoint_writer.py
+++ b/madderwind/controlplane/checkpoint_writer.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from madderwind.errors import StorageError
+from madderwind.errors import MessageError, StorageError
 from madderwind.messages.distribution import UpstreamRecord
 from madderwind.registry.checkpoint import RegistryCheckpoint
 
@@ -70,7 +70,7 @@
     def _save(self) -> None:
         try:
             self._checkpoint.save(self._offered)
-        except StorageError:
+        except (StorageError, MessageError):
             self._descriptions = frozenset()  # the next offer differs from it, so that the write is retried
             return
         self._report(self._offered)
--- a/madderwind/controlplane/host.py
+++ b/madderwind/controlplane/host.py
@@ -20,6 +20,8 @@
 from madderwind.controlplane.preparation_thread import PreparationThread
 from madderwind.controlplane.subscriber_streams import SubscriberStreams
 from madderwind.distribution.deliveries import Close, SendTo, SendToAll
+from madderwind.errors import MessageError
+from madderwind.log_events.control_plane import EFFECT_DROPPED
 from madderwind.log_events.event import LogLine
 from madderwind.messages.distribution import Subscribe, ToControlPlane, UpstreamRecord
 from madderwind.messages.peering import PeerFrame, peer_frames
@@ -32,6 +34,8 @@
 from madderwind.structured_log import Log, write_line
 
 UNUSED_LINKS_INTERVAL_S = 5.0
+# Dropped effects are counted, and logged at most once in this time.
+DROPPED_EFFECTS_LOG_INTERVAL_S = 1.0
 
 
 class ControlPlaneHost:
@@ -63,6 +67,8 @@
         self._last_call = 0
         self._ticker: asyncio.TimerHandle | None = None
         self._links_checked_s = 0.0
+        self._dropped_effects = 0
+        self._drop_logged_s = -DROPPED_EFFECTS_LOG_INTERVAL_S
         self._encoded_message: PeerFrame | None = None
         self._encoded = b""
         self._handlers: dict[type[Effect], Callable[..., None]] = {
@@ -165,8 +171,9 @@
     async def _wait_for_answer(self, call: int, effects: list[Effect]) -> bool:
         answer: asyncio.Future[bool] = self._loop.create_future()
         self._upstream_calls[call] = answer
-        self._carry_out(effects)
-        return await answer
+        all_carried_out = self._carry_out(effects)
+        # The upstream calls another control plane if this one could not pass its state on.
+        return await answer and all_carried_out
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
@@ -218,9 +225,25 @@
     def _handle_preparation(self, completion: PreparationCompleted) -> None:
         self._carry_out(self._core.handle_replica_event(self._now_ms(), completion))
 
-    def _carry_out(self, effects: Iterable[Effect]) -> None:
+    def _carry_out(self, effects: Iterable[Effect]) -> bool:
+        """Carry out each effect that can be; returns whether all were."""
+        all_carried_out = True
         for effect in effects:
-            self._handlers[type(effect)](effect)
+            try:
+                self._handlers[type(effect)](effect)
+            except MessageError as error:
+                all_carried_out = False
+                self._record_dropped(effect, error)
+        return all_carried_out
+
+    def _record_dropped(self, effect: Effect, error: MessageError) -> None:
+        """Count an effect whose message cannot be encoded, and log the newest one now and then."""
+        self._dropped_effects += 1
+        if self._loop.time() - self._drop_logged_s < DROPPED_EFFECTS_LOG_INTERVAL_S:
+            return
+        self._drop_logged_s = self._loop.time()
+        name, dropped = type(effect).__name__, self._dropped_effects
+        self._log_line(EFFECT_DROPPED.line(effect=name, reason=str(error), dropped=dropped))
 
     def _send_to_peer(self, effect: SendToPeer) -> None:
         if effect.message is not self._encoded_message:  # a message to several peers is encoded once
--- a/madderwind/log_events/control_plane.py
+++ b/madderwind/log_events/control_plane.py
@@ -19,6 +19,7 @@
 QUORUM_LOST = LogEvent("quorum_lost", ("epoch",))
 WRITE_FAILED = LogEvent("write_failed", ("token",))
 EVENT_LOOP_STALLED = LogEvent("event_loop_stalled", ("ms",))
+EFFECT_DROPPED = LogEvent("effect_dropped", ("effect", "reason", "dropped"), Level.WARNING)
 SNAPSHOT_SENT = LogEvent("snapshot_sent", ("to", "index"))
 SNAPSHOT_INSTALLED = LogEvent("snapshot_installed", ("index",))
 
--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -16,6 +16,7 @@
 
 from madderwind.configuration.history import ConfigurationHistory
 from madderwind.controlplane.core import ControlPlaneCore, CoreOptions
+from madderwind.controlplane.effects import Effect, SendToPeer
 from madderwind.controlplane.host import ControlPlaneHost
 from madderwind.controlplane.internal_server import InternalServer
 from madderwind.controlplane.public_server import MAX_COMMAND_BYTES, PublicServer
@@ -29,9 +30,11 @@
     Subscribe,
     ToControlPlane,
     ToDataPlane,
+    UpstreamRecord,
     to_control_plane,
     to_data_plane,
 )
+from madderwind.messages.peering import RegistryGossip
 from madderwind.registry.checkpoint import RegistryCheckpoint
 from madderwind.storage.disk import FileDisk
 from madderwind.storage.record_file import RecordFile
@@ -70,6 +73,8 @@
 
 
 class HostsTestCase(unittest.IsolatedAsyncioTestCase):
+    core_class: type[ControlPlaneCore] = ControlPlaneCore
+
     async def asyncSetUp(self) -> None:
         self.stack = AsyncExitStack()
         self.output = os.open(os.devnull, os.O_WRONLY)
@@ -97,7 +102,7 @@
     async def start(self, number: int) -> None:
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         log = open_log(f"core-{number}", BatchedOutput(self.output))
-        core = ControlPlaneCore(
+        core = self.core_class(
             self.replicas[number],
             CoreOptions(self.internal[number], self.internal, 1000.0, 1),
             random.Random(number),
@@ -230,6 +235,37 @@
         self.assertEqual(await self.call(0, "i-1/heartbeat", heartbeat(2, "draining")), 200)
 
 
+class CoreWithBadEffect(ControlPlaneCore):
+    """A core that sends a message which no codec can encode, at each tick and at the heartbeat of "bad"."""
+
+    def tick(self, now_ms: float) -> list[Effect]:
+        return [self._bad_effect(), *super().tick(now_ms)]
+
+    def handle_heartbeat(self, now_ms: float, call: int, instance: str, body: bytes) -> list[Effect]:
+        effects = super().handle_heartbeat(now_ms, call, instance, body)
+        return [self._bad_effect(), *effects] if instance == "bad" else effects
+
+    def _bad_effect(self) -> SendToPeer:
+        record = UpstreamRecord("\ud800", "service", "10.0.0.1:80", "", "", 4, "ready", 1, 0.0, 0.0)
+        return SendToPeer(free_address(), RegistryGossip((record,)))
+
+
+class DroppedEffectsTest(HostsTestCase):
+    core_class = CoreWithBadEffect
+
+    async def test_a_message_that_cannot_be_encoded_does_not_end_the_other_effects(self) -> None:
+        # Guards against one bad record that keeps a registry and its data planes from everything else.
+        data_planes = [await self.subscribe(number) for number in range(3)]
+        self.assertEqual(await self.call(1, "i-1/heartbeat", heartbeat(1)), 200)
+        self.assertEqual(await self.call(2, "i-1/heartbeat", heartbeat(2, "draining")), 200)
+        for data_plane in data_planes:
+            await data_plane.receive_until(lambda message: _names_state(message, "draining"))
+
+    async def test_an_upstream_whose_state_was_not_passed_on_is_told_to_call_again(self) -> None:
+        self.assertEqual(await self.call(1, "bad/heartbeat", heartbeat(1)), 503)
+        self.assertEqual(await self.call(1, "i-1/heartbeat", heartbeat(1)), 200)
+
+
 class DataPlaneSubscriptionTest(HostsTestCase):
     async def test_a_data_plane_is_notified_of_a_version_fetches_and_acknowledges_it(self) -> None:
         data_plane = await self.subscribe(0)
--- a/tests/registry/test_checkpoint.py
+++ b/tests/registry/test_checkpoint.py
@@ -110,6 +110,16 @@
         writer._save()
         self.assertEqual(saved, [[upstream("i-1")]])
 
+    def test_a_record_that_cannot_be_encoded_does_not_end_the_thread(self) -> None:
+        saved: list[Sequence[UpstreamRecord]] = []
+        writer = CheckpointWriter(RegistryCheckpoint(InMemoryDisk()), saved.append)
+        writer.offer([upstream("\ud800")])
+        writer._save()
+        writer._wanted.clear()
+        self.assertTrue(writer.offer([upstream("i-1")]))
+        writer._save()
+        self.assertEqual(saved, [[upstream("i-1")]])
+
 
 class RegistryRestoration(unittest.TestCase):
     def test_restored_upstreams_are_known_and_time_out_without_heartbeats(self) -> None:
