Weights whose sum is beyond the largest float are valid

What callers saw: a route with backends of weights near 1e308 ended the reading of a document with OverflowError (math.fsum), 500 for the operator, though each weight is valid.

Change: a route needs one weight above 0, which is the same for all weights that could be summed; a backend is drawn by shares of the largest weight.

Test: test_weights_whose_sum_is_beyond_the_largest_float_are_valid, OverflowError on the commit before.

--- a/madderwind/configuration/documents.py
+++ b/madderwind/configuration/documents.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import math
-
 import attrs
 
 from madderwind.errors import ConfigurationError
@@ -90,7 +88,7 @@
         _require_positive("max_attempts", self.max_attempts)
         _require_non_negative("gap_aim_ms", self.gap_aim_ms)
         if self.backends:
-            if math.fsum(backend.weight for backend in self.backends) <= 0:
+            if not any(backend.weight > 0 for backend in self.backends):
                 raise ConfigurationError("backends", "the weights sum to 0")
         elif not self.service:
             raise ConfigurationError("service", "names neither a service nor backends with a weight")
--- a/madderwind/configuration/lookup.py
+++ b/madderwind/configuration/lookup.py
@@ -56,14 +56,17 @@
     if not route.backends:
         assert route.service is not None  # validated by Route
         return route.service
-    remaining = random_number * sum(backend.weight for backend in route.backends)
+    largest = max(backend.weight for backend in route.backends)
+    # Relative to the largest weight, as the sum of the weights may exceed the largest float.
+    shares = [backend.weight / largest for backend in route.backends]
+    remaining = random_number * sum(shares)
     service = ""
-    for backend in route.backends:
-        if backend.weight > 0:
+    for backend, share in zip(route.backends, shares, strict=True):
+        if share > 0:
             service = backend.service
-            if remaining < backend.weight:
+            if remaining < share:
                 break
-            remaining -= backend.weight
+            remaining -= share
     return service
 
 
--- a/tests/configuration/test_lookup.py
+++ b/tests/configuration/test_lookup.py
@@ -89,3 +89,21 @@
         self.assertAlmostEqual(chosen.count("few") / len(chosen), 0.1, delta=0.01)
         self.assertEqual(choose_backend(route, 0.0), "most")
         self.assertEqual(choose_backend(route, 1.0), "few")
+
+    def test_weights_whose_sum_is_beyond_the_largest_float_are_valid(self) -> None:
+        # Guards against a valid document that ends a control plane's reading with OverflowError.
+        backends = (
+            Backend("first", 1e308),
+            Backend("second", 1e308),
+            Backend("none", 0),
+            Backend("few", 1.0),
+        )
+        route = Route(name="a", host="h", path_prefix="/", timeout_ms=1, backends=backends)
+        chosen = [choose_backend(route, step / 100) for step in range(100)]
+        self.assertEqual(set(chosen), {"first", "second"})
+        self.assertEqual(chosen.count("first"), 50)
+
+    def test_the_smallest_weights_are_valid(self) -> None:
+        backends = (Backend("first", 5e-324), Backend("second", 5e-324))
+        route = Route(name="a", host="h", path_prefix="/", timeout_ms=1, backends=backends)
+        self.assertEqual([choose_backend(route, draw) for draw in (0.0, 0.6)], ["first", "second"])
