A log line holds text that is not UTF-8 as escapes

What callers saw: a deregistration or a heartbeat whose id holds bytes that are no UTF-8 (%ff) was answered with 500: the line of the log that names the id could not be written, and the exception ended the call.

Change: such a line is written with the surrogates as escapes.

Test: tests/test_structured_log.py, 3 of 5 fail on the commit before.

--- a/madderwind/structured_log.py
+++ b/madderwind/structured_log.py
@@ -98,7 +98,19 @@
 
 
 def _render(_: Any, __: str, event: structlog.typing.EventDict) -> bytes:
-    return msgspec.json.encode(event, enc_hook=repr)
+    try:
+        return msgspec.json.encode(event, enc_hook=repr)
+    except UnicodeEncodeError:
+        return msgspec.json.encode({name: _as_unicode(value) for name, value in event.items()}, enc_hook=repr)
+
+
+def _as_unicode(value: object) -> object:
+    """The value, its surrogates as escapes: bytes of a path or a header that are not UTF-8 become those."""
+    if isinstance(value, str):
+        return value.encode(errors="backslashreplace").decode()
+    if isinstance(value, (list, tuple)):
+        return [_as_unicode(item) for item in value]
+    return value
 
 
 def open_log(node: str, output: BatchedOutput, level: str = "info") -> Log:
