An upstream whose address is no host can't fail a request with 500

What callers saw: an upstream that gives an address like "no host:80" or "[::1:80" is accepted, and each request that is sent to it ends with 500, also where another upstream could serve it: no URL can be built for the address, and the exception ended the request.

Change: it counts as an upstream that cannot be connected to: nothing was sent, another one is tried, and its health falls. exchange() is shorter by two functions that name the outcome of a failure.

--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -104,8 +104,8 @@
             return Outcome.NOT_SENT
         encoded.upstream = upstream
         current_request.set(encoded)
-        url = URL.build(scheme="http", host=address[0], port=address[1])
         try:
+            url = URL.build(scheme="http", host=address[0], port=address[1])
             async with (
                 limit as encoded.limit,
                 self._session.request(
@@ -124,28 +124,38 @@
         except NotWrittenError:
             return Outcome.NOT_SENT
         except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as error:
-            if isinstance(error, aiohttp.ConnectionTimeoutError):
-                # Guards against a machine that vanished: a reused connection is silent until the deadline,
-                # while a connection that is never established proves that nothing ran.
-                self.close_idle(upstream)
-            is_local = isinstance(error, OSError) and error.errno in OWN_LIMITS
-            # a shortage on this machine says nothing about the upstream
-            return Outcome.NOT_SENT if is_local else Outcome.CONNECT_FAILED
+            return self._outcome_of_failed_connect(upstream, error)
         except TimeoutError:
             if not encoded.write_started:
                 return Outcome.NOT_SENT
             return Outcome.TIMEOUT if self._may_have_run(encoded) else Outcome.CONNECT_FAILED
         except (aiohttp.ClientError, OSError):
-            if encoded.write_approved and not encoded.write_started:
-                return Outcome.NOT_SENT
-            if not self._may_have_run(encoded):
-                return Outcome.CONNECT_FAILED
-            # A response that cannot be parsed shows that the upstream is alive; a closed connection does not.
-            if encoded.connection is not None and encoded.connection.unreadable:
-                return Outcome.ERROR
-            if encoded.connection is not None and encoded.connection.is_stale:
-                self._connector.trust.record_reset(asyncio.get_running_loop().time())
-            return Outcome.RESET
+            return self._outcome_of_broken_exchange(encoded)
+        except ValueError:  # the address names no host, and nothing was sent
+            if encoded.write_approved:
+                raise
+            return Outcome.CONNECT_FAILED
+
+    def _outcome_of_failed_connect(self, upstream: int, error: Exception) -> Outcome:
+        if isinstance(error, aiohttp.ConnectionTimeoutError):
+            # Guards against a machine that vanished: a reused connection is silent until the deadline,
+            # while a connection that is never established proves that nothing ran.
+            self.close_idle(upstream)
+        is_local = isinstance(error, OSError) and error.errno in OWN_LIMITS
+        # a shortage on this machine says nothing about the upstream
+        return Outcome.NOT_SENT if is_local else Outcome.CONNECT_FAILED
+
+    def _outcome_of_broken_exchange(self, encoded: EncodedRequest) -> Outcome:
+        if encoded.write_approved and not encoded.write_started:
+            return Outcome.NOT_SENT
+        if not self._may_have_run(encoded):
+            return Outcome.CONNECT_FAILED
+        # A response that cannot be parsed shows that the upstream is alive; a closed connection does not.
+        if encoded.connection is not None and encoded.connection.unreadable:
+            return Outcome.ERROR
+        if encoded.connection is not None and encoded.connection.is_stale:
+            self._connector.trust.record_reset(asyncio.get_running_loop().time())
+        return Outcome.RESET
 
     def _may_have_run(self, encoded: EncodedRequest) -> bool:
         """Whether the upstream may have started the request. The only place that decides this."""
--- a/tests/dataplane/test_hazards.py
+++ b/tests/dataplane/test_hazards.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 
+from madderwind.messages.distribution import UpstreamRecord
 from madderwind.testing.fault_tests.wire import chunk
 from tests.dataplane.fleet import (
     SIGNATURE,
@@ -214,6 +215,21 @@
 
         run(scenario())
 
+    def test_upstream_whose_address_is_no_host_counts_as_a_failed_connect(self) -> None:
+        # Guards against requests that end with 500, since no URL can be built for one upstream.
+        async def scenario(host: str) -> None:
+            async with Fleet(document=document()) as fleet:
+                bad = UpstreamRecord("i-bad", "app", f"{host}:80", "z1", "v1", 8, "ready", 1, 0.0, 0.0)
+                await fleet.control.register(bad)
+                await until(lambda: list(fleet.ready_instances()) == ["i-bad"])
+                response = await fleet.ask("/unsafe/x")
+                self.assertEqual(response.status, 503)
+                self.assertIsNotNone(response.header("Retry-After"))
+
+        for host in ("no host", "a/b", "[::1", "\x00", "a%zz", "\u2100"):
+            with self.subTest(host=host):
+                run(scenario(host))
+
     def test_reset_after_sending_is_final_for_an_unsafe_request(self) -> None:
         async def scenario() -> None:
             async with Fleet(resets, resets, document=document()) as fleet:
