A number in an unknown section can be read from the whole document

What callers saw: an update puts an item with a number of over 4,300 digits, or beyond the largest float, into a section that this version does not know. It is acknowledged. The document that it leads to can be read by no process: a data plane that fetches it whole and a control plane that restores it raise ConfigurationError, as only the reader of whole documents decoded such members, and threw the values away.

Change: they are skipped like unknown fields of known items; their syntax is checked as before.

--- a/madderwind/configuration/reading.py
+++ b/madderwind/configuration/reading.py
@@ -182,8 +182,6 @@
             raise ConfigurationError(name, "is missing")
         previous_section = _EMPTY_SECTIONS[name] if previous is None else previous.section(name)
         changes[name] = previous_section.replaced([] if is_absent else read_list(members[name], name), name)
-    for name in members.keys() - _ITEM_TYPES.keys():
-        read_value(members[name], name)
     sections = {name: change.section for name, change in changes.items() if not _is_absent(members, name)}
     document = Document(version, members, sections, _configuration_change(changes), previous)
     document.raw = bytes(body)
