A configuration is accepted only if a deeper call stack can read it too

What callers saw: a document that is nested some 900 levels deep is acknowledged where the call stack is shallow (the thread that prepares long commands, the primary's handler) and can't be read where it is deeper, as at the start: how deep a reader gets depends on the stack that is left.

Readers are unchanged: they read all that they could.

Tests: NestedDocuments, both fail without the check (one of them as the restore of an accepted document raises).

--- a/madderwind/configuration/history.py
+++ b/madderwind/configuration/history.py
@@ -17,7 +17,8 @@
 import msgspec
 
 from madderwind.configuration.command_preparation import PreparationCache, command_digest
-from madderwind.configuration.reading import Document, read_document
+from madderwind.configuration.json_parts import check_nesting
+from madderwind.configuration.reading import ENTIRE_DOCUMENT, Document, read_document
 from madderwind.errors import ConfigurationError, MessageError
 from madderwind.messages.distribution import CommandRecord
 from madderwind.messages.message_pack import MessagePack
@@ -76,6 +77,7 @@
             return CommandResult(self._outcome_on_other_base(command), self.version)
         try:
             self._preparation_cache.document(self.document, command)
+            check_nesting(command.body, ENTIRE_DOCUMENT)
         except ConfigurationError as error:
             return CommandResult(CommandOutcome.INVALID, self.version, error.field, error.reason)
         return None
--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -10,6 +10,7 @@
 
 from madderwind.configuration import history as history_module
 from madderwind.configuration.history import ConfigurationHistory
+from madderwind.configuration.json_parts import RESERVED_STACK_FRAMES
 from madderwind.configuration.reading import Document
 from madderwind.errors import ConfigurationError, MessageError
 from madderwind.replication.commands import Command, CommandKind, CommandOutcome, ReplicatedState
@@ -256,6 +257,46 @@
         self.assertEqual([self.outcome(command) for command in self.commands], outcomes)
 
 
+class NestedDocuments(HistoryCase):
+    DEPTHS = (10, 200, 400, 600, 800, 850, 900, 950, 1100)
+
+    def test_what_is_accepted_is_restored_by_a_caller_with_a_deeper_stack(self) -> None:
+        # Guards against an acknowledged document that a control plane cannot read when it starts.
+        accepted = [depth for depth in self.DEPTHS if self.is_accepted_and_restored(depth)]
+        self.assertIn(400, accepted)
+        self.assertNotIn(1100, accepted)
+
+    def is_accepted_and_restored(self, depth: int) -> bool:
+        self.history = ConfigurationHistory()
+        nested = msgspec.Raw(b"[" * depth + b"]" * depth)
+        command = Command(CommandKind.REPLACE, 0, encoded_with(nested))
+        if self.outcome(command) is not None:
+            return False
+        self.commit(command)
+        restored = restored_below(RESERVED_STACK_FRAMES - 50, self.history.snapshot())
+        self.assertEqual(_document(restored).raw, command.body)
+        return True
+
+    def test_the_result_names_the_document(self) -> None:
+        result = self.history.validate(Command(CommandKind.REPLACE, 0, encoded_with(NESTED_TOO_DEEPLY)))
+        assert result is not None
+        self.assertEqual((result.outcome, result.field), (CommandOutcome.INVALID, "document"))
+
+
+NESTED_TOO_DEEPLY = msgspec.Raw(b"[" * 900 + b"]" * 900)
+
+
+def encoded_with(member: msgspec.Raw) -> bytes:
+    return msgspec.json.encode({**complete_configuration(1), "member": member})
+
+
+def restored_below(frames: int, snapshot: bytes) -> ConfigurationHistory:
+    """The history restored by a caller whose stack is deeper by so many frames."""
+    if frames > 0:
+        return restored_below(frames - 1, snapshot)
+    return ConfigurationHistory.restore(snapshot)
+
+
 def _document(history: ConfigurationHistory) -> Document:
     assert history.document is not None
     return history.document
