Names that no header can hold are refused at the door

What callers saw: an upstream whose id holds a line end or another control character (percent-encoded in the path of its heartbeat) is accepted, and each request sent to it ends with 500; a tenant with such a name likewise, each request of its keys. Both names travel to upstreams in headers (X-Expect-Instance, X-Tenant-Id), which can't hold them.

Heartbeats and deregistrations with such an id get 400. So does a configuration that brings such a tenant, with the field; one that is already stored is read and can be changed. A data plane never sends a request that it can't name, so that such an upstream doesn't end it with 500.

--- a/madderwind/configuration/history.py
+++ b/madderwind/configuration/history.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
+from madderwind.configuration.acceptance import check_new_document
 from madderwind.configuration.command_preparation import PreparationCache, command_digest
-from madderwind.configuration.json_parts import check_nesting
-from madderwind.configuration.reading import ENTIRE_DOCUMENT, Document, read_document
+from madderwind.configuration.reading import Document, read_document
 from madderwind.errors import ConfigurationError, MessageError
 from madderwind.messages.distribution import CommandRecord
 from madderwind.messages.message_pack import MessagePack
@@ -76,8 +76,8 @@
         if command.base_version != self.version:
             return CommandResult(self._outcome_on_other_base(command), self.version)
         try:
-            self._preparation_cache.document(self.document, command)
-            check_nesting(command.body, ENTIRE_DOCUMENT)
+            document = self._preparation_cache.document(self.document, command)
+            check_new_document(self.document, document, command.body)
         except ConfigurationError as error:
             return CommandResult(CommandOutcome.INVALID, self.version, error.field, error.reason)
         return None
--- a/madderwind/controlplane/public_server.py
+++ b/madderwind/controlplane/public_server.py
@@ -11,7 +11,7 @@
 from madderwind.errors import HeartbeatError
 from madderwind.log_events.control_plane import COMMAND_COMPLETED, INVALID_HEARTBEAT
 from madderwind.messages.message_pack import MAX_INTEGER_DIGITS
-from madderwind.registry.heartbeats import MAX_HEARTBEAT_BYTES
+from madderwind.registry.heartbeats import MAX_HEARTBEAT_BYTES, check_instance
 from madderwind.replication.commands import Command, CommandKind, CommandOutcome, CommandResult
 from madderwind.structured_log import Log, write_line
 
@@ -61,14 +61,22 @@
         try:
             is_accepted = await self._host.handle_heartbeat(instance, body)
         except HeartbeatError as error:
-            write_line(self._log, INVALID_HEARTBEAT.line(instance=instance, reason=str(error)))
-            return _json_response(400, {"error": str(error)})
+            return self._reject_upstream(instance, error)
         return _upstream_response(is_accepted)
 
     async def _deregister(self, request: web.Request) -> web.Response:
         if self._is_shutting_down:
             return _shutting_down()
-        return _upstream_response(await self._host.deregister(request.match_info["instance"]))
+        instance = request.match_info["instance"]
+        try:
+            check_instance(instance)
+        except HeartbeatError as error:
+            return self._reject_upstream(instance, error)
+        return _upstream_response(await self._host.deregister(instance))
+
+    def _reject_upstream(self, instance: str, error: HeartbeatError) -> web.Response:
+        write_line(self._log, INVALID_HEARTBEAT.line(instance=instance, reason=str(error)))
+        return _json_response(400, {"error": str(error)})
 
     async def _replace(self, request: web.Request) -> web.Response:
         return await self._submit(request, CommandKind.REPLACE)
--- a/madderwind/dataplane/attempt_exchange.py
+++ b/madderwind/dataplane/attempt_exchange.py
@@ -22,6 +22,7 @@
 from madderwind.dataplane.headers import UpstreamContext, deadline_header, upstream_request_headers
 from madderwind.dataplane.request_parts import MS_PER_S, RequestParts
 from madderwind.dataplane.upstream_heads import INSTANCE, REQUEST_ID, Head, read_head
+from madderwind.messages.header_text import is_header_text
 from madderwind.transport.answering import Addressee
 from madderwind.transport.encoded_request import EncodedRequest
 from madderwind.transport.unread import has_left
@@ -73,7 +74,7 @@
         """Send the request and relay the response; how the attempt ended."""
         instance = self._attempt.instance
         address = self._parts.upstreams.address(instance)
-        if address is None:
+        if address is None or not self._can_be_named():
             return AttemptResult.NOT_SENT
         encoded = EncodedRequest(
             self._client_request.request.method,
@@ -94,6 +95,10 @@
             return outcome
         return self._result_from(outcome)
 
+    def _can_be_named(self) -> bool:
+        """Whether headers can hold the names of the instance and of the tenant."""
+        return is_header_text(self._attempt.instance) and is_header_text(self._admitted.tenant or "")
+
     def _upstream_headers(self) -> CIMultiDict[str]:
         urgency = self._parts.chooser.urgency(self._key, self._admitted.generation, self._admitted.priority)
         context = UpstreamContext(
--- a/madderwind/registry/heartbeats.py
+++ b/madderwind/registry/heartbeats.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from madderwind.errors import HeartbeatError
+from madderwind.messages.header_text import is_header_text
 from madderwind.registry.states import UpstreamState
 
 MAX_HEARTBEAT_BYTES = 4 * 1024
@@ -39,14 +40,26 @@
 _decoder = msgspec.json.Decoder(Heartbeat)
 
 
-def read_heartbeat(instance: str, body: bytes) -> Heartbeat:
-    """Parse the body of a heartbeat.
+def check_instance(instance: str) -> None:
+    """Check an instance's id.
 
     Raises:
-        HeartbeatError: The body is too long, is not valid JSON of this form, or has no service or address.
+        HeartbeatError: It is empty or too long, or no header can hold it: requests name their instance.
     """
     if not 0 < len(instance) <= MAX_INSTANCE_CHARACTERS:
         raise HeartbeatError("the instance's id is empty or too long")
+    if not is_header_text(instance):
+        raise HeartbeatError("the instance's id contains control characters")
+
+
+def read_heartbeat(instance: str, body: bytes) -> Heartbeat:
+    """Parse the body of a heartbeat.
+
+    Raises:
+        HeartbeatError: The id is invalid, or the body is too long, is not valid JSON of this form, or has no
+            service or address.
+    """
+    check_instance(instance)
     if len(body) > MAX_HEARTBEAT_BYTES:
         raise HeartbeatError(f"more than {MAX_HEARTBEAT_BYTES} bytes")
     try:
--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -283,6 +283,27 @@
         self.assertEqual((result.outcome, result.field), (CommandOutcome.INVALID, "document"))
 
 
+class TenantsThatNoHeaderCanName(HistoryCase):
+    def test_are_rejected_with_the_field(self) -> None:
+        # Guards against a tenant each of whose requests ends with 500.
+        for name in ("a\r\nX-Key: b", "a\n", "\x00"):
+            result = self.history.validate(replacement(0, 1, tenants=[tenant("t-0", "k"), tenant(name, "l")]))
+            assert result is not None
+            self.assertEqual((result.outcome, result.field), (CommandOutcome.INVALID, "tenants[1].name"))
+
+    def test_are_rejected_in_an_update(self) -> None:
+        self.commit(replacement(0, 1))
+        self.assertEqual(
+            self.outcome(update(1, 2, upsert={"tenants": [tenant("a\n", "l")]})), CommandOutcome.INVALID
+        )
+
+    def test_that_an_earlier_version_accepted_do_not_prevent_other_changes(self) -> None:
+        self.history.apply(replacement(0, 1, tenants=[tenant("a\n", "l")]))
+        self.history = ConfigurationHistory.restore(self.history.snapshot())
+        self.commit(update(1, 2, delete={"routes": ["a"]}), update(2, 3, delete={"tenants": ["a\n"]}))
+        self.assertEqual(_configuration(self.history).tenants, ())
+
+
 NESTED_TOO_DEEPLY = msgspec.Raw(b"[" * 900 + b"]" * 900)
 
 
--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 from aiohttp import web
+from yarl import URL
 
 from madderwind.configuration.history import ConfigurationHistory
 from madderwind.controlplane.core import ControlPlaneCore, CoreOptions
@@ -213,6 +214,13 @@
         self.assertEqual(await self.call(1, "i-1/heartbeat", b"{}"), 400)
         self.assertEqual(await self.call(1, "i-1/heartbeat", b" " * 5000), 413)
 
+    async def test_ids_that_no_header_can_hold_are_rejected(self) -> None:
+        for instance in ("a%0Ab", "a%0D%0Ab", "%00"):
+            for call, body in (("heartbeat", heartbeat(1)), ("deregister", b"")):
+                url = URL(self.url(1, f"/instances/{instance}/{call}"), encoded=True)
+                async with self.session.post(url, data=body) as response:
+                    self.assertEqual(response.status, 400, instance)
+
 
 class LargeNumbersTest(HostsTestCase):
     """Heartbeats with a number beyond 64 bits in one field."""
--- a/tests/dataplane/test_hazards.py
+++ b/tests/dataplane/test_hazards.py
@@ -230,6 +230,18 @@
             with self.subTest(host=host):
                 run(scenario(host))
 
+    def test_upstream_that_no_header_can_name_is_not_sent_to(self) -> None:
+        # Guards against requests that end with 500 for an upstream that an earlier version registered.
+        async def scenario() -> None:
+            async with Fleet(served(), document=document()) as fleet:
+                upstream = fleet.upstreams[0]
+                await fleet.control.register(record(upstream, "i\n"), record(upstream, "i-0", "gone", 2))
+                await until(lambda: list(fleet.ready_instances()) == ["i\n"])
+                self.assertEqual((await fleet.ask("/unsafe/x")).status, 503)
+                self.assertFalse(upstream.asked)
+
+        run(scenario())
+
     def test_reset_after_sending_is_final_for_an_unsafe_request(self) -> None:
         async def scenario() -> None:
             async with Fleet(resets, resets, document=document()) as fleet:
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -53,6 +53,14 @@
         with self.assertRaises(HeartbeatError):
             read_heartbeat("", body(1))
 
+    def test_id_that_no_header_can_hold_raises_heartbeat_error(self) -> None:
+        # Guards against an upstream that is accepted and ends each request that is sent to it with 500.
+        for instance in ("a\nb", "a\rb", "a\x00", "\x7f", "a\ud800"):
+            with self.subTest(ascii(instance)), self.assertRaises(HeartbeatError):
+                read_heartbeat(instance, body(1))
+        for instance in ("a b", "a\tb", "caf\u00e9", "\U0001f600"):
+            self.assertEqual(read_heartbeat(instance, body(4)).sequence, 4)
+
 
 class MergeBySequence(unittest.TestCase):
     def test_new_upstream_is_published_and_an_unchanged_one_is_not(self) -> None:
