Control characters of an upstream's response reach the client as spaces

What callers saw: an upstream whose header or reason phrase holds a control character (0x01, 0x7f) leaves its client without any answer: the client's library accepts it, the server's refuses to write it, and the exception ended the connection. The request ran.

Change: such characters are replaced by spaces, as RFC 9110 (5.5) lets who forwards a header do.

--- a/madderwind/dataplane/client_answers.py
+++ b/madderwind/dataplane/client_answers.py
@@ -7,6 +7,7 @@
 
 from madderwind.dataplane.headers import client_response_headers
 from madderwind.errors import MadderwindError
+from madderwind.messages.header_text import without_control_characters
 from madderwind.transport.streamed_response import confirm_complete, declare_body
 
 # Status of the response object given to the server when there is no client to respond to. Unlike 503 it does
@@ -30,14 +31,16 @@
     def set_head(self, upstream: ClientResponse, length: int | None) -> None:
         """Set the status and headers for the client; `length` is the size of the body, if known."""
         self._response = web.StreamResponse(
-            status=upstream.status, reason=upstream.reason, headers=client_response_headers(upstream.headers)
+            status=upstream.status,
+            reason=_reason(upstream),
+            headers=client_response_headers(upstream.headers),
         )
         self._length = length
 
     def complete(self, upstream: ClientResponse, body: bytes) -> web.StreamResponse:
         """A buffered response, which the server sends at once."""
         headers = client_response_headers(upstream.headers)
-        return web.Response(status=upstream.status, reason=upstream.reason, headers=headers, body=body)
+        return web.Response(status=upstream.status, reason=_reason(upstream), headers=headers, body=body)
 
     async def write(self, data: bytes) -> None:
         """Send part of the body; ClientDisconnected if the connection is closed."""
@@ -73,3 +76,8 @@
             declare_body(self._request, response, self._length)
             await response.prepare(self._request)
         return response
+
+
+def _reason(upstream: ClientResponse) -> str | None:
+    """The reason phrase for the client."""
+    return None if upstream.reason is None else without_control_characters(upstream.reason)
--- a/madderwind/dataplane/headers.py
+++ b/madderwind/dataplane/headers.py
@@ -7,6 +7,8 @@
 import msgspec
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from madderwind.messages.header_text import without_control_characters
+
 KEY = "X-Key"
 TENANT = "X-Tenant-Id"
 DEADLINE = "X-Deadline-Ms"
@@ -94,7 +96,11 @@
 def client_response_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
     """An upstream's headers as sent to the client."""
     dropped = _NOT_RETURNED | _connection_options(headers)
-    return CIMultiDict((name, value) for name, value in headers.items() if name.lower() not in dropped)
+    return CIMultiDict(
+        (name, without_control_characters(value))
+        for name, value in headers.items()
+        if name.lower() not in dropped
+    )
 
 
 def milliseconds(headers: Mapping[str, str], name: str) -> float | None:
--- a/tests/dataplane/test_hazards.py
+++ b/tests/dataplane/test_hazards.py
@@ -94,6 +94,20 @@
 
         run(scenario())
 
+    def test_control_characters_of_a_response_reach_the_client_as_spaces(self) -> None:
+        # Guards against a client that gets no answer at all, only the end of its connection.
+        async def scenario() -> None:
+            async with Fleet(served(), document=document()) as fleet:
+                for character in (b"\x01", b"\x0b", b"\x7f"):
+                    valid = raw_response(X_Note="a@b").replace(b"200 ", b"200 @", 1)
+                    fleet.upstreams[0].behave = send_bytes(valid.replace(b"@", character))
+                    for path in ("/unsafe/x", "/safe/x"):
+                        response = await fleet.ask(path)
+                        self.assertEqual((response.status, response.body), (200, b"yes"))
+                        self.assertEqual(response.header("X-Note"), "a b")
+
+        run(scenario())
+
     def test_bytes_behind_a_response_are_discarded_and_close_the_connection(self) -> None:
         async def scenario() -> None:
             with_surplus = send_bytes(raw_response(b"first") + raw_response(b"late", request_id="r-other"))
