A stream resumes after an id that isn't ASCII, and never after one that no header can hold

What callers saw: a resumable stream whose upstream breaks off behind an event with an id like "café" is resumed with other bytes: they were read as Latin-1 and sent as UTF-8. An upstream that looks the id up doesn't find it. An id with a control character, which no header can hold, ended the request by an exception at the next attempt; bytes that are no UTF-8 were sent as something else.

Change: ids are read as UTF-8, as event streams are; a stream whose last id no header can hold isn't resumed, as one without an id.

Tests: two in test_answer_relay, 3 of their 7 cases fail on the commit before (the others guard against the exception).

--- a/madderwind/dataplane/answer_relay.py
+++ b/madderwind/dataplane/answer_relay.py
@@ -15,6 +15,7 @@
 from madderwind.dataplane.event_stream import EVENT_STREAM, EventSplitter, EventTooLong
 from madderwind.dataplane.request_parts import MS_PER_S, RequestParts
 from madderwind.dataplane.upstream_heads import tells_its_end
+from madderwind.messages.header_text import is_header_text
 
 # Responses up to this size are buffered, so that a truncated one is detected before any of it is sent and
 # the request can be retried where that is safe. Longer ones are passed on as they arrive.
@@ -41,10 +42,9 @@
     def resume_after(self) -> str | None:
         """The id of the event after which another upstream should resume the stream.
 
-        None if the client was sent no event, or if the last one has no id.
+        None if the client was sent no event, or if the last one has no id that a header can hold.
         """
-        last_id = self._last_event_id
-        return None if last_id is None else last_id.decode("latin-1")
+        return _header_value(self._last_event_id)
 
     async def relay(self, response: ClientResponse, attempt: Attempt, key: str) -> AttemptResult:
         """Relay a response to the client.
@@ -102,7 +102,8 @@
                 self._progress.answer_begun = True
                 self._last_event_id = events.last_id
                 # Without an id of the last event another upstream would resume before it and repeat it.
-                self._progress.is_resumable = self._is_resumable_route and events.last_id is not None
+                can_be_named = _header_value(events.last_id) is not None
+                self._progress.is_resumable = self._is_resumable_route and can_be_named
                 await self._answer.write(complete)
             data = await response.content.readany()
             streams.record_data(self._now_ms(), instance)
@@ -119,3 +120,11 @@
 
     def _now_ms(self) -> float:
         return self._loop.time() * MS_PER_S
+
+
+def _header_value(event_id: bytes | None) -> str | None:
+    """An event's id as the value of a header; None if it has none that a header can hold."""
+    if event_id is None:
+        return None
+    text = event_id.decode(errors="surrogateescape")
+    return text if is_header_text(text) else None
--- a/tests/dataplane/test_answer_relay.py
+++ b/tests/dataplane/test_answer_relay.py
@@ -157,6 +157,26 @@
     assert behaviour.last_event_ids == [None, "1"]
 
 
+@pytest.mark.parametrize("event_id", ["caf\u00e9", "\U0001f600", "a\tb"])
+def test_the_id_after_which_a_stream_resumes_reaches_the_upstream_byte_for_byte(event_id: str) -> None:
+    # Guards against a stream that starts anew, as the upstream doesn't know the id that it is asked for.
+    first = b"id: %s\ndata: a\n\n" % event_id.encode()
+    behaviour = BrokenOffOnce(chunk(first) + part_of_chunk(event(2), 3), close, chunk(event(2)))
+    response = ask("/resumable/x", behaviour)
+    assert (response.status, response.body) == (200, first + event(2))
+    assert behaviour.last_event_ids == [None, event_id.encode().decode("latin-1")]
+
+
+@pytest.mark.parametrize("event_id", [b"a\x01", b"\x00", b"\x7f", b"\xff"])
+def test_a_stream_is_not_resumed_after_an_id_that_no_header_can_hold(event_id: bytes) -> None:
+    # Guards against an exception in place of the next attempt, and against another id than the event's.
+    first = b"id: %s\ndata: a\n\n" % event_id
+    behaviour = BrokenOffOnce(chunk(first) + part_of_chunk(event(2), 3), close, chunk(first + event(2)))
+    with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+        ask("/resumable/x", behaviour)
+    assert len(behaviour.last_event_ids) == 1
+
+
 async def read_until_close(port: int, path: str) -> bytes:
     """What a client of HTTP/1.0 receives until its connection is closed."""
     reader, writer = await asyncio.open_connection(HOST, port)
