--- a/madderwind/configuration/reading.py
+++ b/madderwind/configuration/reading.py
@@ -36,6 +36,7 @@
 ROUTES, SERVICES, TENANTS, LIMITS = "routes", "services", "tenants", "limits"
 _ITEM_TYPES: Mapping[str, type[Any]] = {ROUTES: Route, SERVICES: Service, TENANTS: Tenant}
 _REQUIRED = (ROUTES, SERVICES)
+_EMPTY = msgspec.Raw(b"")
 _EMPTY_OBJECT = msgspec.Raw(b"{}")
 _NULL = msgspec.Raw(b"null")
 _EMPTY_SECTIONS: Mapping[str, Section[Any]] = {name: Section(kind) for name, kind in _ITEM_TYPES.items()}
@@ -75,9 +76,12 @@
 
     @cached_property
     def raw_bytes(self) -> int:
-        """The approximate length of `raw`, computed without building it."""
-        other_bytes = sum(len(raw) for name, raw in self._members.items() if name not in self._sections)
-        return other_bytes + sum(section.raw_bytes for section in self._sections.values())
+        """The length of `raw`, computed without building it."""
+        if "raw" in vars(self):
+            return len(self.raw)
+        empty_members = dict.fromkeys(self._members, _EMPTY)
+        frame_bytes = len(encode_json({"version": self.version, **empty_members}))
+        return frame_bytes + sum(self._member_bytes(name) for name in self._members)
 
     @cached_property
     def configuration(self) -> Configuration:
@@ -146,6 +150,10 @@
         section = self._sections.get(name)
         return self._members[name] if section is None else section.raw()
 
+    def _member_bytes(self, name: str) -> int:
+        section = self._sections.get(name)
+        return len(self._members[name]) if section is None else section.raw_bytes
+
     def _limits_after(self, previous: Document | None) -> ClientLimits:
         raw_limits = self._members.get(LIMITS, _EMPTY_OBJECT)
         if previous is not None and previous._members.get(LIMITS, _EMPTY_OBJECT) is raw_limits:
--- a/madderwind/configuration/sections.py
+++ b/madderwind/configuration/sections.py
@@ -46,11 +46,16 @@
         self.item_type = item_type
         self._chunks: list[dict[str, SectionItem[ItemType]]] = []
         self._chunk_number_by_name: PersistentMap[str, int] = PersistentMap()
-        self.raw_bytes = 0  # of all items
+        self._item_bytes = 0
 
     def __len__(self) -> int:
         return len(self._chunk_number_by_name)
 
+    @property
+    def raw_bytes(self) -> int:
+        """The length of the section's JSON: its items, the commas between them and the brackets."""
+        return self._item_bytes + max(len(self) - 1, 0) + 2
+
     def get(self, name: str) -> SectionItem[ItemType] | None:
         """An item by name; None if it is absent."""
         number = self._chunk_number_by_name.get(name)
@@ -95,17 +100,17 @@
     def _with_changes(self, upsert: dict[str, SectionItem[ItemType]], delete: list[str]) -> Section[ItemType]:
         """A new section; `delete` holds the names of existing items, without duplicates."""
         after = Section(self.item_type)
-        after._chunks, after.raw_bytes = self._chunks.copy(), self.raw_bytes
+        after._chunks, after._item_bytes = self._chunks.copy(), self._item_bytes
         copied: set[int] = set()
         for name in delete:
-            after.raw_bytes -= len(after._writable_chunk(self._chunk_number(name), copied).pop(name).raw)
+            after._item_bytes -= len(after._writable_chunk(self._chunk_number(name), copied).pop(name).raw)
         appended: dict[str, SectionItem[ItemType]] = {}
         for name, item in upsert.items():
             if name not in self._chunk_number_by_name:
                 appended[name] = item
                 continue
             chunk = after._writable_chunk(self._chunk_number(name), copied)
-            after.raw_bytes += len(item.raw) - len(chunk[name].raw)
+            after._item_bytes += len(item.raw) - len(chunk[name].raw)
             chunk[name] = item
         chunk_numbers = after._append(appended, copied)
         after._chunk_number_by_name = self._chunk_number_by_name.changed(chunk_numbers, delete)
@@ -140,13 +145,13 @@
             batch = dict(islice(remaining, ITEMS_PER_CHUNK - len(chunk)))
             chunk.update(batch)
             chunk_numbers.update(dict.fromkeys(batch, last))
-        self.raw_bytes += sum(len(item.raw) for item in items.values())
+        self._item_bytes += sum(len(item.raw) for item in items.values())
         return chunk_numbers
 
     def _compact(self) -> None:
         """Rebuild the chunks after deletions have left too many of them nearly empty."""
         items = {item.name: item for item in self.values()}
-        self._chunks, self.raw_bytes = [], 0
+        self._chunks, self._item_bytes = [], 0
         self._chunk_number_by_name = PersistentMap(self._append(items))
 
     def values(self) -> Iterator[SectionItem[ItemType]]:
--- a/madderwind/controlplane/internal_server.py
+++ b/madderwind/controlplane/internal_server.py
@@ -15,7 +15,7 @@
     INVALID_CONTROL_PLANE_MESSAGE,
     INVALID_DATA_PLANE_MESSAGE,
 )
-from madderwind.messages.codec import MAX_MESSAGE_BYTES, Codec
+from madderwind.messages.codec import WEBSOCKET_LIMIT_BYTES, Codec
 from madderwind.messages.distribution import Subscribe, to_control_plane
 from madderwind.messages.peering import Hello, peer_frames
 from madderwind.structured_log import Log, write_line
@@ -98,7 +98,7 @@
     if tcp_socket is not None:
         set_options(tcp_socket)
     connection = web.WebSocketResponse(
-        compress=False, max_msg_size=MAX_MESSAGE_BYTES, timeout=CLOSE_TIMEOUT_S
+        compress=False, max_msg_size=WEBSOCKET_LIMIT_BYTES, timeout=CLOSE_TIMEOUT_S
     )
     await connection.prepare(request)
     return connection
--- a/madderwind/controlplane/peer_links.py
+++ b/madderwind/controlplane/peer_links.py
@@ -11,7 +11,7 @@
 
 from madderwind.controlplane.frames import FrameQueue
 from madderwind.controlplane.sockets import connecting_socket
-from madderwind.messages.codec import MAX_MESSAGE_BYTES
+from madderwind.messages.codec import WEBSOCKET_LIMIT_BYTES
 from madderwind.messages.peering import Hello, peer_frames
 
 CONNECT_TIMEOUT_S = 0.3
@@ -57,7 +57,7 @@
             connection = await self._session.ws_connect(
                 f"http://{self._address}/replica",
                 compress=0,
-                max_msg_size=MAX_MESSAGE_BYTES,
+                max_msg_size=WEBSOCKET_LIMIT_BYTES,
                 timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_S),
             )
         try:
--- a/madderwind/controlplane/public_server.py
+++ b/madderwind/controlplane/public_server.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 
 import msgspec
 from aiohttp import web
 
+from madderwind.configuration.acceptance import DOCUMENT_SIZE
 from madderwind.controlplane.host import ControlPlaneHost
 from madderwind.errors import HeartbeatError
 from madderwind.log_events.control_plane import COMMAND_COMPLETED, INVALID_HEARTBEAT
@@ -141,7 +143,7 @@
     if result.outcome is CommandOutcome.COMMITTED:
         return _json_response(200, {"version": result.version})
     return _json_response(
-        _HTTP_STATUS[result.outcome],
+        _command_status(result),
         {
             "error": result.reason or result.outcome.value,
             "field": result.field,
@@ -150,6 +152,11 @@
     )
 
 
+def _command_status(result: CommandResult) -> int:
+    is_too_large = result.outcome is CommandOutcome.INVALID and result.field == DOCUMENT_SIZE
+    return HTTPStatus.REQUEST_ENTITY_TOO_LARGE if is_too_large else _HTTP_STATUS[result.outcome]
+
+
 def _shutting_down() -> web.Response:
     return _unavailable("this process is about to end")
 
--- a/madderwind/dataplane/subscriber_links.py
+++ b/madderwind/dataplane/subscriber_links.py
@@ -32,7 +32,7 @@
 from madderwind.errors import ConfigurationError, MessageError
 from madderwind.eventlog import EventLog
 from madderwind.log_events.event import LogLine
-from madderwind.messages.codec import MAX_MESSAGE_BYTES
+from madderwind.messages.codec import WEBSOCKET_LIMIT_BYTES
 from madderwind.messages.distribution import ToControlPlane, to_control_plane, to_data_plane
 
 SUBSCRIBE_PATH = "/subscribe"
@@ -136,7 +136,7 @@
             socket = await self._session.ws_connect(
                 f"http://{address}{SUBSCRIBE_PATH}",
                 compress=0,
-                max_msg_size=MAX_MESSAGE_BYTES,
+                max_msg_size=WEBSOCKET_LIMIT_BYTES,
                 timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_S),
             )
         outgoing = self._outgoing[address] = asyncio.Queue()
--- a/madderwind/distribution/deliveries.py
+++ b/madderwind/distribution/deliveries.py
@@ -22,7 +22,7 @@
 
     @property
     def raw_bytes(self) -> int:
-        """Approximate length of `raw` in bytes, available without encoding the document."""
+        """Length of `raw` in bytes, available without encoding the document."""
 
 
 class PublishedConfiguration(Protocol):
--- a/madderwind/messages/codec.py
+++ b/madderwind/messages/codec.py
@@ -12,8 +12,11 @@
 from madderwind.errors import MessageError
 from madderwind.messages.message_pack import MessagePack, MessageType
 
-# A configuration is at most 4 MiB; a snapshot contains the configuration and its history.
+# The longest messages hold a complete configuration (configuration.acceptance.MAX_DOCUMENT_BYTES).
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+# Compression may lengthen a message, by less than this share of it. A WebSocket's limit is exclusive.
+_COMPRESSION_OVERHEAD = 1 / 1024
+WEBSOCKET_LIMIT_BYTES = int(MAX_MESSAGE_BYTES * (1 + _COMPRESSION_OVERHEAD)) + 1
 # From this length on, transferring the uncompressed message costs more than compressing it.
 MIN_COMPRESSED_BYTES = 16 * 1024
 COMPRESSION_LEVEL = 1
@@ -27,8 +30,10 @@
         self._format: MessagePack[MessageType] = MessagePack(union)
 
     def encode(self, message: MessageType) -> bytes:
-        """Serialize a message; raises MessageError if it holds text that is not Unicode."""
+        """Serialize a message; raises MessageError if it is too long or holds text that is not Unicode."""
         data = self._format.encode(message)
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise MessageError(f"{len(data)} bytes exceed the maximum message size")
         if len(data) < MIN_COMPRESSED_BYTES:
             return data
         return COMPRESSED_PREFIX + zlib.compress(data, COMPRESSION_LEVEL)
--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -8,11 +8,16 @@
 
 import msgspec
 
+from madderwind.configuration import acceptance
 from madderwind.configuration import history as history_module
+from madderwind.configuration.acceptance import DOCUMENT_SIZE
 from madderwind.configuration.history import ConfigurationHistory
 from madderwind.configuration.json_parts import RESERVED_STACK_FRAMES
 from madderwind.configuration.reading import Document
 from madderwind.errors import ConfigurationError, MessageError
+from madderwind.messages.distribution import ConfigurationSnapshot, to_data_plane
+from madderwind.messages.message_pack import MAX_INTEGER_DIGITS
+from madderwind.messages.peering import ReadReply, peer_frames
 from madderwind.replication.commands import Command, CommandKind, CommandOutcome, ReplicatedState
 from tests.configuration.samples import complete_configuration, encoded, route, tenant
 
@@ -283,6 +288,73 @@
         self.assertEqual((result.outcome, result.field), (CommandOutcome.INVALID, "document"))
 
 
+class DocumentSize(HistoryCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.commit(replacement(0, 10))
+        self.max_bytes = self.bytes_after(self.padded(10, 1000))
+        limited = patch.object(acceptance, "MAX_DOCUMENT_BYTES", self.max_bytes)
+        limited.start()
+        self.addCleanup(limited.stop)
+
+    def padded(self, base: int, padding: int, name: str = "a") -> Command:
+        return update(base, base + 1, upsert={"routes": [route(name, note="x" * padding)]})
+
+    def bytes_after(self, command: Command) -> int:
+        return len(_document(self.history).updated(command.body).raw)
+
+    def test_an_update_that_leads_to_exactly_the_maximum_is_accepted(self) -> None:
+        self.commit(self.padded(10, 1000))
+        self.assertEqual(len(_document(self.history).raw), self.max_bytes)
+
+    def test_one_byte_more_is_rejected_with_the_sizes_and_the_state_stays(self) -> None:
+        # Guards against a document that no data plane can read, however small its updates are (review/6).
+        result = self.history.validate(self.padded(10, 1001))
+        assert result is not None
+        self.assertEqual((result.outcome, result.field), (CommandOutcome.INVALID, DOCUMENT_SIZE))
+        self.assertEqual(result.reason, f"{self.max_bytes + 1} bytes exceed the maximum of {self.max_bytes}")
+        self.commit(update(10, 11, delete={"tenants": ["nobody"]}))
+
+    def test_a_replacement_is_bound_too(self) -> None:
+        self.assertEqual(self.outcome(replacement(10, 11, note="x" * 2000)), CommandOutcome.INVALID)
+
+    def test_a_stored_document_beyond_the_maximum_can_only_become_smaller(self) -> None:
+        self.history.apply(self.padded(10, 5000))
+        self.history = ConfigurationHistory.restore(self.history.snapshot())
+        self.assertEqual(self.outcome(self.padded(11, 5000)), CommandOutcome.INVALID)
+        self.assertEqual(self.outcome(self.padded(11, 9, "new")), CommandOutcome.INVALID)
+        self.commit(self.padded(11, 4000), self.padded(12, 900))
+        self.assertLessEqual(len(_document(self.history).raw), self.max_bytes)
+
+    def test_a_stored_document_beyond_the_maximum_can_be_replaced(self) -> None:
+        self.history.apply(self.padded(10, 5000))
+        self.commit(replacement(11, 12))
+
+
+class LongestDocument(HistoryCase):
+    def test_whatever_is_accepted_is_decoded_by_a_data_plane(self) -> None:
+        # Guards against updates that lead to a document which no data plane can read (review/6).
+        self.commit(replacement(0, 1))
+        padding = "x" * 3_600_000
+        for version in range(1, 7):
+            command = update(version, version + 1, upsert={"routes": [route(f"r-{version}", note=padding)]})
+            if self.outcome(command) is CommandOutcome.INVALID:
+                break
+            self.commit(command)
+            document = _document(self.history)
+            snapshot = ConfigurationSnapshot(document.version, document.raw)
+            self.assertEqual(to_data_plane.decode(to_data_plane.encode(snapshot)), snapshot)
+        self.commit(update(version, version + 1, delete={"routes": ["a"]}))
+
+    def test_it_passes_every_message_that_holds_a_document(self) -> None:
+        # Guards against an encoder and a decoder with other limits than the check at the door.
+        document = b"x" * acceptance.MAX_DOCUMENT_BYTES
+        snapshot = ConfigurationSnapshot(10**MAX_INTEGER_DIGITS - 1, document)
+        self.assertEqual(to_data_plane.decode(to_data_plane.encode(snapshot)), snapshot)
+        reply = ReadReply(1, True, 10**MAX_INTEGER_DIGITS - 1, document)
+        self.assertEqual(peer_frames.decode(peer_frames.encode(reply)), reply)
+
+
 class TenantsThatNoHeaderCanName(HistoryCase):
     def test_are_rejected_with_the_field(self) -> None:
         # Guards against a tenant each of whose requests ends with 500.
--- a/tests/configuration/test_incremental.py
+++ b/tests/configuration/test_incremental.py
@@ -183,8 +183,10 @@
             latest = self.update(latest, [route(f"new-{number}")], deleted)
             expected = {name: item for name, item in expected.items() if name not in deleted}
             expected[f"new-{number}"] = route(f"new-{number}")
+            self.assertNotIn("raw", vars(latest))
+            computed_bytes = latest.raw_bytes
+            self.assertEqual(computed_bytes, len(latest.raw))
         self.assertEqual(list(expected.values()), json.loads(latest.raw)["routes"])
-        self.assertLess(abs(latest.raw_bytes - len(latest.raw)), 0.1 * len(latest.raw))
 
     def test_sparse_chunks_are_compacted(self) -> None:
         names = self.names[:200]
--- a/tests/controlplane/test_hosts.py
+++ b/tests/controlplane/test_hosts.py
@@ -4,17 +4,20 @@
 
 import asyncio
 import io
+import json
 import os
 import random
 import tempfile
 import unittest
 from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
+from unittest.mock import patch
 
 import aiohttp
 from aiohttp import web
 from yarl import URL
 
+from madderwind.configuration import acceptance
 from madderwind.configuration.history import ConfigurationHistory
 from madderwind.controlplane.core import ControlPlaneCore, CoreOptions
 from madderwind.controlplane.effects import Effect, SendToPeer
@@ -40,7 +43,7 @@
 from madderwind.storage.disk import FileDisk
 from madderwind.storage.record_file import RecordFile
 from madderwind.structured_log import BatchedOutput, open_log
-from tests.controlplane.configurations import replacement_body, update
+from tests.controlplane.configurations import replacement_body, route, update
 from tests.controlplane.fleet import heartbeat
 from tests.controlplane.scripted_replica import ScriptedReplica
 from tests.free_ports import LOOPBACK, free_port
@@ -176,6 +179,15 @@
         too_long = b" " * (MAX_COMMAND_BYTES + 1)
         self.assertEqual((await self.command(1, "/config/replace", "0", too_long))[0], 413)
 
+    async def test_a_document_over_the_limit_is_rejected_and_smaller_changes_go_on(self) -> None:
+        self.assertEqual((await self.command(1, "/config/replace", "0", replacement_body(5)))[0], 200)
+        with patch.object(acceptance, "MAX_DOCUMENT_BYTES", len(replacement_body(5)) + 100):
+            padded = {"version": 9, "upsert": {"routes": [{**route(0), "note": "x" * 1000}]}}
+            status, body = await self.command(1, "/config/update", "5", json.dumps(padded).encode())
+            self.assertEqual(status, 413)
+            self.assertIn(b"bytes exceed the maximum of", body)
+            self.assertEqual((await self.command(2, "/config/update", "5", update(5, 9).body))[0], 200)
+
     async def test_a_large_body_is_forwarded_to_the_primary(self) -> None:
         body = replacement_body(5, routes=8000)
         self.assertGreater(len(body), 1024 * 1024)
--- a/tests/messages/test_codec.py
+++ b/tests/messages/test_codec.py
@@ -10,7 +10,12 @@
 from hypothesis import strategies as st
 
 from madderwind.errors import MessageError
-from madderwind.messages.codec import COMPRESSED_PREFIX, MAX_MESSAGE_BYTES, MIN_COMPRESSED_BYTES
+from madderwind.messages.codec import (
+    COMPRESSED_PREFIX,
+    MAX_MESSAGE_BYTES,
+    MIN_COMPRESSED_BYTES,
+    WEBSOCKET_LIMIT_BYTES,
+)
 from madderwind.messages.distribution import ConfigurationSnapshot, to_control_plane, to_data_plane
 from madderwind.messages.peering import peer_frames
 
@@ -52,5 +57,29 @@
             to_data_plane.decode(data[:-20])
 
 
+class LongestMessage(unittest.TestCase):
+    """An encoder never produces what a decoder or a connection refuses."""
+
+    OVERHEAD_BYTES = len(to_data_plane.encode(ConfigurationSnapshot(7, b"")))
+
+    def snapshot(self, message_bytes: int) -> ConfigurationSnapshot:
+        """An incompressible message of this length."""
+        length_field_bytes = 3  # beyond that of an empty document
+        document_bytes = message_bytes - self.OVERHEAD_BYTES - length_field_bytes
+        return ConfigurationSnapshot(7, random.Random(1).randbytes(document_bytes))
+
+    def test_it_is_decoded_and_fits_into_a_frame(self) -> None:
+        message = self.snapshot(MAX_MESSAGE_BYTES)
+        frame = to_data_plane.encode(message)
+        self.assertGreater(len(frame), MAX_MESSAGE_BYTES)
+        self.assertLess(len(frame), WEBSOCKET_LIMIT_BYTES)
+        self.assertEqual(to_data_plane.decode(frame), message)
+
+    def test_one_byte_more_raises_message_error_at_the_sender(self) -> None:
+        # Guards against a message whose receiver closes the connection, again and again.
+        with self.assertRaises(MessageError):
+            to_data_plane.encode(self.snapshot(MAX_MESSAGE_BYTES + 1))
+
+
 if __name__ == "__main__":
     unittest.main()
