A request's body is released with its answer

What callers saw: a data plane grows by the size of each long body that it forwards, until it is killed: 20 clients with 4 MiB each, eight times one after the other, take to 735 MB, where the machine has 300. Short bodies hide it.

Cause: a pooled connection keeps the check of its last request, and thereby that request with its body; and a request and its components refer to each other, so that they are freed by a collection of cycles, which is made rare on purpose.

Change: the body is taken out of both as soon as it isn't needed any more.

Test: test_a_body_is_released_with_its_answer fails without either half of the change.

--- a/madderwind/dataplane/attempt_exchange.py
+++ b/madderwind/dataplane/attempt_exchange.py
@@ -88,9 +88,12 @@
             exchange_id=self._request_id or "",
         )
         limit = self._parts.shutdown.timeout_at(self._admitted.until_ms / MS_PER_S)
-        outcome = await self._parts.pool.exchange(
-            instance, address, encoded, limit, lambda response: self._receive(response, encoded)
-        )
+        try:
+            outcome = await self._parts.pool.exchange(
+                instance, address, encoded, limit, lambda response: self._receive(response, encoded)
+            )
+        finally:
+            encoded.body = b""  # a pooled connection keeps its last request
         if isinstance(outcome, AttemptResult):
             return outcome
         return self._result_from(outcome)
--- a/madderwind/dataplane/forwarder.py
+++ b/madderwind/dataplane/forwarder.py
@@ -49,6 +49,8 @@
         except ClientDisconnected:
             parts.counters["client gone"] += 1
             return forwarding.answer.abort()
+        finally:
+            client_request.body = b""  # released at once, not by the next collection of cycles
 
     def _deadline_s(self, request: web.BaseRequest, arrived_ms: float) -> float:
         """The end of a request's time limit, on the loop's clock."""
