A data plane bounds the memory of the bodies that it holds

A process above its memory is killed, with all that it serves.

Change: a body of over 16 KiB reserves its bytes, of a stated length before any of it is read. Where others have reserved half of what the machine's memory leaves beside the process, the request gets 503 with Retry-After, before its body is read; the rest is read and discarded for up to 2 s, so that no reset overtakes the answer. A sole request always fits.

--- a/madderwind/dataplane/client_requests.py
+++ b/madderwind/dataplane/client_requests.py
@@ -10,6 +10,7 @@
 from aiohttp.http_exceptions import BadHttpMessage
 
 from madderwind.configuration.documents import ClientLimits
+from madderwind.dataplane.body_memory import BodyReservation
 from madderwind.dataplane.shutdown_deadline import ShutdownDeadline
 from madderwind.errors import MadderwindError
 
@@ -47,7 +48,11 @@
 
 
 async def read_request(
-    request: web.BaseRequest, limits: ClientLimits, until_s: Callable[[], float], shutdown: ShutdownDeadline
+    request: web.BaseRequest,
+    limits: ClientLimits,
+    until_s: Callable[[], float],
+    shutdown: ShutdownDeadline,
+    reservation: BodyReservation,
 ) -> ClientRequest:
     """Read the body.
 
@@ -56,8 +61,10 @@
         limits: What clients may send.
         until_s: Returns the end of the request's time limit on the loop's clock; called if there is a body.
         shutdown: Ends the wait for the body before the process ends.
+        reservation: Reserves memory for the body, of a stated length before any of it is read.
 
     Raises:
+        BodyMemoryFull: There is no memory for the body.
         UnusableRequest: A limit is exceeded, or the body is not received completely.
         CutShortByShutdown: The body is not complete as the process ends.
     """
@@ -70,10 +77,13 @@
         raise UnusableRequest(400, "neither tunnels nor coded bodies are served")
     if (request.content_length or 0) > limits.max_body_bytes:
         raise UnusableRequest(413, "the body is too long")
+    reservation.extend_to(request.content_length or 0)
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(CONTINUE_RESPONSE)
         request.writer.output_size = 0  # otherwise the response's headers would count as sent
-    body = await _read_body(request, limits, until_s(), shutdown) if request.body_exists else b""
+    body = b""
+    if request.body_exists:
+        body = await _read_body(request, limits, until_s(), shutdown, reservation)
     return ClientRequest(request, request._message.path, body)
 
 
@@ -83,7 +93,11 @@
 
 
 async def _read_body(
-    request: web.BaseRequest, limits: ClientLimits, until_s: float, shutdown: ShutdownDeadline
+    request: web.BaseRequest,
+    limits: ClientLimits,
+    until_s: float,
+    shutdown: ShutdownDeadline,
+    reservation: BodyReservation,
 ) -> bytes:
     """Read the body; fails if it stalls for the idle timeout or is not complete in time."""
     loop = asyncio.get_running_loop()
@@ -100,6 +114,7 @@
             size += len(part)
             if size > limits.max_body_bytes:
                 raise UnusableRequest(413, "the body is too long")
+            reservation.extend_to(size)
             parts.append(part)
     except TimeoutError:
         if shutdown.comes_before(limit_s):
--- a/madderwind/dataplane/forwarder.py
+++ b/madderwind/dataplane/forwarder.py
@@ -8,11 +8,13 @@
 from aiohttp import web
 
 from madderwind.dataplane.admission import Rejected
+from madderwind.dataplane.body_memory import BodyMemoryFull, BodyReservation
 from madderwind.dataplane.client_answers import ClientDisconnected
 from madderwind.dataplane.client_requests import CutShortByShutdown, UnusableRequest, read_request
 from madderwind.dataplane.own_answers import own_answer, refusal
 from madderwind.dataplane.request_forwarding import RequestForwarding
 from madderwind.dataplane.request_parts import MS_PER_S, RequestParts
+from madderwind.transport.bodies import discard_rest
 
 
 class Forwarder:
@@ -24,6 +26,10 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request, from its head to its final response."""
+        with self._parts.body_memory.reservation() as reservation:
+            return await self._serve(request, reservation)
+
+    async def _serve(self, request: web.BaseRequest, reservation: BodyReservation) -> web.StreamResponse:
         parts = self._parts
         loop = asyncio.get_running_loop()
         arrived_ms = loop.time() * MS_PER_S
@@ -33,9 +39,13 @@
                 parts.admission.limits,
                 lambda: self._deadline_s(request, arrived_ms),
                 parts.shutdown,
+                reservation,
             )
         except UnusableRequest as error:
             return self._reject_unusable(error)
+        except BodyMemoryFull as error:
+            discard_rest(request)
+            return self._reject_and_close(parts.admission.retryable_rejection(str(error)))
         except CutShortByShutdown as error:
             return self._reject_and_close(parts.admission.retryable_rejection(str(error)))
         now_ms = loop.time() * MS_PER_S
--- a/madderwind/dataplane/request_parts.py
+++ b/madderwind/dataplane/request_parts.py
@@ -8,6 +8,7 @@
 
 from madderwind.dataplane.admission import Admission
 from madderwind.dataplane.attempt_log import AttemptLog
+from madderwind.dataplane.body_memory import BodyMemory
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.retrying import Retries, RetryBudget
 from madderwind.dataplane.shutdown_deadline import ShutdownDeadline
@@ -31,6 +32,7 @@
         log: Receives log events.
         attempt_log: Receives each attempt if attempt logging is on.
         shutdown: Ends the waits of requests before the process ends.
+        body_memory: Bounds the memory of requests' bodies.
         counters: The number of requests and attempts by how they ended.
     """
 
@@ -43,4 +45,5 @@
     log: EventLog
     attempt_log: AttemptLog
     shutdown: ShutdownDeadline
+    body_memory: BodyMemory
     counters: Counter[str]
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -14,6 +14,7 @@
 from madderwind.configuration.reading import Document
 from madderwind.dataplane.admission import Admission
 from madderwind.dataplane.attempt_log import AttemptLog
+from madderwind.dataplane.body_memory import BodyMemory, body_memory_bytes
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.forwarder import Forwarder
 from madderwind.dataplane.metrics import DataPlaneFigures, data_plane_samples
@@ -143,6 +144,7 @@
             log=Sparing(log, self._now_ms),
             attempt_log=AttemptLog(debug_log),
             shutdown=self._shutdown,
+            body_memory=BodyMemory(body_memory_bytes(settings.limits.memory_mb)),
             counters=self.counters,
         )
         self._listener = Listener(
--- a/madderwind/transport/bodies.py
+++ b/madderwind/transport/bodies.py
@@ -33,6 +33,14 @@
         self.status = status
 
 
+def discard_rest(request: web.BaseRequest) -> None:
+    """Read and discard the rest of a request's body for a while after its response.
+
+    Guards against a reset that overtakes the response at a caller that is still writing.
+    """
+    request.protocol._lingering_time = LINGER_S
+
+
 class Body:
     """The part of a body received so far, and the rest on demand."""
 
@@ -123,11 +131,8 @@
         raise self.broken
 
     def linger(self) -> None:
-        """Read and discard the rest for a while after the response.
-
-        Guards against a reset that overtakes the response at a caller that is still writing.
-        """
-        self._request.protocol._lingering_time = LINGER_S
+        """Read and discard the rest for a while after the response."""
+        discard_rest(self._request)
 
     def end(self) -> None:
         """Release all buffered bytes."""
--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -15,6 +15,7 @@
 from madderwind.configuration.reading import read_document
 from madderwind.dataplane.admission import Admission
 from madderwind.dataplane.attempt_log import AttemptLog
+from madderwind.dataplane.body_memory import BodyMemory, body_memory_bytes
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.forwarder import Forwarder
 from madderwind.dataplane.request_parts import RequestParts
@@ -30,6 +31,7 @@
 from tests.examples import HOST
 
 MS_PER_S = 1000.0
+MEMORY_MB = 256.0
 MAX_CONNECTIONS = 100
 # Small enough that most of a long body stays in the sender's buffers until the receiver reads it.
 RECEIVE_BUFFER_BYTES = 4096
@@ -200,6 +202,7 @@
             budget=budget,
             log=lambda event, /, **fields: None,
             shutdown=self.shutdown,
+            body_memory=BodyMemory(body_memory_bytes(MEMORY_MB)),
             counters=self.counters,
         )
         self.listener = Listener(Forwarder(shared).serve, MAX_CONNECTIONS, lambda event, /, **fields: None)
