A drill's judge orders a request by its cause, and never ends in a KeyError

Cause: the client notes a write after it, and the judge takes the request for known 50 ms before that note. A client that loses the processor between write and note for longer leaves an attempt in front of its request.

Change: the client notes the beginning of a write, before it. No copy can have the request earlier, by whatever delay, so it is known from then on. An attempt or an answer before that is a violation with its text, in place of an exception.

The checks are as strict as before: an attempt before its client began to write is found (it raised before), and so is an attempt without a request.

--- a/madderwind/testing/fault_tests/clients.py
+++ b/madderwind/testing/fault_tests/clients.py
@@ -145,6 +145,7 @@
         connection.last = trace
         finished = False
         try:
+            trace.write_began_ms = self.clock.now_ms
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             trace.written_ms = self.clock.now_ms
             message = await read_message(connection.reader)
--- a/madderwind/testing/fault_tests/judge.py
+++ b/madderwind/testing/fault_tests/judge.py
@@ -110,7 +110,8 @@
             window_ms = scenario.rules.window_ms + TOLERANCE_MS
             checker.took(request.written_ms, copy, request.number, effect, until, window_ms)
 
-        add_event(request.written_ms - TOLERANCE_MS, accept)
+        # No copy can have a request before its client begins to write it.
+        add_event(min(request.write_began_ms, request.written_ms - TOLERANCE_MS), accept)
         if request.how == "answered":
 
             def answer(request: RequestTrace = request, copy: str = copy) -> None:
--- a/madderwind/testing/fault_tests/traces.py
+++ b/madderwind/testing/fault_tests/traces.py
@@ -13,15 +13,19 @@
 
 
 class RequestTrace(msgspec.Struct):
-    """A client's request. `written_ms`: when its last byte was written to an established connection. `how` it
-    ended: answered; closed (the connection ended first); none (the client stopped waiting); untaken (no copy
-    accepted a connection); crossed (a reused connection ended before an answer, and the request was retried
-    under another number)."""
+    """A client's request.
+
+    `write_began_ms`: just before its first byte was written to an established connection; `written_ms`: after
+    its last byte was, which a busy machine may note late. `how` it ended: answered; closed (the connection
+    ended first); none (the client stopped waiting); untaken (no copy accepted a connection); crossed (a
+    reused connection ended before an answer, and the request was retried under another number).
+    """
 
     number: int
     copy: int
     class_index: int
     intended_ms: float
+    write_began_ms: float = ENDLESS_MS
     written_ms: float = -ENDLESS_MS
     deadline_ms: float = 0.0
     ended_ms: float = ENDLESS_MS
--- a/madderwind/testing/simulation/rules.py
+++ b/madderwind/testing/simulation/rules.py
@@ -81,7 +81,10 @@
 
     def sent(self, at_ms: float, copy: str, request: int, upstream: int) -> None:
         """A copy started an attempt."""
-        tracked = self._requests[request]
+        tracked = self._requests.get(request)
+        if tracked is None:
+            self._report_violation(1, at_ms, copy, request, "sent an attempt before any copy had the request")
+            return
         if tracked.answers:
             self._report_violation(
                 1, at_ms, copy, request, f"sent to upstream {upstream} after its final answer"
@@ -120,12 +123,16 @@
 
     def ended(self, request: int, attempt: int, outcome: Outcome) -> None:
         """An attempt ended with an outcome."""
-        if (tracked := self._requests.get(request)) is not None:
+        tracked = self._requests.get(request)
+        if tracked is not None and attempt < len(tracked.attempts):
             tracked.attempts[attempt] = outcome
 
     def answer(self, at_ms: float, copy: str, request: int, refused: bool) -> None:
         """A copy gave a final answer."""
-        tracked = self._requests[request]
+        tracked = self._requests.get(request)
+        if tracked is None:
+            self._report_violation(1, at_ms, copy, request, "answered before any copy had the request")
+            return
         tracked.answers += 1
         self.answered += 1
         if tracked.answers > 1:
