Late repetitions are drawn with pools of 1 to 4 connections and clients that send together

The drawn test of late repetitions sent one request after the other, so that the pool's size didn't matter. Scripts draw the size now, and one to three clients that send at the same time, in turn with up to six requests.

--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -167,9 +167,12 @@
 class ScriptedFleet:
     """A listener, a forwarder and several upstreams, as an async context manager."""
 
-    def __init__(self, *upstreams: ByteUpstream, max_attempts: int = 2) -> None:
+    def __init__(
+        self, *upstreams: ByteUpstream, max_attempts: int = 2, pool_size: int = MAX_CONNECTIONS
+    ) -> None:
+        """`pool_size`: how many connections to upstreams there may be."""
         self.upstreams = upstreams
-        self._max_attempts = max_attempts
+        self._max_attempts, self._pool_size = max_attempts, pool_size
         self.counters: Counter[str] = Counter()
 
     async def __aenter__(self) -> ScriptedFleet:
@@ -182,7 +185,7 @@
         rng = random.Random(1)
         known = KnownUpstreams(heartbeat_ms=1000.0)
         known.merge(loop.time() * MS_PER_S, self._records())
-        self.pool = UpstreamPool(MAX_CONNECTIONS)
+        self.pool = UpstreamPool(self._pool_size)
         self.shutdown = ShutdownDeadline()
         admission = Admission(UnlimitedQuota(), lambda: True, rng)
         limits = {"max_body_bytes": MAX_BODY_BYTES, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
--- a/tests/dataplane/repeated_responses.py
+++ b/tests/dataplane/repeated_responses.py
@@ -22,7 +22,8 @@
 from tests.examples import HOST
 from tests.standins import Message, read_message
 
-MAX_ATTEMPTS, MAX_UPSTREAMS, MAX_REQUESTS, MAX_IDS = 4, 3, 5, 2
+MAX_ATTEMPTS, MAX_UPSTREAMS, MAX_REQUESTS, MAX_IDS = 4, 3, 6, 2
+MAX_CLIENTS, MAX_POOL_SIZE = 3, 4
 
 
 class Kind(Enum):
@@ -57,13 +58,16 @@
 class Script:
     """Requests of clients, each with a route and an id, which clients may use again; and what arrivals meet.
 
-    Arrivals beyond the last one are run.
+    Arrivals beyond the last one are run. The clients send at the same time, and take turns with the requests;
+    `pool_size` is how many connections to upstreams there may be.
     """
 
     upstreams: int
     max_attempts: int
     requests: tuple[tuple[str, int], ...]
     arrivals: tuple[Arrival, ...]
+    clients: int = 1
+    pool_size: int = MAX_POOL_SIZE
 
 
 class Broken(AssertionError):
@@ -80,26 +84,32 @@
         self._has_repeated = False
 
     async def play(self) -> None:
-        """Send the requests one after the other and check each response; raises Broken."""
+        """Send the requests and check each response; raises Broken."""
         script = self._script
         upstreams = [ByteUpstream(self._serve) for _ in range(script.upstreams)]
-        async with ScriptedFleet(*upstreams, max_attempts=script.max_attempts) as fleet:
-            reader, writer = await asyncio.open_connection(HOST, fleet.port)
-            for number, (route, request_id) in enumerate(script.requests):
-                path = f"/{route}/{number}"
-                writer.write(_request(path, request_id))
-                try:
-                    response = await read_message(reader)
-                except (asyncio.IncompleteReadError, ConnectionError):
-                    writer.close()
-                    reader, writer = await asyncio.open_connection(HOST, fleet.port)
-                else:
-                    self._check(path, response)
-            writer.transport.abort()
+        fleet = ScriptedFleet(*upstreams, max_attempts=script.max_attempts, pool_size=script.pool_size)
+        async with fleet:
+            await asyncio.gather(*(self._send(fleet.port, client) for client in range(script.clients)))
         for path, count in self._runs.items():
             if count > 1 and path.startswith(("/unsafe/", "/stream/")):
                 raise Broken(f"{path} ran {count} times")
 
+    async def _send(self, port: int, client: int) -> None:
+        """Send the requests of one client, one after the other."""
+        reader, writer = await asyncio.open_connection(HOST, port)
+        requests = list(enumerate(self._script.requests))
+        for number, (route, request_id) in requests[client :: self._script.clients]:
+            path = f"/{route}/{number}"
+            writer.write(_request(path, request_id))
+            try:
+                response = await read_message(reader)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                reader, writer = await asyncio.open_connection(HOST, port)
+            else:
+                self._check(path, response)
+        writer.transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         responses: list[bytes] = []
         while True:
@@ -166,6 +176,8 @@
     max_attempts=st.integers(1, MAX_ATTEMPTS),
     requests=st.lists(_requests, min_size=1, max_size=MAX_REQUESTS).map(tuple),
     arrivals=st.lists(_arrivals, min_size=2, max_size=10).map(tuple),
+    clients=st.integers(1, MAX_CLIENTS),
+    pool_size=st.integers(1, MAX_POOL_SIZE),
 )
 
 
