A request beyond its tenant's limit of a whole window displaces no other

What callers saw: a request that counts as more tokens than its tenant may ever use in a window (by a client's X-Token-Usage of up to 10**12, or a configuration's prompt_tokens) is refused, rightly. But it stayed in the demand by which the tenant's other requests are drawn: they got 429 although they kept within the limit, until it had decayed (half a second for a factor of e: some 10 s for 10**12 tokens at a rate of 1,000; derived).

Change: such a request is refused without being counted as demand. A single request in requests is never too large.

Test: test_a_request_beyond_the_limit_of_a_window_is_refused_and_displaces_no_other fails on the commit before.

--- a/madderwind/limits/quota.py
+++ b/madderwind/limits/quota.py
@@ -23,6 +23,8 @@
 LATE_ADMIT_ALL_RATIO = 1.5
 # Demand below this, in units per second, is not reported.
 MIN_REPORTED_DEMAND = 1e-3
+# No amount up to this one, which is one request, is too large for a limit.
+MAX_AMOUNT_OF_ANY_LIMIT = 1.0
 
 
 @attrs.frozen
@@ -132,10 +134,15 @@
 
         `is_late`: the response can't be in time any more. While the demand exceeds the capacity, such a
         request has a lower admission probability, and it counts for proportionally less in the demand.
+
+        A request that is larger than the limit of a whole window is never admitted, and is no demand that
+        others would have to yield to.
         """
         state = self._tenants.get(tenant_name)
         if state is None or not state.is_configured:
             return True
+        if amount > max(state.shared.terms.most_per_window, MAX_AMOUNT_OF_ANY_LIMIT):
+            return False
         state.record_demand(now_ms, _weighted_demand(amount, is_late))
         admission_ratio = state.admission_ratio(now_ms)
         if is_late:
--- a/madderwind/limits/quota_terms.py
+++ b/madderwind/limits/quota_terms.py
@@ -22,7 +22,8 @@
 
     `margin`: how far below zero the shared level may go. `restart_level`: the initial level of a process that
     can't know what was spent before. `isolated_allowance`: what the whole fleet may spend beyond its level
-    while data planes don't receive each other's reports.
+    while data planes don't receive each other's reports. `most_per_window`: what the fleet-wide limit allows
+    in any window.
     """
 
     rate_per_s: float
@@ -30,6 +31,7 @@
     margin: float
     restart_level: float
     isolated_allowance: float
+    most_per_window: float
 
 
 def quota_terms(tenant: Tenant, bounds: Bounds) -> QuotaTerms | None:
@@ -45,4 +47,5 @@
         margin=margin,
         restart_level=min(tenant.burst, RESTART_FRACTION * tolerance) - margin,
         isolated_allowance=ISOLATED_FRACTION * tolerance,
+        most_per_window=nominal_allowance + tolerance,
     )
--- a/tests/limits/test_quota.py
+++ b/tests/limits/test_quota.py
@@ -164,6 +164,19 @@
     def test_a_full_bucket_admits_a_request_larger_than_its_burst(self) -> None:
         self.assertEqual(admitted(make_quota(), 0.0, 1, amount=24.0), 1)
 
+    def test_a_request_beyond_the_limit_of_a_window_is_refused_and_displaces_no_other(self) -> None:
+        # Guards against one request, of a client that names an absurd size, that starves its tenant.
+        quota = make_quota()
+        window_limit = 10.0 * 8.0 + 20.0
+        for amount in (window_limit + 1.0, 1e12, 1e308, float("inf")):
+            self.assertFalse(quota.admit(0.0, "blue", amount))
+        self.assertEqual(quota.drain_usage(0.0).demand_per_s, {})
+        self.assertEqual(admitted(quota, 0.0, 20), admitted(make_quota(), 0.0, 20))
+
+    def test_a_tenant_with_less_than_a_request_in_a_window_is_served_now_and_then(self) -> None:
+        quota = make_quota(Tenant(name="blue", rate_per_s=0.1))
+        self.assertGreater(sum(admitted(quota, second * 1000.0, 1) for second in range(600)), 0)
+
     def test_a_process_without_history_starts_with_a_low_level(self) -> None:
         quota = make_quota(is_founding=False)
         self.assertLess(admitted(quota, 0.0, 200), 20)
