--- a/tests/shutdown_drill/clients.py
+++ b/tests/shutdown_drill/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+from typing import Protocol
 
 import msgspec
 
@@ -72,7 +73,7 @@
         try:
             if sent.plan.reads_slowly:
                 await asyncio.sleep(SLOW_READER_S)
-            await _read(reader, sent)
+            await read_answer(reader, sent)
         except (OSError, EOFError):
             pass
         finally:
@@ -114,7 +115,16 @@
             return [body]
 
 
-async def _read(reader: asyncio.StreamReader, sent: Sent) -> None:
+class Answer(Protocol):
+    """What is noted of an answer."""
+
+    status: int
+    headers: dict[str, str]
+    is_complete: bool
+
+
+async def read_answer(reader: asyncio.StreamReader, sent: Answer) -> None:
+    """Read an answer by its framing, and note what has come; OSError or EOFError if it ends early."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     lines = (line.partition(":") for line in head[1:] if line)
     sent.headers = {name.lower(): value.strip() for name, _, value in lines}
--- a/tests/shutdown_drill/drill.py
+++ b/tests/shutdown_drill/drill.py
@@ -52,7 +52,7 @@
         await asyncio.sleep(plan.signal_s)
         signal_s = loop.time()
         process.terminate()
-        exit_code = await _exit_code(process, plan.grace_s)
+        code = await exit_code(process, plan.grace_s)
         exit_s = loop.time()
         await asyncio.gather(*tasks)
         behaviour.close()
@@ -62,7 +62,7 @@
         grace_s=plan.grace_s,
         signal_s=signal_s,
         exit_s=exit_s,
-        exit_code=exit_code,
+        exit_code=code,
         sent=[sent for client in played for sent in client.sent],
         arrivals=behaviour.arrivals,
         runs=behaviour.runs,
@@ -86,18 +86,21 @@
     stack.push_async_callback(control.close)
     path = Path(stack.enter_context(tempfile.TemporaryDirectory())) / "node.json"
     path.write_bytes(msgspec.json.encode(_settings(control_port, grace_s)))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "madderwind.dataplane",
-        cwd=checkout,
-        env={**os.environ, "MADDERWIND_CONFIG": str(path), "PYTHONPATH": str(checkout)},
-        stdout=asyncio.subprocess.PIPE,
-    )
-    stack.push_async_callback(_kill, process)
+    process = await start_program("madderwind.dataplane", path, checkout)
+    stack.push_async_callback(kill, process)
     return process, await _port_once_ready(process)
 
 
+async def start_program(
+    module: str, settings_path: Path, checkout: Path = ROOT, output: int = asyncio.subprocess.PIPE
+) -> asyncio.subprocess.Process:
+    """Start a program of a checkout with a settings file."""
+    variables = {"MADDERWIND_CONFIG": str(settings_path), "PYTHONPATH": str(checkout)}
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", module, cwd=checkout, env={**os.environ, **variables}, stdout=output
+    )
+
+
 @contextmanager
 def unreachable_port() -> Iterator[int]:
     """A port at which connections are dialled for ever: its backlog is full, and nobody accepts."""
@@ -111,17 +114,18 @@
         yield port
 
 
-async def _exit_code(process: asyncio.subprocess.Process, grace_s: float) -> int:
+async def exit_code(process: asyncio.subprocess.Process, grace_s: float) -> int:
     """Wait for the end of the process, which is killed after its grace period, as the platform does."""
     try:
         async with asyncio.timeout(grace_s):
             return await process.wait()
     except TimeoutError:
-        await _kill(process)
+        await kill(process)
         return -signal.SIGKILL
 
 
-async def _kill(process: asyncio.subprocess.Process) -> None:
+async def kill(process: asyncio.subprocess.Process) -> None:
+    """End a process that still runs."""
     if process.returncode is None:
         process.kill()
         await process.wait()
