--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -148,7 +148,7 @@
             counters=self.counters,
         )
         self._listener = Listener(
-            Forwarder(parts).serve, connections, log, self.pool.held, longest_line=MAX_LINE_BYTES
+            Forwarder(parts).serve, connections, log, self.pool.open_connections, longest_line=MAX_LINE_BYTES
         )
         self._ready_listener = ReadyListener(lambda: self.is_ready)
         self._document: Document | None = None
@@ -167,7 +167,7 @@
             control_planes=len(self.subscriber.open_links),
             data_planes=self.subscriber.data_planes,
             upstreams=tuple(self.upstreams.all()),
-            upstream_connections=self.pool.held(),
+            upstream_connections=self.pool.open_connections(),
             events=self.counters,
         )
 
--- a/madderwind/dataplane/upstream_pool.py
+++ b/madderwind/dataplane/upstream_pool.py
@@ -55,9 +55,9 @@
         number = self._instance_numbers.get(instance)
         return number is not None and self._upstreams.keeps(number)
 
-    def held(self) -> int:
+    def open_connections(self) -> int:
         """The number of open connections."""
-        return self._upstreams.held()
+        return self._upstreams.open_connections()
 
     async def exchange(
         self,
--- a/madderwind/standalone/program/service.py
+++ b/madderwind/standalone/program/service.py
@@ -74,7 +74,7 @@
         self._follower = Follower(self.copy, configuration.discovery, self._random)
         self._follow_task: asyncio.Task[None] | None = None
         self._reopen_task: asyncio.Task[None] | None = None
-        self._listener = Listener(self._answer, self._max_connections, log, self._upstreams.held)
+        self._listener = Listener(self._answer, self._max_connections, log, self._upstreams.open_connections)
         # An upgrade needs the admin address, where operators check whether the new process serves.
         self._handover: Handover | None = None
         if configuration.admin is not None and folder:
--- a/madderwind/transport/connector.py
+++ b/madderwind/transport/connector.py
@@ -67,7 +67,11 @@
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
         self._drop_unusable(req.connection_key)
-        if not self._conns.get(req.connection_key) and self.held() >= self.most and not self._drop_idle():
+        if (
+            not self._conns.get(req.connection_key)
+            and self.open_connections() >= self.most
+            and not self._drop_idle()
+        ):
             raise NotWrittenError
         return await super().connect(req, traces, timeout)
 
@@ -99,7 +103,7 @@
         keep_alive_s = self._options.untold_idle_s if protocol.keep_alive_s is None else protocol.keep_alive_s
         return protocol.is_reusable() and idle_s <= keep_alive_s * IDLE_FRACTION
 
-    def held(self) -> int:
+    def open_connections(self) -> int:
         return len(self._acquired) + sum(len(idle) for idle in self._conns.values())
 
     def _drop_idle(self) -> bool:
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -66,9 +66,9 @@
         # Guards against a duplicate request: aiohttp resends a GET by itself when a reused connection breaks.
         self._session._retry_connection = False
 
-    def held(self) -> int:
+    def open_connections(self) -> int:
         """The number of open connections."""
-        return self._connector.held()
+        return self._connector.open_connections()
 
     def share(self, most: int) -> None:
         """Set how many connections the pool may hold from now on."""
