--- a/madderwind/dataplane/upstream_pool.py
+++ b/madderwind/dataplane/upstream_pool.py
@@ -39,7 +39,7 @@
             passing_stall_s=0.0,
             distrusts_resets=False,
             untold_idle_s=DEFAULT_IDLE_S,
-            starts_when_whole=False,
+            starts_when_complete=False,
         )
         self._upstreams = Upstreams(CONNECT_TIMEOUT_MS, MAX_IDLE_MS, max_connections, options)
         self._instance_numbers: dict[str, int] = {}
--- a/madderwind/transport/connector.py
+++ b/madderwind/transport/connector.py
@@ -30,7 +30,7 @@
     `passing_stall_s`: the same within a streamed response; 0 disables the limit.
     `untold_idle_s`: how long to keep an idle connection whose upstream stated no timeout, if that is less
     than the pool's own limit.
-    `starts_when_whole`: whether upstreams start a request only once they have its last byte. If not, its
+    `starts_when_complete`: whether upstreams start a request only once they have its last byte. If not, its
     first byte may be enough, as such upstreams respond before they have read the body.
     """
 
@@ -39,7 +39,7 @@
     passing_stall_s: float = PASSING_STALL_S
     distrusts_resets: bool = True
     untold_idle_s: float = float("inf")
-    starts_when_whole: bool = True
+    starts_when_complete: bool = True
 
 
 class BoundedConnector(aiohttp.TCPConnector):
--- a/madderwind/transport/encoded_request.py
+++ b/madderwind/transport/encoded_request.py
@@ -48,7 +48,7 @@
         "may_repeat",
         "may_write",
         "method",
-        "on_whole",
+        "on_written",
         "sink",
         "target",
         "upload",
@@ -65,7 +65,7 @@
         body: bytes,
         may_write: Callable[[], bool],
         may_repeat: bool = True,
-        on_whole: Callable[[], None] = lambda: None,
+        on_written: Callable[[], None] = lambda: None,
         upload: Upload | None = None,
         sink: Sink | None = None,
         addresses: AddresseeCheck | None = None,
@@ -78,7 +78,7 @@
         # Tells its response from others on a connection, which carries it once at most; None if nothing does.
         self.exchange_id = exchange_id
         self.may_repeat = may_repeat  # whether a duplicate would do no harm
-        self.on_whole = on_whole  # called when the last byte has been written
+        self.on_written = on_written  # called when the last byte has been written
         self.upload = upload  # replaces `body`
         self.sink = sink  # receives a response that is too long to buffer
         self.addresses = addresses  # a response that belongs to another request is an error
@@ -92,7 +92,7 @@
     def mark_written(self) -> None:
         """Record that the last byte has been written."""
         self.write_finished = True
-        self.on_whole()
+        self.on_written()
 
 
 # The request that the current task is sending.
--- a/madderwind/transport/upstreams.py
+++ b/madderwind/transport/upstreams.py
@@ -52,7 +52,7 @@
         options: ConnectionOptions = ConnectionOptions(),  # noqa: B008 (frozen)
     ) -> None:
         self._connector = BoundedConnector(most, options)
-        self._starts_when_whole = options.starts_when_whole
+        self._starts_when_complete = options.starts_when_complete
         self.retune(connect_timeout_ms, idle_ms)
         self._session = aiohttp.ClientSession(
             connector=self._connector,
@@ -159,7 +159,7 @@
 
     def _may_have_run(self, encoded: EncodedRequest) -> bool:
         """Whether the upstream may have started the request. The only place that decides this."""
-        return encoded.write_finished if self._starts_when_whole else encoded.write_started
+        return encoded.write_finished if self._starts_when_complete else encoded.write_started
 
     async def _receive(self, response: ClientResponse, encoded: EncodedRequest) -> Answer | Outcome:
         """Buffer a short response whole; stream a long one if it is a success."""
--- a/tests/dataplane/answer_mutants.py
+++ b/tests/dataplane/answer_mutants.py
@@ -59,7 +59,7 @@
 
 
 def require_last_byte(**options: Any) -> ConnectionOptions:
-    return ConnectionOptions(**{**options, "starts_when_whole": True})
+    return ConnectionOptions(**{**options, "starts_when_complete": True})
 
 
 def leave_stream_open(answer: ClientAnswer) -> web.StreamResponse:
--- a/tests/transport/test_upstreams.py
+++ b/tests/transport/test_upstreams.py
@@ -531,7 +531,7 @@
             completions: list[bool] = []
             sent = EncodedRequest(
                 *("POST", "/charge", CIMultiDict[str](), b"", lambda: True),
-                on_whole=lambda: completions.append(True),
+                on_written=lambda: completions.append(True),
                 upload=Upload(pieces(), None),
             )
             until_s = asyncio.get_running_loop().time() + 10.0
