A listener frees descriptors, and a first request has a timeout

make_room is free_descriptors; SILENT_S and silent_s, the time for a connection's first request, are FIRST_REQUEST_TIMEOUT_S and first_request_timeout_s. Nothing else changes.

--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -237,7 +237,7 @@
         self._listener.tune(
             CallerTimes(
                 idle_s=limits.idle_timeout_ms / MS_PER_S + IDLE_SLACK_S,
-                silent_s=limits.header_timeout_ms / MS_PER_S,
+                first_request_timeout_s=limits.header_timeout_ms / MS_PER_S,
             )
         )
         self._log("configuration_in_force", version=document.version, routes=document.route_count)
--- a/madderwind/transport/listening.py
+++ b/madderwind/transport/listening.py
@@ -24,7 +24,7 @@
 # Callers send as soon as they are connected, and may take 2 s for a head. A connection that has sent nothing,
 # or an incomplete head, is owed an error or a close within 3 s. When descriptors run short, a new connection
 # is spared for the second, shorter time only.
-SILENT_S, FIRST_REQUEST_GRACE_S = 2.5, 0.5
+FIRST_REQUEST_TIMEOUT_S, FIRST_REQUEST_GRACE_S = 2.5, 0.5
 # How often connections are checked against both limits.
 SWEEP_INTERVAL_S = 0.25
 BACKLOG = 1024
@@ -44,7 +44,7 @@
     """How long callers' connections may be idle between requests, and before their first one."""
 
     idle_s: float = IDLE_S
-    silent_s: float = SILENT_S
+    first_request_timeout_s: float = FIRST_REQUEST_TIMEOUT_S
 
 
 class CallersRequest(web.BaseRequest):
@@ -91,7 +91,7 @@
 
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
-        self.make_room(len(self._connections) - self.most)
+        self.free_descriptors(len(self._connections) - self.most)
 
     def excess(self) -> int:
         """How many connections exceed the descriptors, without those that can be closed at once.
@@ -100,7 +100,7 @@
         """
         return len(self._connections) - len(self.lingering) - self.most
 
-    def make_room(self, count: int) -> None:
+    def free_descriptors(self, count: int) -> None:
         """Close up to `count` idle connections, longest idle first; new ones get a moment for a request.
 
         Guards against closing a connection as its first request arrives: clients resend a request that
@@ -128,7 +128,7 @@
         """
         now_s, silent = self._loop.time(), 0
         for connection in list(self._callers()):
-            limit_s = self.times.idle_s if connection._request_count else self.times.silent_s
+            limit_s = self.times.idle_s if connection._request_count else self.times.first_request_timeout_s
             if now_s - connection.idle_since_s >= limit_s and is_idle(connection):
                 silent += not connection._request_count
                 connection.force_close()
@@ -241,13 +241,13 @@
         )
         if callers < most or callers + spare < 2 * most:
             return True
-        self._web.make_room(1)
+        self._web.free_descriptors(1)
         return False
 
     def _on_descriptor_shortage(self) -> bool:
         """Close an idle connection; its descriptor becomes free a moment later."""
         self._log("no_descriptor_to_accept_with", connections=len(self._web.connections))
-        self._web.make_room(1)
+        self._web.free_descriptors(1)
         return False
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/standalone/program/test_crossing.py
+++ b/tests/standalone/program/test_crossing.py
@@ -253,7 +253,7 @@
                 assert b" 400 " in await read_to_end(caller)
                 if short:
                     assert web.connections
-                    web.make_room(1)
+                    web.free_descriptors(1)
                 while web.connections:
                     await asyncio.sleep(0)
                 caller.close()
--- a/tests/transport/test_listening.py
+++ b/tests/transport/test_listening.py
@@ -77,7 +77,7 @@
         for caller in (used, requesting):
             assert (await caller.ask()).status == 200
         requesting.write()  # is in the socket buffer at once, unread before the next line
-        listener._web.make_room(3)
+        listener._web.free_descriptors(3)
         assert await used.at_end()
         assert (await requesting.read()).body == b"taken"
         assert (await fresh.ask()).body == b"taken"
@@ -93,7 +93,7 @@
     monkeypatch: pytest.MonkeyPatch, partial_head: bytes
 ) -> None:
     """Guards against hundreds of callers that hold their descriptors forever; a pending request is served."""
-    monkeypatch.setattr(listening, "SILENT_S", 0.0)
+    monkeypatch.setattr(listening, "FIRST_REQUEST_TIMEOUT_S", 0.0)
 
     async def handler(_: web.BaseRequest) -> web.Response:
         return web.Response(body=b"taken")
@@ -141,14 +141,14 @@
         fresh = await Caller.connect(port)
         active = await Caller.connect(port)
         assert (await active.ask()).status == 200
-        listener._web.make_room(2)
+        listener._web.free_descriptors(2)
         assert await active.at_end()
         assert (await fresh.ask()).body == b"taken"  # it was too new to count as silent
         silent = await Caller.connect(port)
         while len(listener._web.connections) < 2:
             await asyncio.sleep(0)
         monkeypatch.setattr(listening, "FIRST_REQUEST_GRACE_S", 0.0)
-        listener._web.make_room(2)
+        listener._web.free_descriptors(2)
         assert await silent.at_end()
         await listener.finish(5.0)
 
