A replica's file may hold a state longer than a message

Change: records of the file have a limit of their own, the same for writer and reader, whose compressed form always fits into a record of a file (64 MiB).

--- a/madderwind/messages/codec.py
+++ b/madderwind/messages/codec.py
@@ -26,14 +26,15 @@
 class Codec(Generic[MessageType]):
     """Encodes and decodes one union of tagged structs."""
 
-    def __init__(self, union: object) -> None:
+    def __init__(self, union: object, max_bytes: int = MAX_MESSAGE_BYTES) -> None:
+        """Create a codec for messages of at most `max_bytes` before their compression."""
         self._format: MessagePack[MessageType] = MessagePack(union)
+        self._max_bytes = max_bytes
 
     def encode(self, message: MessageType) -> bytes:
         """Serialize a message; raises MessageError if it is too long or holds text that is not Unicode."""
         data = self._format.encode(message)
-        if len(data) > MAX_MESSAGE_BYTES:
-            raise MessageError(f"{len(data)} bytes exceed the maximum message size")
+        self._check_size(data)
         if len(data) < MIN_COMPRESSED_BYTES:
             return data
         return COMPRESSED_PREFIX + zlib.compress(data, COMPRESSION_LEVEL)
@@ -41,19 +42,22 @@
     def decode(self, data: bytes) -> MessageType:
         """Parse a message; raises MessageError if the data is not a valid message."""
         if data[:1] == COMPRESSED_PREFIX:
-            data = _decompress(data[1:])
-        if len(data) > MAX_MESSAGE_BYTES:
-            raise MessageError(f"{len(data)} bytes exceed the maximum message size")
+            data = _decompress(data[1:], self._max_bytes)
+        self._check_size(data)
         return self._format.decode(data)
 
+    def _check_size(self, data: bytes) -> None:
+        if len(data) > self._max_bytes:
+            raise MessageError(f"{len(data)} bytes exceed the maximum of {self._max_bytes}")
 
-def _decompress(data: bytes) -> bytes:
-    """Decompress data; raises MessageError if it is invalid or exceeds the maximum message size."""
+
+def _decompress(data: bytes, max_bytes: int) -> bytes:
+    """Decompress data up to a byte more than the maximum; raises MessageError if it is invalid."""
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(data, MAX_MESSAGE_BYTES + 1)
+        data = decompressor.decompress(data, max_bytes + 1)
     except zlib.error as error:
         raise MessageError(f"invalid compressed message: {error}") from None
-    if len(data) <= MAX_MESSAGE_BYTES and not decompressor.eof:
+    if len(data) <= max_bytes and not decompressor.eof:
         raise MessageError("incomplete compressed message")
     return data
--- a/madderwind/replication/records.py
+++ b/madderwind/replication/records.py
@@ -63,7 +63,9 @@
 
 StoredRecord = IdentityRecord | ViewRecord | WitnessRecord | EntryRecord | TruncateRecord | SnapshotRecord
 
-stored_records: Codec[StoredRecord] = Codec(StoredRecord)
+# Its compressed form fits into a record of a file (storage.records.MAX_RECORD_BYTES).
+MAX_STORED_RECORD_BYTES = 60 * 1024 * 1024
+stored_records: Codec[StoredRecord] = Codec(StoredRecord, MAX_STORED_RECORD_BYTES)
 
 
 class StoredState:
