Bodies are reserved from the budget of messages that the transport already had

BodyMemory counted and bounded bytes as transport.budget.Budget does (reserve, try_reserve, give_back); it is gone, and a reservation draws on a Budget. What is refused is the same: tests/dataplane/test_body_memory.py passes with its bounds and expectations unchanged.

--- a/madderwind/dataplane/body_memory.py
+++ b/madderwind/dataplane/body_memory.py
@@ -5,8 +5,8 @@
 from types import TracebackType
 
 from madderwind.errors import MadderwindError
+from madderwind.transport.budget import MIB, Budget
 
-MIB = 1024 * 1024
 # What a data plane needs besides bodies, with the largest configuration.
 PROCESS_MIB = 120
 # A body that is being sent is held twice: by its request and by the connection's write buffer.
@@ -25,37 +25,16 @@
     return max(MIN_BODY_MEMORY_BYTES, int((memory_mb - PROCESS_MIB) * MIB / COPIES_OF_A_BODY))
 
 
-class BodyMemory:
-    """The bytes reserved for bodies by all requests of a process."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self._max_bytes = max_bytes
-        self._reserved_bytes = 0
-
-    def reservation(self) -> BodyReservation:
-        """A reservation for one request, empty so far."""
-        return BodyReservation(self)
-
-    def fits(self, reserved_bytes: int, more_bytes: int) -> bool:
-        """Whether a request that has reserved some bytes may reserve more; a sole request always may."""
-        is_short = reserved_bytes + more_bytes <= SHORT_BODY_BYTES
-        is_sole = self._reserved_bytes == reserved_bytes
-        return is_short or is_sole or self._reserved_bytes + more_bytes <= self._max_bytes
-
-    def add(self, count: int) -> None:
-        """Change the reserved bytes, by less than 0 to release some."""
-        self._reserved_bytes += count
-
-
 class BodyReservation:
     """The bytes reserved for the body of one request, until the end of the context."""
 
-    def __init__(self, memory: BodyMemory) -> None:
-        self._memory = memory
+    def __init__(self, budget: Budget) -> None:
+        """Start without bytes; `budget` is shared by all requests of a process."""
+        self._budget = budget
         self._reserved_bytes = 0
 
     def extend_to(self, size: int) -> None:
-        """Reserve up to `size` bytes in all.
+        """Reserve up to `size` bytes in all; a short body and that of a sole request always fit.
 
         Raises:
             BodyMemoryFull: Other requests hold too many bytes.
@@ -63,11 +42,17 @@
         more_bytes = size - self._reserved_bytes
         if more_bytes <= 0:
             return
-        if not self._memory.fits(self._reserved_bytes, more_bytes):
+        if size <= SHORT_BODY_BYTES or self._is_sole:
+            self._budget.reserve(more_bytes)
+        elif not self._budget.try_reserve(more_bytes):
             raise BodyMemoryFull("too many long bodies are held")
-        self._memory.add(more_bytes)
         self._reserved_bytes = size
 
+    @property
+    def _is_sole(self) -> bool:
+        """Whether no other request has reserved anything."""
+        return self._budget.left + self._reserved_bytes == self._budget.size
+
     def __enter__(self) -> BodyReservation:
         return self
 
@@ -77,5 +62,5 @@
         _error: BaseException | None,
         _traceback: TracebackType | None,
     ) -> None:
-        self._memory.add(-self._reserved_bytes)
+        self._budget.give_back(self._reserved_bytes)
         self._reserved_bytes = 0
--- a/madderwind/dataplane/forwarder.py
+++ b/madderwind/dataplane/forwarder.py
@@ -26,7 +26,7 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request, from its head to its final response."""
-        with self._parts.body_memory.reservation() as reservation:
+        with BodyReservation(self._parts.body_memory) as reservation:
             return await self._serve(request, reservation)
 
     async def _serve(self, request: web.BaseRequest, reservation: BodyReservation) -> web.StreamResponse:
--- a/madderwind/dataplane/request_parts.py
+++ b/madderwind/dataplane/request_parts.py
@@ -8,13 +8,13 @@
 
 from madderwind.dataplane.admission import Admission
 from madderwind.dataplane.attempt_log import AttemptLog
-from madderwind.dataplane.body_memory import BodyMemory
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.retrying import Retries, RetryBudget
 from madderwind.dataplane.shutdown_deadline import ShutdownDeadline
 from madderwind.dataplane.upstream_pool import UpstreamPool
 from madderwind.eventlog import EventLog
 from madderwind.registry.known_upstreams import KnownUpstreams
+from madderwind.transport.budget import Budget
 
 MS_PER_S = 1000.0
 
@@ -32,7 +32,7 @@
         log: Receives log events.
         attempt_log: Receives each attempt if attempt logging is on.
         shutdown: Ends the waits of requests before the process ends.
-        body_memory: Bounds the memory of requests' bodies.
+        body_memory: The bytes that requests' bodies may take.
         counters: The number of requests and attempts by how they ended.
     """
 
@@ -45,5 +45,5 @@
     log: EventLog
     attempt_log: AttemptLog
     shutdown: ShutdownDeadline
-    body_memory: BodyMemory
+    body_memory: Budget
     counters: Counter[str]
--- a/madderwind/dataplane/service.py
+++ b/madderwind/dataplane/service.py
@@ -14,7 +14,7 @@
 from madderwind.configuration.reading import Document
 from madderwind.dataplane.admission import Admission
 from madderwind.dataplane.attempt_log import AttemptLog
-from madderwind.dataplane.body_memory import BodyMemory, body_memory_bytes
+from madderwind.dataplane.body_memory import body_memory_bytes
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.forwarder import Forwarder
 from madderwind.dataplane.metrics import DataPlaneFigures, data_plane_samples
@@ -50,6 +50,7 @@
 from madderwind.placement.placement import Placement
 from madderwind.registry.known_upstreams import KnownUpstreams
 from madderwind.settings_watch import SettingsWatch
+from madderwind.transport.budget import Budget
 from madderwind.transport.listening import CallerTimes, Listener
 
 MS_PER_S = 1000.0
@@ -144,7 +145,7 @@
             log=Sparing(log, self._now_ms),
             attempt_log=AttemptLog(debug_log),
             shutdown=self._shutdown,
-            body_memory=BodyMemory(body_memory_bytes(settings.limits.memory_mb)),
+            body_memory=Budget(body_memory_bytes(settings.limits.memory_mb)),
             counters=self.counters,
         )
         self._listener = Listener(
--- a/tests/dataplane/forwarder.py
+++ b/tests/dataplane/forwarder.py
@@ -15,7 +15,7 @@
 from madderwind.configuration.reading import read_document
 from madderwind.dataplane.admission import Admission
 from madderwind.dataplane.attempt_log import AttemptLog
-from madderwind.dataplane.body_memory import BodyMemory, body_memory_bytes
+from madderwind.dataplane.body_memory import body_memory_bytes
 from madderwind.dataplane.choosing import UpstreamChooser
 from madderwind.dataplane.forwarder import Forwarder
 from madderwind.dataplane.request_parts import RequestParts
@@ -26,6 +26,7 @@
 from madderwind.messages.distribution import UpstreamRecord
 from madderwind.placement.placement import Placement
 from madderwind.registry.known_upstreams import KnownUpstreams
+from madderwind.transport.budget import Budget
 from madderwind.transport.listening import CallerTimes, Listener
 from tests.dataplane.fleet import document
 from tests.examples import HOST
@@ -205,7 +206,7 @@
             budget=budget,
             log=lambda event, /, **fields: None,
             shutdown=self.shutdown,
-            body_memory=BodyMemory(body_memory_bytes(MEMORY_MB)),
+            body_memory=Budget(body_memory_bytes(MEMORY_MB)),
             counters=self.counters,
         )
         self.listener = Listener(Forwarder(shared).serve, MAX_CONNECTIONS, lambda event, /, **fields: None)
--- a/tests/dataplane/test_body_memory.py
+++ b/tests/dataplane/test_body_memory.py
@@ -11,14 +11,14 @@
 
 from madderwind.dataplane import service
 from madderwind.dataplane.body_memory import (
-    MIB,
     MIN_BODY_MEMORY_BYTES,
     SHORT_BODY_BYTES,
-    BodyMemory,
     BodyMemoryFull,
+    BodyReservation,
     body_memory_bytes,
 )
 from madderwind.testing.fault_tests.wire import chunk
+from madderwind.transport.budget import MIB, Budget
 from tests.dataplane.fleet import CLIENT_HOST, Client, Fleet, Message, Writer, document, served, until
 from tests.examples import HOST
 from tests.standins import run, silent
@@ -146,18 +146,18 @@
 
 
 def test_a_sole_request_is_never_refused() -> None:
-    memory = BodyMemory(MAX_BYTES)
-    with memory.reservation() as sole:
+    memory = Budget(MAX_BYTES)
+    with BodyReservation(memory) as sole:
         sole.extend_to(10 * MAX_BYTES)
-        with memory.reservation() as other, pytest.raises(BodyMemoryFull):
+        with BodyReservation(memory) as other, pytest.raises(BodyMemoryFull):
             other.extend_to(SHORT_BODY_BYTES + 1)
-    with memory.reservation() as next_one:
+    with BodyReservation(memory) as next_one:
         next_one.extend_to(MAX_BYTES)
 
 
 def test_reservations_add_up_to_the_maximum() -> None:
-    memory = BodyMemory(MAX_BYTES)
-    with memory.reservation() as first, memory.reservation() as second:
+    memory = Budget(MAX_BYTES)
+    with BodyReservation(memory) as first, BodyReservation(memory) as second:
         first.extend_to(20_000)
         second.extend_to(20_000)
         second.extend_to(MAX_BYTES - 20_000)
