--- a/madderwind/controlplane/public_server.py
+++ b/madderwind/controlplane/public_server.py
@@ -153,6 +153,7 @@
 
 
 def _command_status(result: CommandResult) -> int:
+    # Told by the field: control planes of earlier versions know no further outcome.
     is_too_large = result.outcome is CommandOutcome.INVALID and result.field == DOCUMENT_SIZE
     return HTTPStatus.REQUEST_ENTITY_TOO_LARGE if is_too_large else _HTTP_STATUS[result.outcome]
 
--- a/madderwind/limits/quota.py
+++ b/madderwind/limits/quota.py
@@ -23,8 +23,8 @@
 LATE_ADMIT_ALL_RATIO = 1.5
 # Demand below this, in units per second, is not reported.
 MIN_REPORTED_DEMAND = 1e-3
-# No amount up to this one, which is one request, is too large for a limit.
-MAX_AMOUNT_OF_ANY_LIMIT = 1.0
+# A limit counted in requests, however low, admits one at a time.
+ONE_REQUEST = 1.0
 
 
 @attrs.frozen
@@ -141,7 +141,7 @@
         state = self._tenants.get(tenant_name)
         if state is None or not state.is_configured:
             return True
-        if amount > max(state.shared.terms.most_per_window, MAX_AMOUNT_OF_ANY_LIMIT):
+        if amount > max(state.shared.terms.most_per_window, ONE_REQUEST):
             return False
         state.record_demand(now_ms, _weighted_demand(amount, is_late))
         admission_ratio = state.admission_ratio(now_ms)
